--- /dev/null
+++ b/Makefile
@@ -0,0 +1,48 @@
+# Thin front of the CMake build. Every target builds what it needs first.
+BUILD ?= build
+ARGS ?=
+JOBS ?= $(shell nproc)
+export CCACHE_BASEDIR := $(CURDIR)
+export CCACHE_NOHASHDIR := 1
+
+.PHONY: all setup configure demo test test-sanitize format check-format lint spec clean
+
+all: configure
+	@cmake --build $(BUILD) -j $(JOBS)
+
+# Installs what the build and the tests need from Debian's packages.
+setup:
+	@tools/install-packages
+
+configure: setup
+	@cmake -S . -B $(BUILD) -G Ninja -DCMAKE_BUILD_TYPE=Release >/dev/null
+
+test: all
+	@tools/run-tests $(BUILD)
+
+test-sanitize: setup
+	@cmake -S . -B $(BUILD)-sanitize -G Ninja -DCMAKE_BUILD_TYPE=Debug -DGREENGAGESPAR_SANITIZE=ON >/dev/null
+	@cmake --build $(BUILD)-sanitize -j $(JOBS)
+	@tools/run-tests $(BUILD)-sanitize
+
+demo: all
+	@$(BUILD)/bin/demo $(ARGS)
+
+# Any measurement: make measure-path ARGS='--seed 2'
+measure-%: all
+	@$(BUILD)/bin/measure-$* $(ARGS)
+
+spec: setup
+	@spec/run $(ARGS)
+
+format:
+	@git ls-files '*.cpp' '*.h' | grep -v '\.pb\.' | xargs clang-format -i
+
+check-format:
+	@git ls-files '*.cpp' '*.h' | grep -v '\.pb\.' | xargs clang-format --dry-run --Werror
+
+lint: configure
+	@tools/lint $(BUILD)
+
+clean:
+	@rm -rf $(BUILD) $(BUILD)-sanitize
--- /dev/null
+++ b/src/include/greengagespar/base/ids.h
@@ -0,0 +1,83 @@
+/// \file
+/// Strong types for identifiers and counters. All are plain values, ordered
+/// and hashable, and safe to copy between threads.
+#ifndef GREENGAGESPAR_BASE_IDS_H
+#define GREENGAGESPAR_BASE_IDS_H
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <string>
+
+namespace greengagespar {
+
+/// An identifier that is text. Tag keeps kinds of identifier apart.
+template <class Tag> struct TextId {
+  std::string Value;
+  auto operator<=>(const TextId &) const = default;
+};
+
+/// An identifier or counter that is a number. Tag keeps kinds apart.
+template <class Tag> struct NumberId {
+  std::uint64_t Value = 0;
+  auto operator<=>(const NumberId &) const = default;
+};
+
+/// A team: the owner of one subtree of settings.
+using TeamId = TextId<struct TeamTag>;
+/// A workspace: the unit of fairness, sent by callers in a header.
+using WorkspaceId = TextId<struct WorkspaceTag>;
+/// A group of expert-parallel model servers.
+using GroupId = TextId<struct GroupTag>;
+/// A plain service beside the model groups.
+using ServiceId = TextId<struct ServiceTag>;
+/// A server of a group or service; one endpoint process stands before it.
+using ServerId = TextId<struct ServerTag>;
+/// A host: a machine that runs one process of the system.
+using HostId = TextId<struct HostTag>;
+/// A data centre.
+using DataCentreId = TextId<struct DataCentreTag>;
+/// An IP address and port, as "127.0.0.1:7001".
+using Address = TextId<struct AddressTag>;
+
+/// One life of a process. Higher is later for the same host or server: it is
+/// the start time in microseconds since the epoch.
+using Incarnation = NumberId<struct IncarnationTag>;
+/// The generation of the accepted settings of the whole system. Only goes up.
+using Generation = NumberId<struct GenerationTag>;
+/// The fencing number of a group's lease. Only goes up.
+using FencingNumber = NumberId<struct FencingTag>;
+
+/// Identifies a call inside the system: the entry's incarnation and a counter.
+struct CallId {
+  Incarnation Entry;
+  std::uint64_t Number = 0;
+  auto operator<=>(const CallId &) const = default;
+};
+
+} // namespace greengagespar
+
+/// Hashes any text identifier.
+template <class Tag> struct std::hash<greengagespar::TextId<Tag>> {
+  std::size_t operator()(const greengagespar::TextId<Tag> &id) const noexcept {
+    return std::hash<std::string>()(id.Value);
+  }
+};
+
+/// Hashes any number identifier.
+template <class Tag> struct std::hash<greengagespar::NumberId<Tag>> {
+  std::size_t
+  operator()(const greengagespar::NumberId<Tag> &id) const noexcept {
+    return std::hash<std::uint64_t>()(id.Value);
+  }
+};
+
+/// Hashes a call identifier.
+template <> struct std::hash<greengagespar::CallId> {
+  std::size_t operator()(const greengagespar::CallId &id) const noexcept {
+    return std::hash<std::uint64_t>()(id.Entry.Value * 1000003 ^ id.Number);
+  }
+};
+
+#endif // GREENGAGESPAR_BASE_IDS_H
