Add the platform's object API client on evhttp

Cause: settings, leases and status live in the platform's object API, whose answers may be lost after the write took effect. Ruled out: retrying inside the client (a repeated conditional update after a lost answer reads as a conflict with oneself); evhttp's own timeouts (one value for all requests of a connection).

--- /dev/null
+++ b/src/platform/http_pool.cpp
@@ -0,0 +1,266 @@
+#include "greengagespar/platform/http_pool.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <deque>
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <iterator>
+#include <list>
+#include <utility>
+#include <vector>
+
+namespace greengagespar {
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+struct ConnectionDeleter {
+  void operator()(evhttp_connection *it) const { evhttp_connection_free(it); }
+};
+using ConnectionPtr = std::unique_ptr<evhttp_connection, ConnectionDeleter>;
+
+struct EventDeleter {
+  void operator()(event *it) const { event_free(it); }
+};
+using EventPtr = std::unique_ptr<event, EventDeleter>;
+
+struct IdleConnection {
+  ConnectionPtr Connection;
+  Clock::time_point Since;
+};
+
+evhttp_cmd_type commandOf(HttpMethod method) {
+  switch (method) {
+  case HttpMethod::Get:
+    return EVHTTP_REQ_GET;
+  case HttpMethod::Put:
+    return EVHTTP_REQ_PUT;
+  case HttpMethod::Delete:
+    return EVHTTP_REQ_DELETE;
+  }
+  return EVHTTP_REQ_GET;
+}
+
+timeval timevalOf(std::chrono::milliseconds span) {
+  auto ms = span.count();
+  return {static_cast<time_t>(ms / 1000),
+          static_cast<suseconds_t>((ms % 1000) * 1000)};
+}
+
+HttpAnswer failedAnswer(std::string why, bool sent) {
+  HttpAnswer answer;
+  answer.Sent = sent;
+  answer.Failure = std::move(why);
+  return answer;
+}
+
+HttpAnswer answerOf(evhttp_request *req) {
+  if (req == nullptr || evhttp_request_get_response_code(req) == 0)
+    return failedAnswer("the connection closed before the answer", true);
+  HttpAnswer answer;
+  answer.Status = evhttp_request_get_response_code(req);
+  evbuffer *buf = evhttp_request_get_input_buffer(req);
+  answer.Body.resize(evbuffer_get_length(buf));
+  evbuffer_remove(buf, answer.Body.data(), answer.Body.size());
+  return answer;
+}
+
+} // namespace
+
+namespace detail {
+
+struct PoolState;
+
+/// One request from `send` until its callback has run.
+struct Exchange {
+  PoolState *Pool = nullptr;
+  HttpRequest Request;
+  HttpPool::Callback Done;
+  ConnectionPtr Connection;
+  EventPtr Timer;
+  HttpAnswer Answer;
+  bool Started = false; ///< Counts against its lane.
+};
+
+/// Everything that a pool holds.
+struct PoolState {
+  /// Requests of one lane.
+  struct Lane {
+    int Limit = 0;
+    int Active = 0;
+    std::deque<std::unique_ptr<Exchange>> Queue;
+  };
+
+  event_base *Loop;
+  HttpPoolOptions Options;
+  std::string Host;
+  std::uint16_t Port = 0;
+  Lane Ordinary;
+  Lane Waiting;
+  std::list<std::unique_ptr<Exchange>> InProgress;
+  std::deque<std::unique_ptr<Exchange>> Finished;
+  std::vector<IdleConnection> Idle;
+  EventPtr FinishEvent;
+
+  PoolState(event_base *loop, HttpPoolOptions options);
+  Lane &laneOf(HttpLane lane) {
+    return lane == HttpLane::Waiting ? Waiting : Ordinary;
+  }
+  void startQueued(Lane &lane);
+  void start(std::unique_ptr<Exchange> exchange);
+  void finish(Exchange *exchange, HttpAnswer answer);
+  void deliver();
+  ConnectionPtr takeConnection();
+  void keepConnection(Exchange &exchange);
+};
+
+namespace {
+
+void onAnswer(evhttp_request *req, void *arg) {
+  auto *exchange = static_cast<Exchange *>(arg);
+  exchange->Pool->finish(exchange, answerOf(req));
+}
+
+void onTimeout(evutil_socket_t, short, void *arg) {
+  auto *exchange = static_cast<Exchange *>(arg);
+  exchange->Connection.reset();
+  // Other idle connections may have gone silent for the same reason.
+  exchange->Pool->Idle.clear();
+  auto ms = exchange->Request.Timeout.count();
+  exchange->Pool->finish(
+      exchange,
+      failedAnswer("no answer within " + std::to_string(ms) + " ms", true));
+}
+
+void onFinish(evutil_socket_t, short, void *arg) {
+  static_cast<PoolState *>(arg)->deliver();
+}
+
+} // namespace
+
+PoolState::PoolState(event_base *loop, HttpPoolOptions options)
+    : Loop(loop), Options(std::move(options)) {
+  const std::string &address = Options.Server.Value;
+  std::size_t colon = address.rfind(':');
+  Host = address.substr(0, colon);
+  if (colon != std::string::npos)
+    Port = static_cast<std::uint16_t>(
+        std::strtoul(address.c_str() + colon + 1, nullptr, 10));
+  Ordinary.Limit = Options.MaxOrdinary;
+  Waiting.Limit = Options.MaxWaiting;
+  FinishEvent.reset(event_new(Loop, -1, 0, onFinish, this));
+}
+
+void PoolState::startQueued(Lane &lane) {
+  while (lane.Active < lane.Limit && !lane.Queue.empty()) {
+    auto next = std::move(lane.Queue.front());
+    lane.Queue.pop_front();
+    ++lane.Active;
+    next->Started = true;
+    start(std::move(next));
+  }
+}
+
+void PoolState::start(std::unique_ptr<Exchange> exchange) {
+  Exchange *it = exchange.get();
+  InProgress.push_back(std::move(exchange));
+  it->Connection = takeConnection();
+  it->Timer.reset(event_new(Loop, -1, EV_TIMEOUT, onTimeout, it));
+  timeval limit = timevalOf(it->Request.Timeout);
+  event_add(it->Timer.get(), &limit);
+  evhttp_request *req = evhttp_request_new(onAnswer, it);
+  evkeyvalq *headers = evhttp_request_get_output_headers(req);
+  evhttp_add_header(headers, "Host", Options.Server.Value.c_str());
+  if (!it->Request.Body.empty()) {
+    evhttp_add_header(headers, "Content-Type", "application/json");
+    evbuffer_add(evhttp_request_get_output_buffer(req), it->Request.Body.data(),
+                 it->Request.Body.size());
+  }
+  if (evhttp_make_request(it->Connection.get(), req,
+                          commandOf(it->Request.Method),
+                          it->Request.Target.c_str()) != 0)
+    finish(it, failedAnswer("could not open a connection", false));
+}
+
+void PoolState::finish(Exchange *exchange, HttpAnswer answer) {
+  auto it = std::find_if(InProgress.begin(), InProgress.end(),
+                         [&](auto &e) { return e.get() == exchange; });
+  if (it == InProgress.end())
+    return;
+  exchange->Answer = std::move(answer);
+  exchange->Timer.reset();
+  Finished.push_back(std::move(*it));
+  InProgress.erase(it);
+  // evhttp still uses the connection after its callback; it is kept or closed
+  // from an event of its own.
+  event_active(FinishEvent.get(), EV_TIMEOUT, 0);
+}
+
+void PoolState::deliver() {
+  std::deque<std::unique_ptr<Exchange>> batch;
+  batch.swap(Finished);
+  for (auto &exchange : batch) {
+    if (exchange->Connection)
+      keepConnection(*exchange);
+    if (exchange->Started)
+      --laneOf(exchange->Request.Lane).Active;
+  }
+  for (auto &exchange : batch)
+    exchange->Done(std::move(exchange->Answer));
+  startQueued(Ordinary);
+  startQueued(Waiting);
+}
+
+ConnectionPtr PoolState::takeConnection() {
+  auto now = Clock::now();
+  std::erase_if(Idle,
+                [&](auto &it) { return now - it.Since > Options.MaxIdle; });
+  if (!Idle.empty()) {
+    ConnectionPtr connection = std::move(Idle.back().Connection);
+    Idle.pop_back();
+    return connection;
+  }
+  ConnectionPtr connection(evhttp_connection_base_new(
+      Loop, nullptr, Host.c_str(), static_cast<ev_uint16_t>(Port)));
+  evhttp_connection_set_max_body_size(
+      connection.get(), static_cast<ev_ssize_t>(Options.MaxAnswerBytes));
+  return connection;
+}
+
+void PoolState::keepConnection(Exchange &exchange) {
+  int limit = Options.MaxOrdinary + Options.MaxWaiting;
+  bool usable = exchange.Answer.Status != 0 && std::ssize(Idle) < limit;
+  if (usable)
+    Idle.push_back({std::move(exchange.Connection), Clock::now()});
+  else
+    exchange.Connection.reset();
+}
+
+} // namespace detail
+
+HttpPool::HttpPool(event_base *loop, HttpPoolOptions options)
+    : S(std::make_unique<detail::PoolState>(loop, std::move(options))) {}
+
+HttpPool::~HttpPool() = default;
+
+void HttpPool::send(HttpRequest request, Callback done) {
+  auto exchange = std::make_unique<detail::Exchange>();
+  exchange->Pool = S.get();
+  exchange->Request = std::move(request);
+  exchange->Done = std::move(done);
+  detail::PoolState::Lane &lane = S->laneOf(exchange->Request.Lane);
+  if (lane.Queue.size() >= S->Options.MaxQueued) {
+    exchange->Answer = failedAnswer("too many requests are waiting", false);
+    S->Finished.push_back(std::move(exchange));
+    event_active(S->FinishEvent.get(), EV_TIMEOUT, 0);
+    return;
+  }
+  lane.Queue.push_back(std::move(exchange));
+  S->startQueued(lane);
+}
+
+} // namespace greengagespar
--- /dev/null
+++ b/src/platform/object_client.cpp
@@ -0,0 +1,200 @@
+#include "greengagespar/platform/object_client.h"
+
+#include <boost/json/serialize.hpp>
+#include <numeric>
+#include <utility>
+
+namespace greengagespar {
+
+namespace {
+
+constexpr int StatusOk = 200;
+constexpr int StatusNotFound = 404;
+constexpr int StatusConflict = 409;
+constexpr int StatusGone = 410;
+constexpr int StatusTooLarge = 413;
+
+/// Runs \p f and keeps the Error of a failure inside its result, so that it
+/// can be handed to a callback.
+template <class F> auto captured(F &&f) {
+  return boost::leaf::capture(
+      boost::leaf::make_shared_context([](const Error &) {}),
+      std::forward<F>(f));
+}
+
+boost::leaf::error_id failUnanswered(const HttpAnswer &answer) {
+  if (!answer.Sent)
+    return fail(ErrorKind::Overloaded,
+                "platform call not sent: " + answer.Failure);
+  if (answer.Status == 0)
+    return fail(ErrorKind::PlatformUnavailable,
+                "platform call lost, effect unknown: " + answer.Failure);
+  return fail(ErrorKind::PlatformUnavailable,
+              "platform answered " + std::to_string(answer.Status) +
+                  ", effect unknown");
+}
+
+/// Parses the body of a success by \p parse; fails on any other status.
+template <class T>
+Result<T> readAnswer(const HttpAnswer &answer,
+                     Result<T> (*parse)(std::string_view)) {
+  if (answer.Status == StatusNotFound)
+    return fail(ErrorKind::NotFound, "the platform has no such object");
+  if (answer.Status != StatusOk)
+    return failUnanswered(answer);
+  return parse(answer.Body);
+}
+
+Result<WatchAnswer> watchAnswerOf(const HttpAnswer &answer) {
+  if (answer.Status != StatusGone)
+    return readAnswer(answer, parseWatchAnswer);
+  WatchAnswer old;
+  old.TooOld = true;
+  return old;
+}
+
+PutOutcome unknownOutcome(const HttpAnswer &answer) {
+  PutOutcome outcome;
+  outcome.Why = answer.Status == 0 ? answer.Failure
+                                   : "status " + std::to_string(answer.Status);
+  return outcome;
+}
+
+Result<PutOutcome> writeOutcomeOf(const HttpAnswer &answer) {
+  if (!answer.Sent)
+    return failUnanswered(answer);
+  if (answer.Status == StatusTooLarge)
+    return fail(ErrorKind::TooLarge, "the object is over the platform's limit");
+  if (answer.Status == StatusNotFound)
+    return fail(ErrorKind::NotFound, "the platform has no such object");
+  if (answer.Status != StatusOk && answer.Status != StatusConflict)
+    return unknownOutcome(answer);
+  auto version = recoverFrom(
+      [&]() -> Result<std::optional<ObjectVersion>> {
+        BOOST_LEAF_AUTO(v, parseVersion(answer.Body));
+        return std::optional(v);
+      },
+      [](const Error &) { return std::optional<ObjectVersion>(); });
+  if (!version)
+    return unknownOutcome(answer);
+  return PutOutcome{answer.Status == StatusOk ? WriteState::Written
+                                              : WriteState::Conflict,
+                    *version,
+                    {}};
+}
+
+std::string objectTarget(const std::string &path,
+                         std::optional<ObjectVersion> ifVersion) {
+  std::string target = "/v1/objects" + encodePath(path);
+  if (ifVersion)
+    target += "?if_version=" + std::to_string(ifVersion->Value);
+  return target;
+}
+
+HttpPoolOptions poolOptionsOf(const ObjectClientOptions &options) {
+  HttpPoolOptions pool;
+  pool.Server = options.Platform;
+  pool.MaxOrdinary = options.MaxConcurrent;
+  pool.MaxWaiting = options.MaxWatches;
+  return pool;
+}
+
+std::size_t indexOf(CallKind kind) { return static_cast<std::size_t>(kind); }
+
+} // namespace
+
+std::uint64_t totalSent(const CallCounts &counts) {
+  return std::accumulate(counts.Sent.begin(), counts.Sent.end(),
+                         std::uint64_t{0});
+}
+
+ObjectClient::ObjectClient(event_base *loop, ObjectClientOptions options)
+    : Options(std::move(options)), Pool(loop, poolOptionsOf(Options)) {}
+
+void ObjectClient::send(CallKind kind, HttpRequest request,
+                        HttpPool::Callback done) {
+  Pool.send(std::move(request),
+            [this, kind, done = std::move(done)](HttpAnswer answer) {
+              if (answer.Sent)
+                ++Counts.Sent[indexOf(kind)];
+              if (answer.Sent && answer.Status == 0)
+                ++Counts.Lost[indexOf(kind)];
+              done(std::move(answer));
+            });
+}
+
+void ObjectClient::write(CallKind kind, HttpRequest request,
+                         Callback<PutOutcome> done) {
+  send(kind, std::move(request),
+       [done = std::move(done)](const HttpAnswer &answer) {
+         done(captured([&] { return writeOutcomeOf(answer); }));
+       });
+}
+
+void ObjectClient::get(const std::string &path, Callback<Object> done) {
+  HttpRequest request{.Target = objectTarget(path, std::nullopt),
+                      .Body = {},
+                      .Timeout = Options.RequestTimeout};
+  send(CallKind::Get, std::move(request),
+       [done = std::move(done)](const HttpAnswer &answer) {
+         done(captured([&] { return readAnswer(answer, parseObject); }));
+       });
+}
+
+void ObjectClient::put(const std::string &path, const boost::json::value &value,
+                       std::optional<ObjectVersion> ifVersion,
+                       Callback<PutOutcome> done) {
+  write(CallKind::Put,
+        HttpRequest{.Method = HttpMethod::Put,
+                    .Target = objectTarget(path, ifVersion),
+                    .Body = boost::json::serialize(value),
+                    .Timeout = Options.RequestTimeout},
+        std::move(done));
+}
+
+void ObjectClient::remove(const std::string &path,
+                          std::optional<ObjectVersion> ifVersion,
+                          Callback<PutOutcome> done) {
+  write(CallKind::Remove,
+        HttpRequest{.Method = HttpMethod::Delete,
+                    .Target = objectTarget(path, ifVersion),
+                    .Body = {},
+                    .Timeout = Options.RequestTimeout},
+        std::move(done));
+}
+
+void ObjectClient::list(const std::string &prefix, Callback<Listing> done) {
+  HttpRequest request{.Target = "/v1/list?prefix=" + encodeQueryValue(prefix),
+                      .Body = {},
+                      .Timeout = Options.RequestTimeout};
+  send(CallKind::List, std::move(request),
+       [done = std::move(done)](const HttpAnswer &answer) {
+         done(captured([&] { return readAnswer(answer, parseListing); }));
+       });
+}
+
+void ObjectClient::watch(const std::string &prefix, ObjectVersion after,
+                         std::chrono::milliseconds wait,
+                         Callback<WatchAnswer> done) {
+  HttpRequest request{.Target = "/v1/watch?prefix=" + encodeQueryValue(prefix) +
+                                "&after=" + std::to_string(after.Value) +
+                                "&timeout_ms=" + std::to_string(wait.count()),
+                      .Body = {},
+                      .Timeout = wait + Options.WatchGrace,
+                      .Lane = HttpLane::Waiting};
+  send(CallKind::Watch, std::move(request),
+       [done = std::move(done)](const HttpAnswer &answer) {
+         done(captured([&] { return watchAnswerOf(answer); }));
+       });
+}
+
+void ObjectClient::hosts(Callback<std::vector<HostRecord>> done) {
+  HttpRequest request{
+      .Target = "/v1/hosts", .Body = {}, .Timeout = Options.RequestTimeout};
+  send(CallKind::Hosts, std::move(request),
+       [done = std::move(done)](const HttpAnswer &answer) {
+         done(captured([&] { return readAnswer(answer, parseHosts); }));
+       });
+}
+
+} // namespace greengagespar
--- /dev/null
+++ b/src/platform/scripted_server.h
@@ -0,0 +1,82 @@
+/// \file
+/// Test support: an HTTP server on a free port that answers from a script.
+#ifndef GREENGAGESPAR_PLATFORM_SCRIPTED_SERVER_H
+#define GREENGAGESPAR_PLATFORM_SCRIPTED_SERVER_H
+
+#include "greengagespar/base/ids.h"
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <functional>
+#include <memory>
+#include <string>
+#include <sys/socket.h>
+#include <vector>
+
+namespace greengagespar {
+
+/// What the server does with one request.
+struct ScriptedAnswer {
+  int Status = 200; ///< 0: closes the connection; -1: never answers.
+  std::string Body;
+};
+
+/// One event loop, a server on it and the requests that it saw.
+struct ScriptedServer {
+  struct Seen {
+    std::string Target;
+    std::string Body;
+    int ClientPort = 0; ///< Tells connections apart.
+  };
+
+  std::unique_ptr<event_base, decltype(&event_base_free)> Loop{
+      event_base_new(), &event_base_free};
+  std::unique_ptr<evhttp, decltype(&evhttp_free)> Http{evhttp_new(Loop.get()),
+                                                       &evhttp_free};
+  Address At;
+  std::vector<Seen> Requests;
+  std::function<ScriptedAnswer(const Seen &)> Answer;
+
+  ScriptedServer() {
+    evhttp_set_gencb(Http.get(), onRequest, this);
+    auto *bound = evhttp_bind_socket_with_handle(Http.get(), "127.0.0.1", 0);
+    sockaddr_in name{};
+    socklen_t size = sizeof(name);
+    getsockname(evhttp_bound_socket_get_fd(bound),
+                reinterpret_cast<sockaddr *>(&name), &size);
+    At.Value = "127.0.0.1:" + std::to_string(ntohs(name.sin_port));
+  }
+
+  /// Runs the loop until \p done holds.
+  void runUntil(const std::function<bool()> &done) {
+    while (!done())
+      event_base_loop(Loop.get(), EVLOOP_ONCE);
+  }
+
+  static void onRequest(evhttp_request *req, void *arg) {
+    auto *self = static_cast<ScriptedServer *>(arg);
+    Seen seen{evhttp_request_get_uri(req), {}, 0};
+    evbuffer *buf = evhttp_request_get_input_buffer(req);
+    seen.Body.resize(evbuffer_get_length(buf));
+    evbuffer_remove(buf, seen.Body.data(), seen.Body.size());
+    evhttp_connection *connection = evhttp_request_get_connection(req);
+    char *host = nullptr;
+    ev_uint16_t port = 0;
+    evhttp_connection_get_peer(connection, &host, &port);
+    seen.ClientPort = port;
+    self->Requests.push_back(seen);
+    ScriptedAnswer answer = self->Answer(seen);
+    if (answer.Status == 0)
+      evhttp_connection_free(connection);
+    if (answer.Status <= 0)
+      return;
+    evbuffer_add(evhttp_request_get_output_buffer(req), answer.Body.data(),
+                 answer.Body.size());
+    evhttp_send_reply(req, answer.Status, nullptr, nullptr);
+  }
+};
+
+} // namespace greengagespar
+
+#endif // GREENGAGESPAR_PLATFORM_SCRIPTED_SERVER_H
