--- /dev/null
+++ b/src/base/hash.cpp
@@ -0,0 +1,36 @@
+#include "greengagespar/base/hash.h"
+
+namespace greengagespar {
+
+namespace {
+
+constexpr std::uint64_t OffsetBasis = 0xcbf29ce484222325ULL;
+constexpr std::uint64_t Prime = 0x100000001b3ULL;
+
+} // namespace
+
+std::uint64_t mixBits(std::uint64_t x) {
+  x ^= x >> 33;
+  x *= 0xff51afd7ed558ccdULL;
+  x ^= x >> 33;
+  x *= 0xc4ceb9fe1a85ec53ULL;
+  x ^= x >> 33;
+  return x;
+}
+
+std::uint64_t stableHash(std::string_view text) {
+  std::uint64_t hash = OffsetBasis;
+  for (char c : text) {
+    hash ^= static_cast<unsigned char>(c);
+    hash *= Prime;
+  }
+  return mixBits(hash);
+}
+
+std::uint64_t rendezvousScore(std::uint64_t keyHash, std::string_view id) {
+  // The two hashes are mixed unequally, so that an id that equals the key
+  // does not cancel out.
+  return mixBits(stableHash(id) + mixBits(keyHash));
+}
+
+} // namespace greengagespar
