--- /dev/null
+++ b/src/host/member.cpp
@@ -0,0 +1,208 @@
+#include "greengagespar/host/member.h"
+
+#include "greengagespar/base/hash.h"
+#include <algorithm>
+#include <set>
+#include <string>
+#include <utility>
+
+namespace greengagespar {
+
+namespace {
+
+bool isNewer(const MemberRow &a, const MemberRow &b) {
+  return std::pair(a.Life, a.Heartbeat) > std::pair(b.Life, b.Heartbeat);
+}
+
+MemberState stateOf(const MemberRow &row) {
+  return row.Leaving ? MemberState::Leaving : MemberState::Live;
+}
+
+MergeOutcome outcomeOf(const Member &known, const MemberRow &row) {
+  if (row.Life > known.Row.Life)
+    return MergeOutcome::Replaced;
+  if (row.Leaving && known.State != MemberState::Leaving)
+    return MergeOutcome::Left;
+  if (known.State == MemberState::Silent)
+    return MergeOutcome::Returned;
+  return MergeOutcome::Renewed;
+}
+
+std::chrono::milliseconds quietLimit(const MemberView &view,
+                                     const Member &member) {
+  return member.Row.DataCentre == view.DataCentre ? view.Limits.SilentNear
+                                                  : view.Limits.SilentFar;
+}
+
+std::vector<Address> liveEntriesOf(const DataCentreId &dataCentre,
+                                   const MemberView &view) {
+  std::vector<Address> live;
+  for (const auto &[address, member] : view.Members)
+    if (member.Row.Role == MemberRole::Entry && takesWork(member) &&
+        member.Row.DataCentre == dataCentre)
+      live.push_back(address);
+  return live;
+}
+
+/// The data centres with entries, \p first before the others.
+std::vector<DataCentreId> dataCentresFrom(const MemberView &view,
+                                          const DataCentreId &first) {
+  std::set<DataCentreId> others;
+  for (const auto &[address, member] : view.Members)
+    if (member.Row.DataCentre != first)
+      others.insert(member.Row.DataCentre);
+  std::vector<DataCentreId> order{first};
+  order.insert(order.end(), others.begin(), others.end());
+  return order;
+}
+
+} // namespace
+
+MergeOutcome mergeMember(MemberView &view, const MemberRow &row,
+                         Clock::time_point now) {
+  auto it = view.Members.find(row.Link);
+  if (it == view.Members.end()) {
+    view.Members[row.Link] = {row, stateOf(row), now};
+    return MergeOutcome::Added;
+  }
+  Member &known = it->second;
+  if (row.Link == view.Self)
+    return row.Life > known.Row.Life ? MergeOutcome::Replaced
+                                     : MergeOutcome::Ignored;
+  if (!isNewer(row, known.Row))
+    return MergeOutcome::Ignored;
+  MergeOutcome outcome = outcomeOf(known, row);
+  bool sameLife = row.Life == known.Row.Life;
+  bool left = sameLife && known.Row.Leaving;
+  Generation settings = known.Row.Settings;
+  known = {row, stateOf(row), now};
+  if (left) {
+    known.Row.Leaving = true;
+    known.State = MemberState::Leaving;
+  }
+  if (sameLife)
+    known.Row.Settings = std::max(settings, row.Settings);
+  return outcome;
+}
+
+SweepOutcome sweepMembers(MemberView &view, Clock::time_point now) {
+  SweepOutcome outcome;
+  for (auto it = view.Members.begin(); it != view.Members.end();) {
+    Member &member = it->second;
+    auto quiet = now - member.HeardAt;
+    bool self = it->first == view.Self;
+    if (!self && quiet > view.Limits.ForgetAfter) {
+      outcome.Forgotten.push_back(it->first);
+      it = view.Members.erase(it);
+      continue;
+    }
+    if (!self && member.State != MemberState::Silent &&
+        quiet > quietLimit(view, member)) {
+      member.State = MemberState::Silent;
+      outcome.Silent.push_back(it->first);
+    }
+    ++it;
+  }
+  return outcome;
+}
+
+void beat(MemberView &view, MemberRow own, Clock::time_point now) {
+  Member &self = view.Members[view.Self];
+  own.Link = view.Self;
+  own.Heartbeat = self.Row.Heartbeat + 1;
+  own.Leaving = own.Leaving || self.Row.Leaving;
+  MemberState state = stateOf(own);
+  self = {std::move(own), state, now};
+}
+
+std::vector<Address> applyHostHints(MemberView &view,
+                                    const std::vector<HostHint> &hosts,
+                                    std::chrono::microseconds listedAt) {
+  std::set<HostId> leaving;
+  for (const HostHint &host : hosts)
+    if (host.Leaving)
+      leaving.insert(host.Host);
+  std::vector<Address> left;
+  for (auto &[address, member] : view.Members) {
+    std::chrono::microseconds started(
+        static_cast<std::int64_t>(member.Row.Life.Value));
+    bool sameLife = listedAt - started > view.Limits.HostListLag;
+    if (!sameLife || member.State != MemberState::Live ||
+        !leaving.contains(member.Row.Host))
+      continue;
+    member.Row.Leaving = true;
+    member.State = MemberState::Leaving;
+    left.push_back(address);
+  }
+  return left;
+}
+
+std::vector<MemberRow> nextDigest(MemberView &view, std::size_t max) {
+  std::vector<MemberRow> rows;
+  auto self = view.Members.find(view.Self);
+  if (self != view.Members.end())
+    rows.push_back(self->second.Row);
+  auto it = view.Cursor ? view.Members.upper_bound(*view.Cursor)
+                        : view.Members.begin();
+  for (std::size_t n = 0; n < view.Members.size() && rows.size() <= max; ++n) {
+    if (it == view.Members.end())
+      it = view.Members.begin();
+    view.Cursor = it->first;
+    if (it != self && it->second.State != MemberState::Silent)
+      rows.push_back(it->second.Row);
+    ++it;
+  }
+  return rows;
+}
+
+std::vector<Address> entriesToAnswer(const MemberView &view,
+                                     const DataCentreId &dataCentre,
+                                     std::uint64_t callerHash,
+                                     std::size_t max) {
+  std::vector<Address> answer;
+  std::string key = std::to_string(callerHash);
+  for (const DataCentreId &it : dataCentresFrom(view, dataCentre)) {
+    if (answer.size() >= max)
+      break;
+    for (const Address &link : rendezvousOrder(key, liveEntriesOf(it, view)))
+      if (answer.size() < max)
+        answer.push_back(view.Members.at(link).Row.Callers);
+  }
+  return answer;
+}
+
+std::vector<Address> watchersOf(const DataCentreId &dataCentre,
+                                const MemberView &view) {
+  auto order = rendezvousOrder("watchers/" + dataCentre.Value,
+                               liveEntriesOf(dataCentre, view));
+  order.resize(std::min(order.size(), WatchersPerDataCentre));
+  return order;
+}
+
+std::vector<Address> watcherOrder(const TeamId &team, const MemberView &view) {
+  std::vector<Address> watchers;
+  for (const DataCentreId &it : dataCentresFrom(view, view.DataCentre))
+    for (Address &address : watchersOf(it, view))
+      watchers.push_back(std::move(address));
+  return rendezvousOrder("accept/" + team.Value, watchers);
+}
+
+InForce countInForce(const MemberView &view, Generation generation) {
+  InForce count;
+  count.At = generation;
+  for (const auto &[address, member] : view.Members) {
+    if (member.State == MemberState::Silent)
+      continue;
+    ++count.Nodes;
+    if (member.Row.Settings >= generation) {
+      ++count.Current;
+      continue;
+    }
+    ++count.LaggingTotal;
+    if (count.Lagging.size() < MaxLaggingNamed)
+      count.Lagging.push_back(member.Row.Host);
+  }
+  return count;
+}
+
+} // namespace greengagespar
--- /dev/null
+++ b/src/include/greengagespar/platform/timer.h
@@ -0,0 +1,43 @@
+/// \file
+/// A one-shot timer on the event loop.
+#ifndef GREENGAGESPAR_PLATFORM_TIMER_H
+#define GREENGAGESPAR_PLATFORM_TIMER_H
+
+#include <chrono>
+#include <functional>
+#include <memory>
+
+struct event;
+struct event_base;
+
+namespace greengagespar {
+
+namespace detail {
+/// Frees a libevent event.
+struct EventDeleter {
+  void operator()(event *it) const;
+};
+} // namespace detail
+
+/// Calls a function once after a delay. Destroying it stops it. Not thread
+/// safe: belongs to the thread of its loop.
+class Timer {
+public:
+  /// Precondition: \p loop outlives the timer.
+  Timer(event_base *loop, std::function<void()> task);
+  Timer(const Timer &) = delete;
+  Timer &operator=(const Timer &) = delete;
+
+  /// Runs the task \p delay from now, in place of an earlier start.
+  void start(std::chrono::milliseconds delay);
+  /// Forgets an earlier start.
+  void stop();
+
+private:
+  std::function<void()> Task;
+  std::unique_ptr<event, detail::EventDeleter> Event;
+};
+
+} // namespace greengagespar
+
+#endif // GREENGAGESPAR_PLATFORM_TIMER_H
--- a/src/platform/http_pool.cpp
+++ b/src/platform/http_pool.cpp
@@ -1,5 +1,8 @@
 #include "greengagespar/platform/http_pool.h"
 
+#include "greengagespar/base/clock.h"
+#include "greengagespar/platform/timer.h"
+
 #include <algorithm>
 #include <cstdlib>
 #include <deque>
@@ -16,17 +19,12 @@
 
 namespace {
 
-using Clock = std::chrono::steady_clock;
-
 struct ConnectionDeleter {
   void operator()(evhttp_connection *it) const { evhttp_connection_free(it); }
 };
 using ConnectionPtr = std::unique_ptr<evhttp_connection, ConnectionDeleter>;
 
-struct EventDeleter {
-  void operator()(event *it) const { event_free(it); }
-};
-using EventPtr = std::unique_ptr<event, EventDeleter>;
+using EventPtr = std::unique_ptr<event, detail::EventDeleter>;
 
 struct IdleConnection {
   ConnectionPtr Connection;
@@ -45,12 +43,6 @@
   return EVHTTP_REQ_GET;
 }
 
-timeval timevalOf(std::chrono::milliseconds span) {
-  auto ms = span.count();
-  return {static_cast<time_t>(ms / 1000),
-          static_cast<suseconds_t>((ms % 1000) * 1000)};
-}
-
 HttpAnswer failedAnswer(std::string why, bool sent) {
   HttpAnswer answer;
   answer.Sent = sent;
@@ -81,7 +73,7 @@
   HttpRequest Request;
   HttpPool::Callback Done;
   ConnectionPtr Connection;
-  EventPtr Timer;
+  std::unique_ptr<Timer> Limit;
   HttpAnswer Answer;
   bool Started = false; ///< Counts against its lane.
 };
@@ -113,6 +105,7 @@
   void startQueued(Lane &lane);
   void start(std::unique_ptr<Exchange> exchange);
   void finish(Exchange *exchange, HttpAnswer answer);
+  void expire(Exchange *exchange);
   void deliver();
   ConnectionPtr takeConnection();
   void keepConnection(Exchange &exchange);
@@ -125,17 +118,6 @@
   exchange->Pool->finish(exchange, answerOf(req));
 }
 
-void onTimeout(evutil_socket_t, short, void *arg) {
-  auto *exchange = static_cast<Exchange *>(arg);
-  exchange->Connection.reset();
-  // Other idle connections may have gone silent for the same reason.
-  exchange->Pool->Idle.clear();
-  auto ms = exchange->Request.Timeout.count();
-  exchange->Pool->finish(
-      exchange,
-      failedAnswer("no answer within " + std::to_string(ms) + " ms", true));
-}
-
 void onFinish(evutil_socket_t, short, void *arg) {
   static_cast<PoolState *>(arg)->deliver();
 }
@@ -169,9 +151,8 @@
   Exchange *it = exchange.get();
   InProgress.push_back(std::move(exchange));
   it->Connection = takeConnection();
-  it->Timer.reset(event_new(Loop, -1, EV_TIMEOUT, onTimeout, it));
-  timeval limit = timevalOf(it->Request.Timeout);
-  event_add(it->Timer.get(), &limit);
+  it->Limit = std::make_unique<Timer>(Loop, [this, it] { expire(it); });
+  it->Limit->start(it->Request.Timeout);
   evhttp_request *req = evhttp_request_new(onAnswer, it);
   evkeyvalq *headers = evhttp_request_get_output_headers(req);
   evhttp_add_header(headers, "Host", Options.Server.Value.c_str());
@@ -192,7 +173,7 @@
   if (it == InProgress.end())
     return;
   exchange->Answer = std::move(answer);
-  exchange->Timer.reset();
+  exchange->Limit->stop();
   Finished.push_back(std::move(*it));
   InProgress.erase(it);
   // evhttp still uses the connection after its callback; it is kept or closed
@@ -200,6 +181,14 @@
   event_active(FinishEvent.get(), EV_TIMEOUT, 0);
 }
 
+void PoolState::expire(Exchange *exchange) {
+  exchange->Connection.reset();
+  // Other idle connections may have gone silent for the same reason.
+  Idle.clear();
+  auto ms = std::to_string(exchange->Request.Timeout.count());
+  finish(exchange, failedAnswer("no answer within " + ms + " ms", true));
+}
+
 void PoolState::deliver() {
   std::deque<std::unique_ptr<Exchange>> batch;
   batch.swap(Finished);
--- a/src/platform/object_client.cpp
+++ b/src/platform/object_client.cpp
@@ -1,5 +1,6 @@
 #include "greengagespar/platform/object_client.h"
 
+#include "greengagespar/platform/captured.h"
 #include <boost/json/serialize.hpp>
 #include <numeric>
 #include <utility>
@@ -14,14 +15,6 @@
 constexpr int StatusGone = 410;
 constexpr int StatusTooLarge = 413;
 
-/// Runs \p f and keeps the Error of a failure inside its result, so that it
-/// can be handed to a callback.
-template <class F> auto captured(F &&f) {
-  return boost::leaf::capture(
-      boost::leaf::make_shared_context([](const Error &) {}),
-      std::forward<F>(f));
-}
-
 boost::leaf::error_id failUnanswered(const HttpAnswer &answer) {
   if (!answer.Sent)
     return fail(ErrorKind::Overloaded,
--- /dev/null
+++ b/src/platform/prefix_watch.cpp
@@ -0,0 +1,106 @@
+#include "greengagespar/platform/prefix_watch.h"
+
+#include <utility>
+
+namespace greengagespar {
+
+PrefixWatch::PrefixWatch(event_base *loop, ObjectClient &client,
+                         PrefixWatchOptions options, std::uint64_t seed,
+                         OnChange change, OnFailure failure)
+    : Client(client), Options(std::move(options)), Change(std::move(change)),
+      Failure(std::move(failure)),
+      Next(loop, [this] { poll(); }), Delay{Options.Retry}, Rng(seed) {}
+
+void PrefixWatch::start() {
+  if (Running)
+    return;
+  Running = true;
+  ++Round;
+  poll();
+}
+
+void PrefixWatch::stop() {
+  Running = false;
+  ++Round;
+  Next.stop();
+}
+
+void PrefixWatch::listAgain() {
+  Listed = false;
+  if (!Running)
+    return;
+  ++Round;
+  Next.stop();
+  poll();
+}
+
+void PrefixWatch::poll() {
+  if (Listed)
+    watch();
+  else
+    list();
+}
+
+template <class T, class Use>
+void PrefixWatch::handle(Result<T> result, Use use) {
+  recoverFrom(
+      [&]() -> Result<void> {
+        BOOST_LEAF_AUTO(value, std::move(result));
+        use(std::move(value));
+        return {};
+      },
+      [&](const Error &e) { retry(e); });
+}
+
+void PrefixWatch::list() {
+  auto done = [this, round = Round](Result<Listing> result) {
+    if (round != Round)
+      return;
+    handle(std::move(result), [this](Listing listing) {
+      Listed = listing.Revision >= Revision;
+      report({.Whole = true,
+              .Revision = listing.Revision,
+              .Objects = std::move(listing.Objects),
+              .Deleted = {}});
+    });
+  };
+  Client.list(Options.Prefix, Life.wrap(done));
+}
+
+void PrefixWatch::watch() {
+  auto done = [this, round = Round](Result<WatchAnswer> result) {
+    if (round != Round)
+      return;
+    handle(std::move(result), [this](WatchAnswer answer) {
+      if (answer.TooOld) {
+        Listed = false;
+        poll();
+        return;
+      }
+      report({.Whole = false,
+              .Revision = answer.Revision,
+              .Objects = std::move(answer.Objects),
+              .Deleted = std::move(answer.Deleted)});
+    });
+  };
+  Client.watch(Options.Prefix, Revision, Options.Wait, Life.wrap(done));
+}
+
+void PrefixWatch::report(const PrefixChange &change) {
+  if (change.Revision < Revision) {
+    retry({ErrorKind::PlatformUnavailable, "the platform gave a stale read"});
+    return;
+  }
+  reset(Delay);
+  Revision = change.Revision;
+  Next.start(Options.Pause);
+  Change(change);
+}
+
+void PrefixWatch::retry(const Error &error) {
+  Next.start(nextDelay(Delay, Rng));
+  if (Failure)
+    Failure(error);
+}
+
+} // namespace greengagespar
