--- a/src/host/member_test.cpp
+++ b/src/host/member_test.cpp
@@ -16,8 +16,11 @@
   static constexpr int EntriesEach = 3;
 
   Clock::time_point Now{1h};
-  MemberView View{.Self = link(0, 0), .DataCentre = dc(0), .Limits = {},
-                  .Members = {}, .Cursor = {}};
+  MemberView View{.Self = link(0, 0),
+                  .DataCentre = dc(0),
+                  .Limits = {},
+                  .Members = {},
+                  .Cursor = {}};
 
   ViewFixture() {
     beat(View, row(0, 0), Now);
@@ -89,19 +92,20 @@
 BOOST_AUTO_TEST_CASE(mergeMember_rowAboutSelf_changesNothing) {
   BOOST_TEST((mergeMember(View, leaving(row(0, 0, 1, 50)), Now) ==
               MergeOutcome::Ignored));
-  BOOST_TEST((mergeMember(View, row(0, 0, 2, 1), Now) ==
-              MergeOutcome::Replaced));
+  BOOST_TEST(
+      (mergeMember(View, row(0, 0, 2, 1), Now) == MergeOutcome::Replaced));
   BOOST_TEST(View.Members.at(link(0, 0)).Row.Life.Value == 1U);
 }
 
-BOOST_AUTO_TEST_CASE(sweepMembers_quietProcess_isSilentThenReturnsOrIsForgotten) {
+BOOST_AUTO_TEST_CASE(
+    sweepMembers_quietProcess_isSilentThenReturnsOrIsForgotten) {
   auto later = Now + View.Limits.SilentNear + 1ms;
   mergeMember(View, row(0, 1, 1, 2), later);
   SweepOutcome first = sweepMembers(View, later);
   BOOST_TEST((first.Silent == std::vector{link(0, 2)}));
   BOOST_TEST((state(0, 0) == MemberState::Live));
-  BOOST_TEST((mergeMember(View, row(0, 2, 1, 2), later) ==
-              MergeOutcome::Returned));
+  BOOST_TEST(
+      (mergeMember(View, row(0, 2, 1, 2), later) == MergeOutcome::Returned));
   SweepOutcome last = sweepMembers(View, later + View.Limits.ForgetAfter);
   BOOST_TEST(last.Forgotten.size() == 9U);
   BOOST_TEST(View.Members.size() == 3U);
--- a/src/include/greengagespar/host/member.h
+++ b/src/include/greengagespar/host/member.h
@@ -65,7 +65,7 @@
   DataCentreId DataCentre;
   MemberLimits Limits;
   std::map<Address, Member> Members; ///< By link address.
-  std::optional<Address> Cursor; ///< Where the next digest goes on.
+  std::optional<Address> Cursor;     ///< Where the next digest goes on.
 };
 
 /// What a row changed.
@@ -126,8 +126,7 @@
 /// \p callerHash so that callers spread evenly. At most \p max.
 std::vector<Address> entriesToAnswer(const MemberView &view,
                                      const DataCentreId &dataCentre,
-                                     std::uint64_t callerHash,
-                                     std::size_t max);
+                                     std::uint64_t callerHash, std::size_t max);
 
 /// How many entries of a data centre watch the platform.
 inline constexpr std::size_t WatchersPerDataCentre = 2;
