Decide how a process comes to the newest accepted settings

Cause: peers lag, reads are stale, watches go silent and the platform goes away between accept and spread; a process's generation must only go up. Ruled out: fencing by a generation that was only mentioned (its settings may be lost for the length of an outage, and calls would stop); reading the platform at once after each failed pull (all nodes would read at one moment).

--- /dev/null
+++ b/src/config/team_mirror.cpp
@@ -0,0 +1,99 @@
+#include "greengagespar/config/team_mirror.h"
+
+#include "greengagespar/config/index.h"
+#include <algorithm>
+#include <boost/json/object.hpp>
+#include <optional>
+#include <string_view>
+
+namespace greengagespar {
+
+namespace {
+
+constexpr std::string_view SettingsPart = "/settings/";
+constexpr std::string_view StatusPart = "/status/settings";
+
+/// A path under TeamsPrefix, taken apart.
+struct TeamPath {
+  TeamId Team;
+  std::string Rest; ///< After the team, begins with "/".
+};
+
+std::optional<TeamPath> takeApart(std::string_view path) {
+  std::string_view prefix = TeamsPrefix;
+  if (!path.starts_with(prefix))
+    return std::nullopt;
+  path.remove_prefix(prefix.size());
+  std::size_t slash = path.find('/');
+  if (slash == 0 || slash == std::string_view::npos)
+    return std::nullopt;
+  return TeamPath{{std::string(path.substr(0, slash))},
+                  std::string(path.substr(slash))};
+}
+
+bool isSettings(const TeamPath &path) {
+  return path.Rest.starts_with(SettingsPart);
+}
+
+void put(TeamMirror &mirror, const TeamPath &path, const Object &object) {
+  TeamObjects &team = mirror.Teams[path.Team];
+  if (isSettings(path))
+    team.Settings[path.Rest.substr(SettingsPart.size())] = object;
+  else if (path.Rest == StatusPart)
+    team.Status = object;
+}
+
+void remove(TeamMirror &mirror, const TeamPath &path) {
+  TeamObjects &team = mirror.Teams[path.Team];
+  if (isSettings(path))
+    team.Settings.erase(path.Rest.substr(SettingsPart.size()));
+  else if (path.Rest == StatusPart)
+    team.Status = {};
+}
+
+} // namespace
+
+std::set<TeamId> applyChange(TeamMirror &mirror, const PrefixChange &change) {
+  std::set<TeamId> changed;
+  if (change.Revision < mirror.Revision)
+    return changed;
+  mirror.Revision = change.Revision;
+  if (change.Whole)
+    for (auto &[team, objects] : mirror.Teams) {
+      objects = {};
+      changed.insert(team);
+    }
+  for (const Object &object : change.Objects)
+    if (auto path = takeApart(object.Path)) {
+      put(mirror, *path, object);
+      if (isSettings(*path))
+        changed.insert(path->Team);
+    }
+  for (const std::string &deleted : change.Deleted)
+    if (auto path = takeApart(deleted)) {
+      remove(mirror, *path);
+      if (isSettings(*path))
+        changed.insert(path->Team);
+    }
+  return changed;
+}
+
+boost::json::value readSettings(const TeamObjects &team) {
+  boost::json::object all;
+  for (const auto &[path, object] : team.Settings)
+    all[path] = object.Value;
+  return all;
+}
+
+ObjectVersion newestVersion(const TeamObjects &team) {
+  ObjectVersion newest;
+  for (const auto &[path, object] : team.Settings)
+    newest = std::max(newest, object.Version);
+  return newest;
+}
+
+std::string settingsStatusPath(const TeamId &team) {
+  return TeamsPrefix + team.Value + std::string(StatusPart);
+}
+
+} // namespace greengagespar
