Add settings reader, program frame and settings of both programs

Cause: settings need each key checked with path, found and expected, and a print-out that is valid input; both programs need one command line. Ruled out: one parse function a key (says each key three times), CLI11's own config files (no JSON, stops at the first fault), Boost.JSON's value alone (keeps the last of two equal keys without a word; a basic_parser handler reports them). Change: base/finding, document, schema, address, units, program; entry/entry_settings and endpoint/endpoint_settings.

--- /dev/null
+++ b/src/entry/entry_settings_test.cpp
@@ -0,0 +1,37 @@
+#include "greengagespar/entry/entry_settings.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace greengagespar;
+
+BOOST_AUTO_TEST_SUITE(EntrySettingsSuite)
+
+BOOST_AUTO_TEST_CASE(entrySettings_printedDefaults_readBackEqual) {
+  const Schema<EntrySettings> &schema = entrySettingsSchema();
+  std::string text = printSettings(schema, "x", defaultEntrySettings());
+  Findings findings;
+  EntrySettings back;
+  readObject(schema, *parseDocument(text, findings), "", back, findings);
+  completeEntrySettings(back, findings);
+  BOOST_TEST(findings.empty());
+  BOOST_TEST((writeObject(schema, back) ==
+              writeObject(schema, defaultEntrySettings())));
+}
+
+BOOST_AUTO_TEST_CASE(completeEntrySettings_noAdvertise_usesListen) {
+  EntrySettings settings = defaultEntrySettings();
+  settings.Advertise = {};
+  Findings findings;
+  completeEntrySettings(settings, findings);
+  BOOST_TEST((settings.Advertise == settings.Listen));
+}
+
+BOOST_AUTO_TEST_CASE(completeEntrySettings_linkIsListen_isRefused) {
+  EntrySettings settings = defaultEntrySettings();
+  settings.Link = settings.Listen;
+  Findings findings;
+  completeEntrySettings(settings, findings);
+  BOOST_TEST(findings.size() == 1u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/src/include/greengagespar/base/program.h
@@ -0,0 +1,127 @@
+/// \file
+/// The frame of a program: command line, settings file, logs, exit codes.
+#ifndef GREENGAGESPAR_BASE_PROGRAM_H
+#define GREENGAGESPAR_BASE_PROGRAM_H
+
+#include "greengagespar/base/log.h"
+#include "greengagespar/base/schema.h"
+#include <functional>
+#include <iosfwd>
+#include <optional>
+#include <string>
+
+namespace greengagespar {
+
+/// What the programs say to the one that started them.
+enum class ExitCode {
+  Ok = 0,             ///< Ended as asked.
+  RunFailed = 1,      ///< Failed at run time.
+  BadCommandLine = 2, ///< The command line can't be understood.
+  BadSettings = 3,    ///< The settings file is missing or refused.
+  CannotStart = 4,    ///< Could not bind an address or start a part.
+};
+
+/// Name and purpose of a program, shown by --help.
+struct ProgramInfo {
+  std::string Name;
+  std::string Description;
+  Part LogPart; ///< Prefix of what the frame itself logs.
+};
+
+/// What the command line asks for.
+struct CommandLine {
+  std::optional<ExitCode> Exit; ///< Set when there is nothing left to do.
+  std::string SettingsFile;
+  bool Check = false;         ///< Check the settings and end.
+  bool PrintSettings = false; ///< Print default settings and end.
+  LogOptions Log;
+};
+
+/// Parses the command line. Help and version go to \p out, errors to \p err.
+/// Thread safe.
+CommandLine parseCommandLine(const ProgramInfo &info, int argc,
+                             const char *const *argv, std::ostream &out,
+                             std::ostream &err);
+
+/// Returns the version of the project, for example "0.1.0". Thread safe.
+std::string_view programVersion();
+
+/// A program with settings of struct S.
+template <class S> struct Program {
+  ProgramInfo Info;
+  Schema<S> Table;
+  S Defaults; ///< Default values, and an example value for required keys.
+  /// Fills in keys that default to others and checks keys against each other.
+  void (*Complete)(S &settings, Findings &findings) = nullptr;
+  /// Runs until asked to stop. Logging is set up when it is called.
+  std::function<ExitCode(const S &)> Run;
+};
+
+/// Reads and checks the settings file at \p path. Fails with BadSettings and a
+/// message that lists every finding.
+template <class S>
+Result<S> loadSettings(const Program<S> &program, const std::string &path) {
+  Result<std::string> text = readDocumentFile(path);
+  if (!text)
+    return text.error();
+  Result<S> parsed = parseSettings(program.Table, *text, path);
+  if (!parsed)
+    return parsed.error();
+  S settings = std::move(*parsed);
+  Findings findings;
+  if (program.Complete)
+    program.Complete(settings, findings);
+  if (findings.empty())
+    return settings;
+  Error error = settingsError(path, findings);
+  return fail(error.Kind, error.Message);
+}
+
+namespace detail {
+
+/// Calls \p run and turns an exception into ExitCode::RunFailed with a log
+/// message of \p part.
+ExitCode runGuarded(Part part, const std::function<ExitCode()> &run);
+
+} // namespace detail
+
+/// Does what the command line asks and returns the exit code of the process.
+/// Call once, from main.
+template <class S>
+int runProgram(const Program<S> &program, int argc, const char *const *argv,
+               std::ostream &out, std::ostream &err) {
+  CommandLine line = parseCommandLine(program.Info, argc, argv, out, err);
+  if (line.Exit)
+    return static_cast<int>(*line.Exit);
+  if (line.PrintSettings) {
+    out << printSettings(program.Table, "Settings of " + program.Info.Name,
+                         program.Defaults);
+    return static_cast<int>(ExitCode::Ok);
+  }
+  auto refuse = [&](const Error &error) -> std::optional<S> {
+    err << program.Info.Name << ": " << error.Message << '\n';
+    return std::nullopt;
+  };
+  std::optional<S> settings = recoverFrom(
+      [&]() -> Result<std::optional<S>> {
+        Result<S> loaded = loadSettings(program, line.SettingsFile);
+        if (!loaded)
+          return loaded.error();
+        return std::optional<S>(std::move(*loaded));
+      },
+      refuse);
+  if (!settings)
+    return static_cast<int>(ExitCode::BadSettings);
+  if (line.Check) {
+    out << line.SettingsFile << " is valid\n";
+    return static_cast<int>(ExitCode::Ok);
+  }
+  initLogging(line.Log);
+  ExitCode code = detail::runGuarded(program.Info.LogPart,
+                                     [&] { return program.Run(*settings); });
+  return static_cast<int>(code);
+}
+
+} // namespace greengagespar
+
+#endif // GREENGAGESPAR_BASE_PROGRAM_H
