Add team settings, acceptance, repeat rules and status values

Cause: settings of teams need one check, one accepted form and one decision that racing acceptors can make independently.

--- a/src/base/schema.cpp
+++ b/src/base/schema.cpp
@@ -42,6 +42,9 @@
   std::optional<std::int64_t> n;
   if (const std::int64_t *it = value.if_int64())
     n = *it;
+  const std::uint64_t *natural = value.if_uint64();
+  if (natural && *natural <= INT64_MAX)
+    n = static_cast<std::int64_t>(*natural);
   const double *it = value.if_double();
   if (it && std::floor(*it) == *it && std::fabs(*it) <= exactDoubles)
     n = static_cast<std::int64_t>(*it);
--- /dev/null
+++ b/src/contract/repeat_rule.cpp
@@ -0,0 +1,62 @@
+#include "greengagespar/contract/repeat_rule.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <string>
+
+namespace greengagespar {
+
+namespace {
+
+constexpr std::array<std::string_view, 6> IdempotentMethods = {
+    "GET", "HEAD", "OPTIONS", "TRACE", "PUT", "DELETE"};
+
+// Decodes %XX; leaves what is not such a triplet as it is.
+std::string decoded(std::string_view path) {
+  std::string out;
+  for (std::size_t i = 0; i < path.size(); ++i) {
+    unsigned char byte = 0;
+    const char *digits = path.data() + i + 1;
+    bool triplet =
+        path[i] == '%' && i + 2 < path.size() &&
+        std::from_chars(digits, digits + 2, byte, 16).ptr == digits + 2;
+    out += triplet ? static_cast<char>(byte) : path[i];
+    i += triplet ? 2 : 0;
+  }
+  return out;
+}
+
+// Removes empty and "." segments and resolves "..".
+std::string normalPath(std::string_view path) {
+  std::string text = decoded(path.substr(0, path.find_first_of("?#")));
+  std::string out;
+  std::size_t start = 0;
+  while (start < text.size()) {
+    std::size_t end = std::min(text.find('/', start), text.size());
+    std::string segment = text.substr(start, end - start);
+    start = end + 1;
+    if (segment == "..")
+      out.resize(out.empty() ? 0 : out.rfind('/'));
+    else if (!segment.empty() && segment != ".")
+      out += "/" + segment;
+  }
+  bool isFolder = text.empty() || text.back() == '/';
+  return isFolder ? out + "/" : out;
+}
+
+} // namespace
+
+RepeatRule repeatRule(const Service &service, std::string_view method,
+                      std::string_view path) {
+  std::string normal = normalPath(path);
+  for (const CallPattern &it : service.NonRepeatable)
+    if (it.Method == method && normal.starts_with(normalPath(it.PathPrefix)))
+      return RepeatRule::AtMostOnce;
+  bool idempotent =
+      std::find(IdempotentMethods.begin(), IdempotentMethods.end(), method) !=
+      IdempotentMethods.end();
+  return idempotent ? RepeatRule::Repeatable : RepeatRule::NotRetried;
+}
+
+} // namespace greengagespar
--- /dev/null
+++ b/src/include/greengagespar/contract/status.h
@@ -0,0 +1,55 @@
+/// \file
+/// What a team reads back about its settings under /teams/<team>/status/.
+/// All functions are pure and thread safe.
+#ifndef GREENGAGESPAR_CONTRACT_STATUS_H
+#define GREENGAGESPAR_CONTRACT_STATUS_H
+
+#include "greengagespar/contract/accept.h"
+#include <boost/json/value.hpp>
+#include <string>
+#include <vector>
+
+namespace greengagespar {
+
+/// The value of /teams/<team>/status/settings.
+struct SettingsStatus {
+  std::string State;                 ///< "accepted" or "refused".
+  std::uint64_t SettingsVersion = 0; ///< The revision that was checked.
+  Generation AcceptedAt; ///< Generation in force; zero: none was accepted.
+  std::uint64_t AcceptedVersion = 0; ///< The revision that is in force.
+  Findings Faults;                   ///< Why it was refused.
+};
+
+/// A node that has not the newest generation.
+struct LaggingNode {
+  HostId Name;
+  Generation At;      ///< What it has.
+  std::string Reason; ///< For a person: "no answer for 12 s".
+};
+
+/// The value of /teams/<team>/status/in_force.
+struct InForceStatus {
+  Generation At;   ///< The newest accepted generation.
+  int Nodes = 0;   ///< Live nodes.
+  int InForce = 0; ///< Live nodes that have it.
+  std::vector<LaggingNode> Lagging;
+};
+
+/// Returns the status to write after \p decision on settings read at revision
+/// \p settingsVersion.
+SettingsStatus statusOf(const AcceptDecision &decision,
+                        std::uint64_t settingsVersion);
+
+/// Paths of the two status objects of \p team.
+std::string settingsStatusPath(const TeamId &team);
+std::string inForceStatusPath(const TeamId &team);
+
+/// Write and read the values. Reading fails with BadSettings.
+boost::json::object writeSettingsStatus(const SettingsStatus &status);
+Result<SettingsStatus> readSettingsStatus(const boost::json::value &value);
+boost::json::object writeInForceStatus(const InForceStatus &status);
+Result<InForceStatus> readInForceStatus(const boost::json::value &value);
+
+} // namespace greengagespar
+
+#endif // GREENGAGESPAR_CONTRACT_STATUS_H
