Link, endpoint process and call rules, first part of the thin path

Cause: the thin path needs messages between processes, a process before each server and one place that decides what an entry does about a call. Ruled out: REQ/REP sockets (one call at a time), a stream per call over HTTP between own processes (no identity of the sender's life on each message). Change: protobuf envelopes over ROUTER and DEALER sockets on the event loop; executions with listeners in the endpoint process; decideCall as a pure function; the caller's API shapes.

--- /dev/null
+++ b/src/call/call_state.cpp
@@ -0,0 +1,166 @@
+#include "greengagespar/call/call_state.h"
+
+#include <utility>
+
+namespace greengagespar {
+
+namespace {
+
+using Actions = std::vector<CallAction>;
+
+Actions refuse(CallState &state, Error reason, Ran ran) {
+  state.Phase = CallPhase::Done;
+  if (ran == Ran::No && state.MayHaveRun)
+    ran = Ran::Unknown;
+  return {RefuseCaller{std::move(reason), ran}};
+}
+
+Actions dispatchAgain(CallState &state, const Error &reason, bool isRetry) {
+  if (state.Attempts >= MaxAttempts)
+    return refuse(state, reason, Ran::No);
+  state.Phase = CallPhase::Waiting;
+  return {Dispatch{state.Server, isRetry}};
+}
+
+// Whether another server, or the same one later, may take a refused call.
+bool mayTryElsewhere(ErrorKind kind) {
+  switch (kind) {
+  case ErrorKind::Leaving:
+  case ErrorKind::LinkDown:
+  case ErrorKind::Overloaded:
+  case ErrorKind::EndpointFailed:
+  case ErrorKind::NotFound:
+  case ErrorKind::NotReady:
+  case ErrorKind::NoEndpoint:
+  case ErrorKind::StaleSettings:
+    return true;
+  default:
+    return false;
+  }
+}
+
+bool isAtEndpoint(const CallState &state) {
+  return state.Phase == CallPhase::Sent || state.Phase == CallPhase::Running ||
+         state.Phase == CallPhase::Revoking;
+}
+
+Actions on(CallState &state, const Dispatched &event) {
+  state.Phase = CallPhase::Sent;
+  state.Server = event.Server;
+  state.Endpoint = event.Endpoint;
+  ++state.Attempts;
+  return {};
+}
+
+Actions on(CallState &state, const NotDispatched &event) {
+  return refuse(state, event.Reason, Ran::No);
+}
+
+Actions on(CallState &state, const Acknowledged &) {
+  if (state.Phase == CallPhase::Sent)
+    state.Phase = CallPhase::Running;
+  return {};
+}
+
+Actions on(CallState &state, const TokensArrived &event) {
+  if (!isAtEndpoint(state))
+    return {};
+  if (event.Offset > state.Received)
+    return {AskResume{}};
+  std::uint32_t skip = state.Received - event.Offset;
+  if (skip >= event.Count)
+    return {};
+  state.Received += event.Count - skip;
+  return {DeliverTokens{skip}};
+}
+
+Actions on(CallState &state, const Ended &event) {
+  if (!isAtEndpoint(state))
+    return {};
+  if (event.Tokens > state.Received)
+    return {AskResume{}};
+  state.Phase = CallPhase::Done;
+  return {Complete{}, SendCancel{}};
+}
+
+Actions on(CallState &state, const Refused &event) {
+  if (!isAtEndpoint(state))
+    return {};
+  if (!event.DidNotRun)
+    state.MayHaveRun = true;
+  bool mayRunAgain = event.DidNotRun || state.Repeatable == Repeat::Allowed;
+  if (mayRunAgain && mayTryElsewhere(event.Reason.Kind))
+    return dispatchAgain(state, event.Reason, true);
+  if (event.DidNotRun)
+    return refuse(state, event.Reason, Ran::No);
+  if (state.Repeatable == Repeat::Allowed)
+    return refuse(state, event.Reason, Ran::Unknown);
+  return refuse(state, {ErrorKind::OutcomeUnknown, event.Reason.Message},
+                Ran::Unknown);
+}
+
+Actions on(CallState &state, const RevokeAnswered &event) {
+  if (state.Phase != CallPhase::Revoking || !event.Revoked)
+    return {};
+  return refuse(state,
+                {ErrorKind::DeadlineExceeded,
+                 "the endpoint did not start the call in time"},
+                Ran::No);
+}
+
+Actions on(CallState &state, const LinkReopened &) {
+  if (state.Phase == CallPhase::Revoking)
+    return {SendRevoke{}};
+  if (isAtEndpoint(state))
+    return {AskResume{}};
+  return {};
+}
+
+Actions on(CallState &state, const EndpointLost &) {
+  if (!isAtEndpoint(state))
+    return {};
+  state.MayHaveRun = true;
+  // A keyed call is safe to send elsewhere: the votes on its key decide.
+  return dispatchAgain(
+      state, {ErrorKind::LinkDown, "the endpoint process was lost"}, true);
+}
+
+Actions on(CallState &state, const DeadlineNear &) {
+  if (state.Repeatable == Repeat::Allowed || !isAtEndpoint(state))
+    return {};
+  state.Phase = CallPhase::Revoking;
+  return {SendRevoke{}};
+}
+
+Actions on(CallState &state, const DeadlineReached &) {
+  if (!isAtEndpoint(state))
+    return refuse(state,
+                  {ErrorKind::DeadlineExceeded, "no endpoint was free in time"},
+                  Ran::No);
+  ErrorKind kind = state.Repeatable == Repeat::Allowed
+                       ? ErrorKind::DeadlineExceeded
+                       : ErrorKind::OutcomeUnknown;
+  Actions actions =
+      refuse(state, {kind, "the deadline passed while the call was running"},
+             Ran::Unknown);
+  actions.emplace_back(SendCancel{});
+  return actions;
+}
+
+Actions on(CallState &state, const CallerGone &) {
+  bool cancel = isAtEndpoint(state);
+  state.Phase = CallPhase::Done;
+  if (cancel)
+    return {SendCancel{}};
+  return {};
+}
+
+} // namespace
+
+std::vector<CallAction> decideCall(CallState &state, const CallEvent &event) {
+  if (state.Phase == CallPhase::Done)
+    return {};
+  return std::visit([&](const auto &it) { return on(state, it); }, event);
+}
+
+} // namespace greengagespar
--- /dev/null
+++ b/src/endpoint/endpoint.h
@@ -0,0 +1,85 @@
+/// \file
+/// The endpoint process: the only one that talks to its server. It runs calls
+/// at most once, relays streams, and answers for each call by its identity.
+/// Not thread safe: used from the loop's thread only.
+#ifndef GREENGAGESPAR_ENDPOINT_ENDPOINT_H
+#define GREENGAGESPAR_ENDPOINT_ENDPOINT_H
+
+#include "execution.h"
+#include "greengagespar/base/clock.h"
+#include "greengagespar/base/errors.h"
+#include "greengagespar/endpoint/endpoint_settings.h"
+#include "greengagespar/link/link.h"
+#include "upstream.h"
+#include <unordered_map>
+
+struct event;
+struct event_base;
+
+namespace greengagespar {
+
+/// The endpoint process around its server.
+class Endpoint {
+public:
+  /// Precondition: \p base and \p context outlive the endpoint.
+  Endpoint(event_base *base, zmq::context_t &context,
+           const EndpointSettings &settings);
+  ~Endpoint();
+  Endpoint(const Endpoint &) = delete;
+  Endpoint &operator=(const Endpoint &) = delete;
+
+  /// Starts to listen. Fails with LinkDown when the address can't be bound.
+  Result<void> start();
+
+  /// Begins a graceful shutdown: no new work after the grace period; the loop
+  /// ends once the calls in progress have ended.
+  void leave();
+
+private:
+  static void onTick(int, short, void *self);
+  void tick();
+  void onMessage(const PeerId &peer, const wire::Envelope &envelope);
+  void onProbe(const PeerId &peer, const wire::Probe &probe);
+  void onRun(const PeerId &peer, const wire::Run &run);
+  void onRevoke(const PeerId &peer, const wire::Revoke &revoke);
+  void onResume(const PeerId &peer, const wire::Resume &resume);
+  void onCancel(const wire::Cancel &cancel);
+  void onSetPriority(const wire::SetPriority &change);
+
+  bool refusesNewWork() const;
+  void runKeyed(const PeerId &peer, const wire::Run &run);
+  ExecutionPtr makeExecution(const PeerId &peer, const wire::Run &run);
+  void begin(const ExecutionPtr &execution);
+  void beginDraft(const ExecutionPtr &execution);
+  void beginService(const ExecutionPtr &execution);
+  void onStreamData(const ExecutionPtr &execution, std::string_view data);
+  void onStreamLine(Execution &execution, std::string_view line);
+  void onStreamDone(const ExecutionPtr &execution,
+                    const UpstreamResult &result);
+  void onServiceDone(const ExecutionPtr &execution,
+                     const UpstreamResult &result);
+  void finishWith(Execution &execution, wire::End end);
+  void failWith(Execution &execution, ErrorKind kind, std::string message,
+                bool didNotRun);
+  void flush(Execution &execution);
+  void flushTo(const Execution &execution, Listener &listener);
+  void refuse(const PeerId &peer, const wire::CallRef &call, ErrorKind kind,
+              std::string message, bool didNotRun);
+  void fillLoad(wire::Load &load) const;
+  void abandon(const ExecutionPtr &execution);
+  void stopWhenIdle();
+
+  event_base *Base;
+  EndpointSettings Settings;
+  LinkIdentity Self;
+  LinkServer Server;
+  Upstream Target;
+  ExecutionTable Table;
+  std::unordered_map<CallId, Clock::time_point> Revoked;
+  std::optional<Clock::time_point> LeavingSince;
+  event *Ticker;
+};
+
+} // namespace greengagespar
+
+#endif // GREENGAGESPAR_ENDPOINT_ENDPOINT_H
--- /dev/null
+++ b/src/endpoint/upstream.cpp
@@ -0,0 +1,182 @@
+#include "upstream.h"
+
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <utility>
+
+namespace greengagespar {
+
+namespace {
+
+// Connections kept open without a request.
+constexpr std::size_t MaxIdleConnections = 64;
+
+struct MethodName {
+  std::string_view Name;
+  evhttp_cmd_type Type;
+};
+
+constexpr MethodName Methods[] = {
+    {"GET", EVHTTP_REQ_GET},         {"POST", EVHTTP_REQ_POST},
+    {"HEAD", EVHTTP_REQ_HEAD},       {"PUT", EVHTTP_REQ_PUT},
+    {"DELETE", EVHTTP_REQ_DELETE},   {"PATCH", EVHTTP_REQ_PATCH},
+    {"OPTIONS", EVHTTP_REQ_OPTIONS},
+};
+
+evhttp_cmd_type methodType(std::string_view name) {
+  for (const MethodName &it : Methods)
+    if (it.Name == name)
+      return it.Type;
+  return EVHTTP_REQ_GET;
+}
+
+std::string text(evbuffer *buf) {
+  std::string out(evbuffer_get_length(buf), '\0');
+  evbuffer_copyout(buf, out.data(), out.size());
+  return out;
+}
+
+std::string header(evhttp_request *request, const char *name) {
+  const char *value =
+      evhttp_find_header(evhttp_request_get_input_headers(request), name);
+  return value ? value : "";
+}
+
+timeval toTimeval(std::chrono::milliseconds ms) {
+  return {static_cast<time_t>(ms.count() / 1000),
+          static_cast<suseconds_t>(ms.count() % 1000 * 1000)};
+}
+
+} // namespace
+
+struct Upstream::Exchange {
+  Upstream *Owner = nullptr;
+  UpstreamId Id;
+  evhttp_connection *Connection = nullptr;
+  evhttp_request *Request = nullptr;
+  UpstreamEvents Events;
+};
+
+Upstream::Upstream(event_base *base, const Address &server,
+                   std::size_t maxAnswerBytes)
+    : Base(base), MaxAnswerBytes(maxAnswerBytes),
+      Reap(event_new(base, -1, 0, onReap, this)) {
+  auto colon = server.Value.rfind(':');
+  Host = server.Value.substr(0, colon);
+  Port = static_cast<std::uint16_t>(std::stoi(server.Value.substr(colon + 1)));
+}
+
+Upstream::~Upstream() {
+  for (auto &[id, exchange] : Exchanges)
+    evhttp_connection_free(exchange->Connection);
+  for (evhttp_connection *it : Idle)
+    evhttp_connection_free(it);
+  onReap(-1, 0, this);
+  event_free(Reap);
+}
+
+evhttp_connection *Upstream::takeConnection(bool mayReuse) {
+  if (mayReuse && !Idle.empty()) {
+    evhttp_connection *connection = Idle.back();
+    Idle.pop_back();
+    return connection;
+  }
+  auto *connection =
+      evhttp_connection_base_new(Base, nullptr, Host.c_str(), Port);
+  evhttp_connection_set_max_body_size(connection,
+                                      static_cast<ev_ssize_t>(MaxAnswerBytes));
+  return connection;
+}
+
+void Upstream::giveBack(evhttp_connection *connection, bool reusable) {
+  if (reusable && Idle.size() < MaxIdleConnections) {
+    Idle.push_back(connection);
+    return;
+  }
+  // evhttp still uses the connection in the callback that brought us here.
+  Closing.push_back(connection);
+  event_active(Reap, EV_TIMEOUT, 0);
+}
+
+void Upstream::onReap(int, short, void *self) {
+  auto *upstream = static_cast<Upstream *>(self);
+  for (evhttp_connection *it : std::exchange(upstream->Closing, {}))
+    evhttp_connection_free(it);
+  upstream->Cancelled.clear();
+}
+
+UpstreamId Upstream::start(const UpstreamRequest &request,
+                           UpstreamEvents events) {
+  auto exchange = std::make_unique<Exchange>();
+  exchange->Owner = this;
+  exchange->Id = {Next++};
+  exchange->Events = std::move(events);
+  exchange->Connection = takeConnection(request.MayReuseConnection);
+  exchange->Request = evhttp_request_new(onDone, exchange.get());
+  if (exchange->Events.OnData)
+    evhttp_request_set_chunked_cb(exchange->Request, onChunk);
+  auto *headers = evhttp_request_get_output_headers(exchange->Request);
+  evhttp_add_header(headers, "Host", Host.c_str());
+  if (!request.ContentType.empty())
+    evhttp_add_header(headers, "Content-Type", request.ContentType.c_str());
+  if (!request.IdempotencyKey.empty())
+    evhttp_add_header(headers, "Idempotency-Key",
+                      request.IdempotencyKey.c_str());
+  evbuffer_add(evhttp_request_get_output_buffer(exchange->Request),
+               request.Body.data(), request.Body.size());
+  timeval timeout = toTimeval(request.Timeout);
+  evhttp_connection_set_timeout_tv(exchange->Connection, &timeout);
+  UpstreamId id = exchange->Id;
+  Exchange &made = *exchange;
+  Exchanges.emplace(id, std::move(exchange));
+  // evhttp calls back during this call only when it can't even make a socket;
+  // the exchange is then gone and the caller was told through OnDone.
+  evhttp_make_request(made.Connection, made.Request, methodType(request.Method),
+                      request.Path.c_str());
+  return id;
+}
+
+void Upstream::cancel(UpstreamId id) {
+  auto it = Exchanges.find(id);
+  if (it == Exchanges.end())
+    return;
+  evhttp_cancel_request(it->second->Request);
+  giveBack(it->second->Connection, false);
+  // One of its events may be what called this function.
+  Cancelled.push_back(std::move(it->second));
+  Exchanges.erase(it);
+}
+
+void Upstream::onChunk(evhttp_request *request, void *arg) {
+  auto &exchange = *static_cast<Exchange *>(arg);
+  std::string data = text(evhttp_request_get_input_buffer(request));
+  exchange.Events.OnData(data);
+}
+
+void Upstream::onDone(evhttp_request *request, void *arg) {
+  auto &exchange = *static_cast<Exchange *>(arg);
+  UpstreamResult result;
+  if (!request) {
+    result.Outcome = UpstreamOutcome::Cut;
+  } else if (evhttp_request_get_response_code(request) == 0) {
+    result.Outcome = UpstreamOutcome::NotSent;
+  } else {
+    result.Outcome = UpstreamOutcome::Complete;
+    result.Status = evhttp_request_get_response_code(request);
+    result.ContentType = header(request, "Content-Type");
+    result.Body = text(evhttp_request_get_input_buffer(request));
+  }
+  exchange.Owner->finish(exchange, std::move(result));
+}
+
+void Upstream::finish(Exchange &exchange, UpstreamResult result) {
+  auto it = Exchanges.find(exchange.Id);
+  std::unique_ptr<Exchange> done = std::move(it->second);
+  Exchanges.erase(it);
+  giveBack(done->Connection, result.Outcome == UpstreamOutcome::Complete);
+  done->Events.OnDone(result);
+}
+
+} // namespace greengagespar
--- /dev/null
+++ b/src/endpoint/upstream.h
@@ -0,0 +1,101 @@
+/// \file
+/// HTTP client towards the engine or plain service behind an endpoint process.
+/// Not thread safe: used from the loop's thread only.
+#ifndef GREENGAGESPAR_ENDPOINT_UPSTREAM_H
+#define GREENGAGESPAR_ENDPOINT_UPSTREAM_H
+
+#include "greengagespar/base/ids.h"
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+struct event;
+struct event_base;
+struct evhttp_connection;
+struct evhttp_request;
+
+namespace greengagespar {
+
+/// One request to the server behind this process.
+struct UpstreamRequest {
+  std::string Method; ///< In capitals.
+  std::string Path;   ///< With its query.
+  std::string ContentType;
+  std::string IdempotencyKey;
+  std::string Body;
+  std::chrono::milliseconds Timeout{0}; ///< Without any byte of answer.
+  bool MayReuseConnection = true; ///< False for calls that may not be repeated.
+};
+
+/// How far a request came.
+enum class UpstreamOutcome {
+  NotSent,  ///< No connection was made, so the server never saw the request.
+  Cut,      ///< The connection ended before the answer did.
+  Complete, ///< The whole answer arrived.
+};
+
+/// The end of a request.
+struct UpstreamResult {
+  UpstreamOutcome Outcome = UpstreamOutcome::Cut;
+  int Status = 0;
+  std::string ContentType;
+  std::string Body; ///< Empty when OnData took it.
+};
+
+/// What the owner of a request is told.
+struct UpstreamEvents {
+  /// Called with parts of the body as they arrive; may be empty.
+  std::function<void(std::string_view)> OnData;
+  /// Called once, unless the request was cancelled.
+  std::function<void(const UpstreamResult &)> OnDone;
+};
+
+/// Handle of a request in progress.
+using UpstreamId = NumberId<struct UpstreamTag>;
+
+/// Sends requests to one server over a pool of connections.
+class Upstream {
+public:
+  /// Precondition: \p base outlives this object. Answers over
+  /// \p maxAnswerBytes count as cut.
+  Upstream(event_base *base, const Address &server, std::size_t maxAnswerBytes);
+  ~Upstream();
+  Upstream(const Upstream &) = delete;
+  Upstream &operator=(const Upstream &) = delete;
+
+  /// Starts a request. OnDone is never called before this returns.
+  UpstreamId start(const UpstreamRequest &request, UpstreamEvents events);
+
+  /// Closes the request's connection; its events are not called any more.
+  void cancel(UpstreamId id);
+
+private:
+  struct Exchange;
+
+  static void onChunk(evhttp_request *request, void *arg);
+  static void onDone(evhttp_request *request, void *arg);
+  static void onReap(int, short, void *self);
+  evhttp_connection *takeConnection(bool mayReuse);
+  void giveBack(evhttp_connection *connection, bool reusable);
+  void finish(Exchange &exchange, UpstreamResult result);
+
+  event_base *Base;
+  std::string Host;
+  std::uint16_t Port;
+  std::size_t MaxAnswerBytes;
+  std::uint64_t Next = 1;
+  std::unordered_map<UpstreamId, std::unique_ptr<Exchange>> Exchanges;
+  std::vector<evhttp_connection *> Idle;
+  std::vector<evhttp_connection *> Closing;
+  std::vector<std::unique_ptr<Exchange>> Cancelled;
+  event *Reap;
+};
+
+} // namespace greengagespar
+
+#endif // GREENGAGESPAR_ENDPOINT_UPSTREAM_H
--- /dev/null
+++ b/src/link/link.cpp
@@ -0,0 +1,187 @@
+#include "greengagespar/link/link.h"
+
+#include <event2/event.h>
+#include <utility>
+
+namespace greengagespar {
+
+namespace {
+
+// Messages handled before the loop gets a turn for other work.
+constexpr int MaxMessagesPerTurn = 256;
+
+// Messages that wait in one socket's queue for one peer.
+constexpr int QueueLength = 4096;
+
+// How often ZeroMQ tries to connect again.
+constexpr int ReconnectMs = 20;
+constexpr int MaxReconnectMs = 200;
+
+void setCommonOptions(zmq::socket_t &socket) {
+  socket.set(zmq::sockopt::linger, 0);
+  socket.set(zmq::sockopt::sndhwm, QueueLength);
+  socket.set(zmq::sockopt::rcvhwm, QueueLength);
+  socket.set(zmq::sockopt::maxmsgsize, MaxLinkMessage);
+}
+
+void stamp(wire::Envelope &envelope, const LinkIdentity &self) {
+  envelope.set_version(LinkVersion);
+  envelope.set_sender(self.Name);
+  envelope.set_incarnation(self.Life.Value);
+  envelope.set_generation(self.Settings.Value);
+}
+
+zmq::message_t serialise(const wire::Envelope &envelope) {
+  zmq::message_t msg(envelope.ByteSizeLong());
+  envelope.SerializeToArray(msg.data(), static_cast<int>(msg.size()));
+  return msg;
+}
+
+bool parse(const zmq::message_t &msg, wire::Envelope &envelope) {
+  return envelope.ParseFromArray(msg.data(), static_cast<int>(msg.size())) &&
+         envelope.version() == LinkVersion &&
+         envelope.body_case() != wire::Envelope::BODY_NOT_SET;
+}
+
+} // namespace
+
+namespace detail {
+
+SocketPump::SocketPump(event_base *base, zmq::socket_t &socket,
+                       std::function<bool()> receiveOne)
+    : ReceiveOne(std::move(receiveOne)) {
+  int fd = socket.get(zmq::sockopt::fd);
+  Readable = event_new(base, fd, EV_READ | EV_PERSIST, onReady, this);
+  Again = event_new(base, -1, 0, onReady, this);
+  event_add(Readable, nullptr);
+}
+
+SocketPump::~SocketPump() {
+  event_free(Readable);
+  event_free(Again);
+}
+
+void SocketPump::wake() { event_active(Again, EV_TIMEOUT, 0); }
+
+void SocketPump::onReady(int, short, void *self) {
+  static_cast<SocketPump *>(self)->drain();
+}
+
+void SocketPump::drain() {
+  for (int n = 0; n < MaxMessagesPerTurn; ++n)
+    if (!ReceiveOne())
+      return;
+  wake();
+}
+
+} // namespace detail
+
+LinkServer::LinkServer(event_base *base, zmq::context_t &context,
+                       const LinkIdentity &self, Handler handler)
+    : Self(self), Handle(std::move(handler)),
+      Socket(context, zmq::socket_type::router),
+      Pump(base, Socket, [this] { return receiveOne(); }) {
+  setCommonOptions(Socket);
+  Socket.set(zmq::sockopt::router_mandatory, true);
+}
+
+Result<void> LinkServer::bind(const Address &address) {
+  try {
+    Socket.bind("tcp://" + address.Value);
+  } catch (const zmq::error_t &e) {
+    return fail(ErrorKind::LinkDown,
+                "cannot listen on " + address.Value + ": " + e.what());
+  }
+  Pump.wake();
+  return {};
+}
+
+bool LinkServer::send(const PeerId &peer, wire::Envelope &envelope) {
+  stamp(envelope, Self);
+  zmq::message_t to(peer.Value);
+  zmq::message_t msg = serialise(envelope);
+  bool sent = false;
+  try {
+    sent = Socket.send(to, zmq::send_flags::sndmore | zmq::send_flags::dontwait)
+               .has_value() &&
+           Socket.send(msg, zmq::send_flags::dontwait).has_value();
+  } catch (const zmq::error_t &) {
+    sent = false;
+  }
+  Pump.wake();
+  ++(sent ? Counts.Sent : Counts.Dropped);
+  return sent;
+}
+
+bool LinkServer::receiveOne() {
+  zmq::message_t from;
+  if (!Socket.recv(from, zmq::recv_flags::dontwait))
+    return false;
+  zmq::message_t msg;
+  bool whole = from.more();
+  while (whole && Socket.recv(msg, zmq::recv_flags::dontwait) && msg.more())
+    whole = false;
+  while (msg.more() && Socket.recv(msg, zmq::recv_flags::dontwait))
+    ;
+  wire::Envelope envelope;
+  if (!whole || !parse(msg, envelope)) {
+    ++Counts.Malformed;
+    return true;
+  }
+  ++Counts.Received;
+  Handle(PeerId{from.to_string()}, envelope);
+  return true;
+}
+
+LinkClient::LinkClient(event_base *base, zmq::context_t &context,
+                       const LinkIdentity &self, Address address,
+                       Handler handler)
+    : Base(base), Context(context), Self(self), Remote(std::move(address)),
+      Handle(std::move(handler)) {
+  open();
+}
+
+void LinkClient::open() {
+  Socket = zmq::socket_t(Context, zmq::socket_type::dealer);
+  setCommonOptions(Socket);
+  Socket.set(zmq::sockopt::immediate, true);
+  Socket.set(zmq::sockopt::reconnect_ivl, ReconnectMs);
+  Socket.set(zmq::sockopt::reconnect_ivl_max, MaxReconnectMs);
+  Socket.connect("tcp://" + Remote.Value);
+  Pump = std::make_unique<detail::SocketPump>(Base, Socket,
+                                              [this] { return receiveOne(); });
+  Pump->wake();
+}
+
+void LinkClient::reopen() {
+  Pump.reset();
+  Socket.close();
+  open();
+}
+
+bool LinkClient::send(wire::Envelope &envelope) {
+  stamp(envelope, Self);
+  zmq::message_t msg = serialise(envelope);
+  bool sent = Socket.send(msg, zmq::send_flags::dontwait).has_value();
+  Pump->wake();
+  ++(sent ? Counts.Sent : Counts.Dropped);
+  return sent;
+}
+
+bool LinkClient::receiveOne() {
+  zmq::message_t msg;
+  if (!Socket.recv(msg, zmq::recv_flags::dontwait))
+    return false;
+  wire::Envelope envelope;
+  if (msg.more() || !parse(msg, envelope)) {
+    while (msg.more() && Socket.recv(msg, zmq::recv_flags::dontwait))
+      ;
+    ++Counts.Malformed;
+    return true;
+  }
+  ++Counts.Received;
+  Handle(envelope);
+  return true;
+}
+
+} // namespace greengagespar
