--- /dev/null
+++ b/src/route/endpoint_view.cpp
@@ -0,0 +1,169 @@
+#include "greengagespar/route/endpoint_view.h"
+
+#include <algorithm>
+
+namespace greengagespar {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Weight of a new sample in the decayed means.
+constexpr double LatencyWeight = 0.1;
+constexpr double OutcomeWeight = 0.1;
+constexpr int SampleCap = 1000;
+
+constexpr int FailuresInARow = 3;
+constexpr double SickFailureShare = 0.4;
+constexpr int MinOutcomes = 10;
+
+constexpr double SlowFactor = 4.0;
+constexpr int MinLatencySamples = 10;
+constexpr std::size_t MinPeers = 2;
+
+constexpr milliseconds FirstAside{500};
+constexpr milliseconds LongestAside{15000};
+constexpr int ProbesNeeded = 2;
+
+void endCall(EndpointView &view) {
+  view.InFlight = std::max(0, view.InFlight - 1);
+  if (view.State == Standing::Probing)
+    view.ProbesInFlight = std::max(0, view.ProbesInFlight - 1);
+}
+
+void noteOutcome(EndpointView &view, bool failed) {
+  view.FailureShare +=
+      OutcomeWeight * ((failed ? 1.0 : 0.0) - view.FailureShare);
+  view.Outcomes = std::min(view.Outcomes + 1, SampleCap);
+}
+
+void noteLatency(EndpointView &view, double ms) {
+  view.Samples = std::min(view.Samples + 1, SampleCap);
+  double weight = std::max(LatencyWeight, 1.0 / view.Samples);
+  view.LatencyMs += weight * (ms - view.LatencyMs);
+}
+
+// Forgets evidence, so that a probe is judged by what it shows itself.
+void forgetEvidence(EndpointView &view) {
+  view.ConsecutiveFailures = 0;
+  view.FailureShare = 0;
+  view.Outcomes = 0;
+  view.Samples = 0;
+  view.LatencyMs = 0;
+}
+
+void beginProbing(EndpointView &view) {
+  forgetEvidence(view);
+  view.State = Standing::Probing;
+  view.ProbesAnswered = 0;
+  view.ProbesInFlight = 0;
+}
+
+bool looksSick(const EndpointView &view) {
+  if (view.ConsecutiveFailures >= FailuresInARow)
+    return true;
+  return view.Outcomes >= MinOutcomes && view.FailureShare > SickFailureShare;
+}
+
+double medianLatency(const std::vector<EndpointView> &views,
+                     const EndpointView &except) {
+  std::vector<double> known;
+  for (const EndpointView &it : views)
+    if (&it != &except && it.Samples >= MinLatencySamples)
+      known.push_back(it.LatencyMs);
+  if (known.size() < MinPeers)
+    return 0;
+  auto middle = known.begin() + static_cast<std::ptrdiff_t>(known.size() / 2);
+  std::nth_element(known.begin(), middle, known.end());
+  return *middle;
+}
+
+bool looksSlow(const EndpointView &view,
+               const std::vector<EndpointView> &views) {
+  if (view.Samples < MinLatencySamples)
+    return false;
+  double median = medianLatency(views, view);
+  return median > 0 && view.LatencyMs > SlowFactor * median;
+}
+
+} // namespace
+
+bool isServerFault(ErrorKind kind) {
+  switch (kind) {
+  case ErrorKind::EndpointFailed:
+  case ErrorKind::LinkDown:
+  case ErrorKind::OutcomeUnknown:
+  case ErrorKind::Internal:
+    return true;
+  default:
+    return false;
+  }
+}
+
+void noteSent(EndpointView &view) {
+  ++view.InFlight;
+  if (view.State == Standing::Probing)
+    ++view.ProbesInFlight;
+}
+
+void noteAnswer(EndpointView &view, std::chrono::microseconds latency,
+                Clock::time_point) {
+  endCall(view);
+  noteOutcome(view, false);
+  noteLatency(view, static_cast<double>(latency.count()) / 1000.0);
+  view.ConsecutiveFailures = 0;
+  if (view.State != Standing::Probing)
+    return;
+  if (++view.ProbesAnswered < ProbesNeeded)
+    return;
+  view.State = Standing::Good;
+  view.TimesAside = 0;
+}
+
+void noteFailure(EndpointView &view, ErrorKind kind, Clock::time_point now) {
+  endCall(view);
+  if (kind == ErrorKind::Overloaded) {
+    int slots = view.Report ? view.Report->Slots : view.Slots;
+    noteReport(view, LoadReport{slots, 1, slots, now});
+    return;
+  }
+  if (!isServerFault(kind))
+    return;
+  noteOutcome(view, true);
+  ++view.ConsecutiveFailures;
+  bool failedProbe = view.State == Standing::Probing;
+  if (failedProbe || (view.State == Standing::Good && looksSick(view)))
+    putAside(view, now);
+}
+
+void noteAbandoned(EndpointView &view) { endCall(view); }
+
+void noteReport(EndpointView &view, const LoadReport &report) {
+  if (view.Report && report.AsOf < view.Report->AsOf)
+    return;
+  view.Report = report;
+  view.InFlightAtReport = view.InFlight;
+}
+
+void noteSilent(EndpointView &view, bool silent) { view.Silent = silent; }
+
+void putAside(EndpointView &view, Clock::time_point now) {
+  milliseconds wait = FirstAside;
+  for (int i = 0; i < view.TimesAside && wait < LongestAside; ++i)
+    wait *= 2;
+  view.State = Standing::Aside;
+  view.AsideUntil = now + std::min(wait, LongestAside);
+  ++view.TimesAside;
+  view.ProbesInFlight = 0;
+}
+
+void reviewStanding(std::vector<EndpointView> &views, Clock::time_point now) {
+  for (EndpointView &it : views) {
+    if (it.State == Standing::Aside && now >= it.AsideUntil)
+      beginProbing(it);
+    else if (it.State == Standing::Good && looksSlow(it, views))
+      putAside(it, now);
+  }
+}
+
+} // namespace greengagespar
