Follow and accept settings: from the platform, from peers, or both

Cause: every process has to come to the newest accepted settings within seconds and never back, with few platform calls. Ruled out: every process watching the platform (calls grow with the nodes); sending the whole settings to each peer that lags (640 workspaces each time).

Found by its tests on the way: an update decided on one index was sent with the version of a later one that the watch had shown meanwhile, and the object just accepted was removed as the replaced one. Each update now carries the version and the replaced reference that it was decided on.

--- /dev/null
+++ b/src/config/config_follower.cpp
@@ -0,0 +1,199 @@
+#include "greengagespar/config/config_follower.h"
+
+#include "greengagespar/base/log.h"
+#include <utility>
+
+namespace greengagespar {
+
+namespace {
+
+constexpr std::chrono::milliseconds TickInterval{250};
+
+PrefixWatchOptions watchOptions(const ConfigFollowerOptions &options,
+                                const char *prefix) {
+  PrefixWatchOptions watch;
+  watch.Prefix = prefix;
+  watch.Wait = options.WatchWait;
+  watch.Retry = options.Retry;
+  return watch;
+}
+
+} // namespace
+
+ConfigFollower::ConfigFollower(event_base *loop, ObjectClient &client,
+                               ConfigFollowerOptions options,
+                               ConfigFollowerHooks hooks)
+    : Loop(loop), Client(client), Options(options), Hooks(std::move(hooks)),
+      Rng(options.Seed), ReadDelay{options.Retry}, Reader(client),
+      IndexWatch(
+          loop, client, watchOptions(options, IndexPath), options.Seed + 1,
+          [this](const PrefixChange &change) { indexChanged(change); },
+          nullptr),
+      TeamsWatch(
+          loop, client, watchOptions(options, TeamsPrefix), options.Seed + 2,
+          [this](const PrefixChange &change) {
+            if (Acceptor)
+              Acceptor->teamsChanged(change);
+          },
+          nullptr),
+      Tick(loop, [this] { tick(); }) {
+  State.Limits = Options.Limits;
+}
+
+void ConfigFollower::start() {
+  Clock::time_point now = Clock::now();
+  State.StartedAt = now;
+  State.LastWord = now;
+  if (Hooks.Pull)
+    State.NextRead = now + randomDelay(Options.StartSpread);
+  applyRole();
+  tick();
+}
+
+void ConfigFollower::setRole(ConfigRole role) {
+  if (role == Options.Role)
+    return;
+  Options.Role = role;
+  applyRole();
+}
+
+void ConfigFollower::applyRole() {
+  State.Watches = Options.Role != ConfigRole::Follows;
+  if (State.Watches)
+    IndexWatch.start();
+  else
+    IndexWatch.stop();
+  if (Options.Role != ConfigRole::Accepts) {
+    TeamsWatch.stop();
+    Acceptor.reset();
+    return;
+  }
+  if (Acceptor)
+    return;
+  TeamAcceptorHooks hooks;
+  hooks.OnIndex = [this](const IndexObject &index) { indexKnown(index); };
+  hooks.Turn = Hooks.Turn;
+  Acceptor = std::make_unique<TeamAcceptor>(Loop, Client, Options.Acceptor,
+                                            std::move(hooks));
+  if (WatchedIndex)
+    Acceptor->indexSeen(*WatchedIndex);
+  // A new acceptor needs the whole of what teams have written.
+  TeamsWatch.listAgain();
+  TeamsWatch.start();
+}
+
+void ConfigFollower::tick() {
+  handle(ConfigTick{});
+  Tick.start(TickInterval);
+}
+
+void ConfigFollower::peerMentioned(const Address &peer, Generation at) {
+  handle(PeerMentioned{peer, at});
+}
+
+std::string ConfigFollower::serve(Generation since) const {
+  return State.Installed ? serializeSnapshot(Held, since) : std::string();
+}
+
+void ConfigFollower::handle(const ConfigEvent &event) {
+  for (const ConfigAction &action : decideConfig(State, event, Clock::now()))
+    std::visit([this](const auto &it) { act(it); }, action);
+}
+
+void ConfigFollower::act(const PullFromPeer &action) {
+  auto done = [this, peer = action.Peer](Result<std::string> result) {
+    afterPull(peer, std::move(result));
+  };
+  if (Hooks.Pull)
+    Hooks.Pull(action.Peer, Held.At, Life.wrap(done));
+  else
+    handle(PullFailed{action.Peer, Clock::duration::zero()});
+}
+
+void ConfigFollower::act(const ReadPlatform &) {
+  auto done = [this](Result<Snapshot> result) { afterRead(std::move(result)); };
+  bool watchIsAhead = WatchedIndex && WatchedIndex->Value.At > Held.At;
+  if (watchIsAhead)
+    Reader.readAccepted(Held, WatchedIndex->Value, Life.wrap(done));
+  else
+    Reader.read(Held, Life.wrap(done));
+}
+
+void ConfigFollower::act(const InstallSettings &action) {
+  Held = std::move(Candidate);
+  logInfo(Part::Contract, "settings of generation " +
+                              std::to_string(action.At.Value) +
+                              " are in force");
+  Hooks.OnContract(contractOf(Held));
+}
+
+void ConfigFollower::afterPull(const Address &peer,
+                               Result<std::string> result) {
+  recoverFrom(
+      [&]() -> Result<void> {
+        BOOST_LEAF_AUTO(text, std::move(result));
+        BOOST_LEAF_ASSIGN(Candidate, parseSnapshot(Held, text));
+        handle(
+            SnapshotRead{peer, Candidate.At, randomDelay(Options.PeerGrace)});
+        return {};
+      },
+      [&](const Error &) {
+        handle(PullFailed{peer, randomDelay(Options.PeerGrace)});
+      });
+}
+
+void ConfigFollower::afterRead(Result<Snapshot> result) {
+  recoverFrom(
+      [&]() -> Result<void> {
+        BOOST_LEAF_ASSIGN(Candidate, std::move(result));
+        reset(ReadDelay);
+        bool watchIsAhead =
+            WatchedIndex && WatchedIndex->Value.At > Candidate.At;
+        Clock::duration delay{};
+        if (!watchIsAhead)
+          delay = randomDelay(Options.PeerGrace);
+        handle(SnapshotRead{{}, Candidate.At, delay});
+        return {};
+      },
+      [&](const Error &) { handle(ReadFailed{nextDelay(ReadDelay, Rng)}); });
+}
+
+void ConfigFollower::indexChanged(const PrefixChange &change) {
+  if (!change.Whole && change.Objects.empty()) {
+    handle(IndexSeen{Held.At});
+    return;
+  }
+  IndexObject index;
+  for (const Object &object : change.Objects)
+    if (object.Path == IndexPath) {
+      bool valid = recoverFrom(
+          [&]() -> Result<bool> {
+            BOOST_LEAF_ASSIGN(index.Value, readIndex(object.Value));
+            index.Version = object.Version;
+            return true;
+          },
+          [](const Error &e) {
+            logError(Part::Contract, "the index is malformed: " + e.Message);
+            return false;
+          });
+      if (!valid)
+        return;
+    }
+  indexKnown(index);
+}
+
+void ConfigFollower::indexKnown(const IndexObject &index) {
+  if (WatchedIndex && index.Version <= WatchedIndex->Version)
+    return;
+  WatchedIndex = index;
+  if (Acceptor)
+    Acceptor->indexSeen(index);
+  handle(IndexSeen{index.Value.At});
+}
+
+Clock::duration ConfigFollower::randomDelay(std::chrono::milliseconds within) {
+  std::uniform_int_distribution<std::int64_t> pick(0, within.count());
+  return std::chrono::milliseconds(pick(Rng));
+}
+
+} // namespace greengagespar
--- a/src/config/decide.cpp
+++ b/src/config/decide.cpp
@@ -48,6 +48,14 @@
   chase(state, now, actions);
 }
 
+void decide(ConfigState &state, const IndexSeen &event, Clock::time_point now,
+            Actions &actions) {
+  state.LastWord = now;
+  state.Known = std::max(state.Known, event.At);
+  if (!state.Installed || *state.Installed < event.At)
+    readPlatform(state, now, actions);
+}
+
 void decide(ConfigState &state, const SnapshotRead &event,
             Clock::time_point now, Actions &actions) {
   state.LastWord = now;
--- /dev/null
+++ b/src/config/platform_reader.cpp
@@ -0,0 +1,141 @@
+#include "greengagespar/config/platform_reader.h"
+
+#include "greengagespar/platform/captured.h"
+#include <utility>
+
+namespace greengagespar {
+
+namespace {
+
+/// Missing teams over which all accepted settings are listed in one call.
+constexpr std::size_t MaxSingleReads = 4;
+
+constexpr const char *AcceptedPrefix = "/system/accepted/";
+
+Result<IndexObject> indexObjectOf(const Object &object) {
+  BOOST_LEAF_AUTO(index, readIndex(object.Value));
+  return IndexObject{std::move(index), object.Version};
+}
+
+} // namespace
+
+void PlatformReader::readIndexObject(
+    std::function<void(Result<IndexObject>)> done) {
+  auto answered = [done = std::move(done)](Result<Object> result) {
+    done(captured([&]() -> Result<IndexObject> {
+      return boost::leaf::try_handle_some(
+          [&]() -> Result<IndexObject> {
+            BOOST_LEAF_AUTO(object, std::move(result));
+            return indexObjectOf(object);
+          },
+          [](const Error &e) -> Result<IndexObject> {
+            if (e.Kind == ErrorKind::NotFound)
+              return IndexObject{};
+            return fail(e.Kind, e.Message);
+          });
+    }));
+  };
+  Client.get(IndexPath, Life.wrap(std::move(answered)));
+}
+
+void PlatformReader::read(const Snapshot &held, Callback done) {
+  Next = held;
+  Done = std::move(done);
+  readIndexObject([this](Result<IndexObject> result) {
+    recoverFrom(
+        [&]() -> Result<void> {
+          BOOST_LEAF_AUTO(index, std::move(result));
+          readAccepted(Next, index.Value, std::move(Done));
+          return {};
+        },
+        [&](const Error &e) { finish(&e); });
+  });
+}
+
+void PlatformReader::readAccepted(const Snapshot &held, const Index &index,
+                                  Callback done) {
+  ++Round;
+  Done = std::move(done);
+  std::vector<TeamId> teams;
+  // A stale index asks for nothing: what is held is newer.
+  if (index.At >= held.At)
+    teams = teamsToFetch(held, index);
+  Next = held;
+  Next.At = index.At;
+  Missing = teams.size();
+  if (teams.empty())
+    finish(nullptr);
+  else if (teams.size() <= MaxSingleReads)
+    fetchEach(index, teams);
+  else
+    fetchAll(index, teams);
+}
+
+void PlatformReader::fetchEach(const Index &index,
+                               const std::vector<TeamId> &teams) {
+  for (const TeamId &team : teams) {
+    const AcceptedTeam &accepted = index.Teams.at(team);
+    auto done = [this, team, accepted, round = Round](Result<Object> result) {
+      if (round == Round)
+        take(team, accepted, std::move(result));
+    };
+    Client.get(acceptedPath(team, accepted), Life.wrap(done));
+  }
+}
+
+void PlatformReader::fetchAll(const Index &index,
+                              const std::vector<TeamId> &teams) {
+  auto done = [this, index, teams, round = Round](Result<Listing> result) {
+    if (round != Round)
+      return;
+    recoverFrom(
+        [&]() -> Result<void> {
+          BOOST_LEAF_AUTO(listing, std::move(result));
+          std::map<std::string, Object *> byPath;
+          for (Object &object : listing.Objects)
+            byPath[object.Path] = &object;
+          for (const TeamId &team : teams) {
+            if (round != Round)
+              break;
+            const AcceptedTeam &accepted = index.Teams.at(team);
+            auto it = byPath.find(acceptedPath(team, accepted));
+            if (it == byPath.end())
+              return fail(ErrorKind::NotFound,
+                          "the accepted settings of team " + team.Value +
+                              " are not there");
+            take(team, accepted, std::move(*it->second));
+          }
+          return {};
+        },
+        [&](const Error &e) { finish(&e); });
+  };
+  Client.list(AcceptedPrefix, Life.wrap(done));
+}
+
+void PlatformReader::take(const TeamId &team, const AcceptedTeam &accepted,
+                          Result<Object> result) {
+  recoverFrom(
+      [&]() -> Result<void> {
+        BOOST_LEAF_AUTO(object, std::move(result));
+        BOOST_LEAF_ASSIGN(Next.Teams[team],
+                          readSnapshotTeam(accepted, object.Value));
+        if (--Missing == 0)
+          finish(nullptr);
+        return {};
+      },
+      [&](const Error &e) { finish(&e); });
+}
+
+void PlatformReader::finish(const Error *error) {
+  if (!Done)
+    return;
+  ++Round;
+  Callback done = std::exchange(Done, nullptr);
+  Snapshot next = std::exchange(Next, {});
+  if (error != nullptr)
+    done(capturedFailure<Snapshot>(error->Kind, error->Message));
+  else
+    done(std::move(next));
+}
+
+} // namespace greengagespar
--- /dev/null
+++ b/src/config/team_acceptor.cpp
@@ -0,0 +1,211 @@
+#include "greengagespar/config/team_acceptor.h"
+
+#include "greengagespar/contract/status.h"
+#include <algorithm>
+#include <utility>
+
+namespace greengagespar {
+
+namespace {
+
+/// Returns the outcome of a write; a failure counts as an unknown one.
+PutOutcome outcomeOf(Result<PutOutcome> result) {
+  return recoverFrom([&] { return std::move(result); },
+                     [](const Error &e) {
+                       PutOutcome outcome;
+                       outcome.Why = e.Message;
+                       return outcome;
+                     });
+}
+
+bool isSettled(const PutOutcome &outcome) {
+  return outcome.State != WriteState::Unknown;
+}
+
+std::chrono::milliseconds millisUntil(Clock::time_point at,
+                                      Clock::time_point now) {
+  auto left = std::chrono::ceil<std::chrono::milliseconds>(at - now);
+  return std::max(left, std::chrono::milliseconds::zero());
+}
+
+} // namespace
+
+TeamAcceptor::TeamAcceptor(event_base *loop, ObjectClient &client,
+                           TeamAcceptorOptions options, TeamAcceptorHooks hooks)
+    : Client(client), Options(options), Hooks(std::move(hooks)),
+      Writer(loop, client, {.Retry = options.Retry}, options.Seed),
+      Reader(client), Wake(loop, [this] { work(); }), Delay{options.Retry},
+      Rng(options.Seed) {}
+
+void TeamAcceptor::teamsChanged(const PrefixChange &change) {
+  for (const TeamId &team : applyChange(Mirror, change))
+    markDirty(team, turnDelay(team));
+  schedule();
+}
+
+void TeamAcceptor::indexSeen(const IndexObject &index) {
+  if (Known && index.Version <= Known->Version)
+    return;
+  Known = index;
+  // What a refused team asked for may have become free.
+  for (const TeamId &team : Refused)
+    markDirty(team, turnDelay(team));
+  schedule();
+}
+
+Clock::duration TeamAcceptor::turnDelay(const TeamId &team) const {
+  std::size_t turn = Hooks.Turn ? Hooks.Turn(team) : 0;
+  return Options.TurnDelay * static_cast<int>(turn);
+}
+
+void TeamAcceptor::markDirty(const TeamId &team, Clock::duration delay) {
+  Dirty[team] = Clock::now() + delay;
+}
+
+void TeamAcceptor::schedule() {
+  if (Busy || !Known || Dirty.empty())
+    return;
+  auto first = std::min_element(
+      Dirty.begin(), Dirty.end(),
+      [](const auto &a, const auto &b) { return a.second < b.second; });
+  Wake.start(millisUntil(first->second, Clock::now()));
+}
+
+void TeamAcceptor::work() {
+  Clock::time_point now = Clock::now();
+  std::vector<TeamId> due;
+  for (const auto &[team, at] : Dirty)
+    if (at <= now)
+      due.push_back(team);
+  for (const TeamId &team : due) {
+    if (Busy)
+      break;
+    Dirty.erase(team);
+    evaluate(team);
+  }
+  schedule();
+}
+
+void TeamAcceptor::evaluate(const TeamId &team) {
+  const TeamObjects &objects = Mirror.Teams[team];
+  ParsedTeam parsed = parseTeam(team, settingsOf(objects));
+  AcceptDecision decision =
+      acceptTeam(Known->Value, team, parsed, Mirror.Revision.Value);
+  Refused.erase(team);
+  switch (decision.Outcome) {
+  case AcceptOutcome::Accepted:
+    store({team, decision, Known->Version, acceptedOf(team)}, parsed.Contract);
+    return;
+  case AcceptOutcome::Refused:
+    Refused.insert(team);
+    writeStatus(team, decision);
+    return;
+  case AcceptOutcome::Unchanged:
+    writeStatus(team, decision);
+    return;
+  case AcceptOutcome::Older:
+    // The watch lags; what it will still show marks the team again.
+    return;
+  }
+}
+
+AcceptedTeam TeamAcceptor::acceptedOf(const TeamId &team) const {
+  auto it = Known->Value.Teams.find(team);
+  return it == Known->Value.Teams.end() ? AcceptedTeam{} : it->second;
+}
+
+void TeamAcceptor::store(const Update &update, const TeamContract &contract) {
+  Busy = true;
+  IntendedWrite write{acceptedPath(update.Team, update.Decision.Team),
+                      writeTeam(contract), ObjectVersion{0}};
+  auto done = [this, update](Result<PutOutcome> result) {
+    // The path names the content, so a conflict means that another acceptor
+    // has stored the same.
+    if (isSettled(outcomeOf(std::move(result))))
+      moveIndex(update);
+    else
+      retryTeam(update.Team);
+  };
+  Writer.put(std::move(write), Life.wrap(done));
+}
+
+void TeamAcceptor::moveIndex(const Update &update) {
+  IntendedWrite write{IndexPath, writeIndex(update.Decision.Next), update.Base};
+  auto done = [this, update](Result<PutOutcome> result) {
+    afterMove(update, outcomeOf(std::move(result)));
+  };
+  Writer.put(std::move(write), Life.wrap(done));
+}
+
+void TeamAcceptor::afterMove(const Update &update, const PutOutcome &outcome) {
+  if (outcome.State != WriteState::Written) {
+    bool raced = outcome.State == WriteState::Conflict;
+    markDirty(update.Team,
+              raced ? Clock::duration::zero() : nextDelay(Delay, Rng));
+    refreshIndex();
+    return;
+  }
+  reset(Delay);
+  Busy = false;
+  IndexObject written{update.Decision.Next, outcome.Version};
+  // The watch may have shown this index, or a later one, before the answer.
+  if (written.Version > Known->Version) {
+    Known = written;
+    Hooks.OnIndex(written);
+  }
+  writeStatus(update.Team, update.Decision);
+  removeReplaced(update);
+  schedule();
+}
+
+void TeamAcceptor::removeReplaced(const Update &update) {
+  if (update.Replaced.At.Value == 0)
+    return;
+  Client.remove(acceptedPath(update.Team, update.Replaced), std::nullopt,
+                [](const Result<PutOutcome> &) {});
+}
+
+void TeamAcceptor::refreshIndex() {
+  Reader.readIndexObject(Life.wrap([this](Result<IndexObject> result) {
+    Busy = false;
+    recoverFrom(
+        [&]() -> Result<void> {
+          BOOST_LEAF_AUTO(index, std::move(result));
+          if (index.Version > Known->Version)
+            Hooks.OnIndex(index);
+          indexSeen(index);
+          return {};
+        },
+        [&](const Error &) {});
+    schedule();
+  }));
+}
+
+void TeamAcceptor::retryTeam(const TeamId &team) {
+  Busy = false;
+  markDirty(team, nextDelay(Delay, Rng));
+  schedule();
+}
+
+void TeamAcceptor::writeStatus(const TeamId &team,
+                               const AcceptDecision &decision) {
+  const TeamObjects &objects = Mirror.Teams[team];
+  // A status that does not depend on when it was checked: all acceptors write
+  // the same one, and only the first does.
+  boost::json::value status =
+      writeSettingsStatus(statusOf(decision, newestVersion(objects).Value));
+  bool isDeclared = !objects.Settings.empty() || decision.Team.At.Value != 0;
+  if (!isDeclared || objects.Status.Value == status)
+    return;
+  auto done = [this, team](Result<PutOutcome> result) {
+    PutOutcome outcome = outcomeOf(std::move(result));
+    if (outcome.State == WriteState::Written)
+      return;
+    markDirty(team, nextDelay(Delay, Rng));
+    schedule();
+  };
+  Client.put(settingsStatusPath(team), status, objects.Status.Version,
+             Life.wrap(done));
+}
+
+} // namespace greengagespar
--- a/src/config/team_mirror.cpp
+++ b/src/config/team_mirror.cpp
@@ -1,8 +1,6 @@
 #include "greengagespar/config/team_mirror.h"
 
-#include "greengagespar/config/index.h"
 #include <algorithm>
-#include <boost/json/object.hpp>
 #include <optional>
 #include <string_view>
 
@@ -38,15 +36,16 @@
 void put(TeamMirror &mirror, const TeamPath &path, const Object &object) {
   TeamObjects &team = mirror.Teams[path.Team];
   if (isSettings(path))
-    team.Settings[path.Rest.substr(SettingsPart.size())] = object;
+    team.Settings[object.Path] = object;
   else if (path.Rest == StatusPart)
     team.Status = object;
 }
 
-void remove(TeamMirror &mirror, const TeamPath &path) {
+void remove(TeamMirror &mirror, const TeamPath &path,
+            const std::string &deleted) {
   TeamObjects &team = mirror.Teams[path.Team];
   if (isSettings(path))
-    team.Settings.erase(path.Rest.substr(SettingsPart.size()));
+    team.Settings.erase(deleted);
   else if (path.Rest == StatusPart)
     team.Status = {};
 }
@@ -71,18 +70,18 @@
     }
   for (const std::string &deleted : change.Deleted)
     if (auto path = takeApart(deleted)) {
-      remove(mirror, *path);
+      remove(mirror, *path, deleted);
       if (isSettings(*path))
         changed.insert(path->Team);
     }
   return changed;
 }
 
-boost::json::value readSettings(const TeamObjects &team) {
-  boost::json::object all;
+std::vector<SettingObject> settingsOf(const TeamObjects &team) {
+  std::vector<SettingObject> settings;
   for (const auto &[path, object] : team.Settings)
-    all[path] = object.Value;
-  return all;
+    settings.push_back({path, object.Version.Value, object.Value});
+  return settings;
 }
 
 ObjectVersion newestVersion(const TeamObjects &team) {
@@ -92,8 +91,4 @@
   return newest;
 }
 
-std::string settingsStatusPath(const TeamId &team) {
-  return TeamsPrefix + team.Value + std::string(StatusPart);
-}
-
 } // namespace greengagespar
--- a/src/include/greengagespar/config/decide.h
+++ b/src/include/greengagespar/config/decide.h
@@ -43,6 +43,10 @@
   Address Peer;
   Generation At;
 };
+/// The platform's watch showed an index.
+struct IndexSeen {
+  Generation At;
+};
 /// Settings that are complete have come in.
 struct SnapshotRead {
   std::optional<Address> Peer; ///< Empty: from the platform.
@@ -64,8 +68,8 @@
 struct ConfigTick {};
 
 /// Everything that a process reacts to.
-using ConfigEvent = std::variant<PeerMentioned, SnapshotRead, PullFailed,
-                                 ReadFailed, ConfigTick>;
+using ConfigEvent = std::variant<PeerMentioned, IndexSeen, SnapshotRead,
+                                 PullFailed, ReadFailed, ConfigTick>;
 
 /// Ask a peer for its settings.
 struct PullFromPeer {
--- a/src/include/greengagespar/config/snapshot.h
+++ b/src/include/greengagespar/config/snapshot.h
@@ -5,7 +5,7 @@
 #define GREENGAGESPAR_CONFIG_SNAPSHOT_H
 
 #include "greengagespar/base/errors.h"
-#include "greengagespar/config/index.h"
+#include "greengagespar/contract/accept.h"
 #include "greengagespar/contract/contract.h"
 #include <map>
 #include <memory>
@@ -18,6 +18,7 @@
 /// A team's accepted settings with what they declare.
 struct SnapshotTeam {
   AcceptedTeam Accepted;
+  /// Shared between snapshots, since most teams do not change.
   std::shared_ptr<const TeamContract> Declares;
 };
 
@@ -29,11 +30,11 @@
 };
 
 /// Returns the teams of \p index whose settings \p held does not have.
-std::vector<TeamId> teamsToFetch(const Snapshot &held,
-                                 const SettingsIndex &index);
+std::vector<TeamId> teamsToFetch(const Snapshot &held, const Index &index);
 
-/// Parses what accepted settings of \p team declare.
-Result<SnapshotTeam> readTeam(const TeamId &team, AcceptedTeam accepted);
+/// Reads a team's accepted form. BadSettings when it is malformed.
+Result<SnapshotTeam> readSnapshotTeam(const AcceptedTeam &accepted,
+                                      const boost::json::value &value);
 
 /// Returns the contract that all teams together declare.
 std::shared_ptr<const Contract> contractOf(const Snapshot &snapshot);
--- a/src/include/greengagespar/config/team_mirror.h
+++ b/src/include/greengagespar/config/team_mirror.h
@@ -5,23 +5,27 @@
 #define GREENGAGESPAR_CONFIG_TEAM_MIRROR_H
 
 #include "greengagespar/base/ids.h"
+#include "greengagespar/contract/team_settings.h"
 #include "greengagespar/platform/object.h"
 #include "greengagespar/platform/prefix_watch.h"
-#include <boost/json/value.hpp>
 #include <map>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace greengagespar {
 
 /// What one team has written.
 struct TeamObjects {
-  /// Settings by path beneath "/teams/<team>/settings/".
+  /// Settings by path.
   std::map<std::string, Object> Settings;
   /// The present value of "/teams/<team>/status/settings", with its version.
   Object Status;
 };
 
+/// Prefix of all teams' settings and status on the platform.
+inline constexpr const char *TeamsPrefix = "/teams/";
+
 /// What all teams have written at one revision.
 struct TeamMirror {
   ObjectVersion Revision;
@@ -32,16 +36,12 @@
 /// changed; after a whole listing that is every team.
 std::set<TeamId> applyChange(TeamMirror &mirror, const PrefixChange &change);
 
-/// Returns a team's settings as one value: an object with a member for each
-/// path beneath "settings/", in order of path.
-boost::json::value readSettings(const TeamObjects &team);
+/// Returns a team's settings for parseTeam.
+std::vector<SettingObject> settingsOf(const TeamObjects &team);
 
 /// Returns the highest version of the team's settings objects; 0 without any.
 ObjectVersion newestVersion(const TeamObjects &team);
 
-/// Returns the path of the team's status about its settings.
-std::string settingsStatusPath(const TeamId &team);
-
 } // namespace greengagespar
 
 #endif // GREENGAGESPAR_CONFIG_TEAM_MIRROR_H
--- a/src/include/greengagespar/platform/object.h
+++ b/src/include/greengagespar/platform/object.h
@@ -16,9 +16,6 @@
 /// The platform's revision at an object's last change. 0: no such object.
 using ObjectVersion = NumberId<struct ObjectVersionTag>;
 
-/// Largest value of an object as JSON text, in bytes.
-inline constexpr std::size_t MaxObjectBytes = 1000000;
-
 /// One object.
 struct Object {
   std::string Path; ///< Begins with "/".
--- a/src/include/greengagespar/platform/object_client.h
+++ b/src/include/greengagespar/platform/object_client.h
@@ -59,7 +59,7 @@
   void get(const std::string &path, Callback<Object> done);
 
   /// Writes one object if its version is \p ifVersion (0: it must not exist);
-  /// without \p ifVersion in any case. TooLarge when over MaxObjectBytes.
+  /// without \p ifVersion in any case. TooLarge when over the platform's limit.
   void put(const std::string &path, const boost::json::value &value,
            std::optional<ObjectVersion> ifVersion, Callback<PutOutcome> done);
 
--- a/src/platform/scripted_server.h
+++ b/src/platform/scripted_server.h
@@ -8,6 +8,7 @@
 #include <event2/buffer.h>
 #include <event2/event.h>
 #include <event2/http.h>
+#include <event2/keyvalq_struct.h>
 #include <functional>
 #include <memory>
 #include <string>
@@ -18,7 +19,7 @@
 
 /// What the server does with one request.
 struct ScriptedAnswer {
-  int Status = 200; ///< 0: closes the connection; -1: never answers.
+  int Status = 200; ///< 0: closes the connection; -1: leaves it open.
   std::string Body;
 };
 
@@ -27,7 +28,8 @@
   struct Seen {
     std::string Target;
     std::string Body;
-    int ClientPort = 0; ///< Tells connections apart.
+    int ClientPort = 0;            ///< Tells connections apart.
+    evhttp_request *Raw = nullptr; ///< Valid until it is answered.
   };
 
   std::unique_ptr<event_base, decltype(&event_base_free)> Loop{
@@ -56,7 +58,7 @@
 
   static void onRequest(evhttp_request *req, void *arg) {
     auto *self = static_cast<ScriptedServer *>(arg);
-    Seen seen{evhttp_request_get_uri(req), {}, 0};
+    Seen seen{evhttp_request_get_uri(req), {}, 0, req};
     evbuffer *buf = evhttp_request_get_input_buffer(req);
     seen.Body.resize(evbuffer_get_length(buf));
     evbuffer_remove(buf, seen.Body.data(), seen.Body.size());
@@ -66,9 +68,13 @@
     evhttp_connection_get_peer(connection, &host, &port);
     seen.ClientPort = port;
     self->Requests.push_back(seen);
-    ScriptedAnswer answer = self->Answer(seen);
+    reply(req, self->Answer(seen));
+  }
+
+  /// Answers a request that was left open by status -1.
+  static void reply(evhttp_request *req, const ScriptedAnswer &answer) {
     if (answer.Status == 0)
-      evhttp_connection_free(connection);
+      evhttp_connection_free(evhttp_request_get_connection(req));
     if (answer.Status <= 0)
       return;
     evbuffer_add(evhttp_request_get_output_buffer(req), answer.Body.data(),
