--- a/src/base/schema.cpp
+++ b/src/base/schema.cpp
@@ -96,8 +96,10 @@
     bool required = it.Needed == Presence::Required;
     out += "  // " + it.Comment + "\n  // Expected: " + it.Expected +
            (required ? " (required).\n" : ".\n");
-    if (it.Value.is_null())
+    if (it.Value.is_null()) {
+      out += "  // " + json::serialize(it.Name) + " is not set.\n";
       continue;
+    }
     out += "  " + json::serialize(it.Name) + ": " + json::serialize(it.Value) +
            ",\n";
   }
@@ -187,4 +189,13 @@
       [](const Address &address) { return json::value(address.Value); });
 }
 
+Codec<Address> ipPortOrUnset() {
+  Codec<Address> codec = ipPort();
+  codec.Write = [](const Address &address) {
+    return address.Value.empty() ? json::value(nullptr)
+                                 : json::value(address.Value);
+  };
+  return codec;
+}
+
 } // namespace greengagespar
--- a/src/entry/entry_settings.cpp
+++ b/src/entry/entry_settings.cpp
@@ -19,7 +19,7 @@
             "Address that callers connect to."),
       field("link", &S::Link, ipPort(), required,
             "Address that other processes of the system connect to."),
-      field("advertise", &S::Advertise, ipPort(), optional,
+      field("advertise", &S::Advertise, ipPortOrUnset(), optional,
             "Address that callers are told to use; default: listen."),
       field("platform", &S::Platform, ipPort(), required,
             "Address of the platform's object API."),
@@ -62,7 +62,6 @@
   settings.DataCentre = {"kigali-1"};
   settings.Listen = {"127.0.0.1:8001"};
   settings.Link = {"127.0.0.1:7001"};
-  settings.Advertise = settings.Listen;
   settings.Platform = {"127.0.0.1:9000"};
   return settings;
 }
--- a/src/entry/entry_settings_test.cpp
+++ b/src/entry/entry_settings_test.cpp
@@ -14,6 +14,8 @@
   readObject(schema, *parseDocument(text, findings), "", back, findings);
   completeEntrySettings(back, findings);
   BOOST_TEST(findings.empty());
+  BOOST_TEST((back.Advertise == back.Listen));
+  back.Advertise = {};
   BOOST_TEST((writeObject(schema, back) ==
               writeObject(schema, defaultEntrySettings())));
 }
--- a/src/include/greengagespar/base/schema.h
+++ b/src/include/greengagespar/base/schema.h
@@ -197,6 +197,9 @@
 /// An IP address with a port.
 Codec<Address> ipPort();
 
+/// An IP address with a port; an empty address is not written.
+Codec<Address> ipPortOrUnset();
+
 /// An identifier as of isIdText. \p what names it, for example "a server".
 template <class Id> Codec<Id> identifier(std::string_view what) {
   return detail::scalarCodec<Id>(
