Add the entry process, its links and both programs' frame

Cause: callers need one process that admits, routes, resumes and answers. Ruled out: evhttp's own read of closed callers (it does not read while an answer is under way), so the socket is asked; its timeouts count from the last byte, so one byte a second never ends: a guard counts from the first byte. Change: HttpServer with limits, CallerReply, EndpointLinks with liveness, CallRouter, Entry, EventLoop; the endpoint program's main.

--- a/src/endpoint/endpoint.cpp
+++ b/src/endpoint/endpoint.cpp
@@ -125,6 +125,7 @@
   wire::Envelope envelope;
   auto *answer = envelope.mutable_probe_answer();
   answer->set_number(probe.number());
+  answer->set_server(Settings.Server.Value);
   fillLoad(*answer->mutable_load());
   Server.send(peer, envelope);
 }
--- a/src/entry/api.cpp
+++ b/src/entry/api.cpp
@@ -143,7 +143,10 @@
   out["choices"] = json::array{std::move(choice)};
   if (!part.Finish.empty())
     out["usage"] = usageOf(part);
-  return "data: " + json::serialize(out) + "\n\n";
+  std::string event = "data: ";
+  event += json::serialize(out);
+  event += "\n\n";
+  return event;
 }
 
 std::string renderError(const Error &error, Ran ran) {
@@ -178,9 +181,9 @@
     return fail(ErrorKind::NotFound, "the path names no service");
   ServiceTarget target;
   target.Service = {std::string(rest.substr(0, end))};
-  target.Path = std::string(rest.substr(end));
-  if (!target.Path.starts_with('/'))
-    target.Path.insert(0, "/");
+  std::string_view path = rest.substr(end);
+  target.Path = path.starts_with('/') ? "" : "/";
+  target.Path += path;
   return target;
 }
 
--- /dev/null
+++ b/src/entry/endpoint_links.cpp
@@ -0,0 +1,132 @@
+#include "endpoint_links.h"
+
+#include "greengagespar/base/log.h"
+#include <utility>
+
+namespace greengagespar {
+
+EndpointLinks::EndpointLinks(event_base *base, zmq::context_t &context,
+                             const LinkIdentity &self,
+                             EndpointLinkEvents events)
+    : Base(base), Context(context), Self(self), Events(std::move(events)) {}
+
+void EndpointLinks::setServers(const std::vector<Server> &servers) {
+  std::unordered_map<ServerId, Address> wanted;
+  for (const Server &it : servers)
+    wanted[it.Id] = it.Endpoint;
+  for (auto &[server, link] : Links) {
+    auto found = wanted.find(server);
+    link.IsRetired = found == wanted.end();
+    if (link.IsRetired)
+      continue;
+    // This may run inside a message of the link that is replaced.
+    if (found->second != link.Client->address())
+      Closing.push_back(std::exchange(link, {}));
+    else
+      wanted.erase(found);
+  }
+  for (const auto &[server, address] : wanted) {
+    EndpointLink &link = Links[server];
+    link.Server = server;
+    link.IsRetired = false;
+    link.Client = std::make_unique<LinkClient>(
+        Base, Context, Self, address,
+        [this, id = server](const wire::Envelope &envelope) {
+          onEnvelope(id, envelope);
+        });
+  }
+}
+
+EndpointLink *EndpointLinks::find(const ServerId &server) {
+  auto it = Links.find(server);
+  return it == Links.end() ? nullptr : &it->second;
+}
+
+std::optional<Incarnation> EndpointLinks::lifeOf(const ServerId &server) const {
+  auto it = Links.find(server);
+  if (it == Links.end() || it->second.State.Phase != LinkPhase::Up)
+    return std::nullopt;
+  return it->second.Life;
+}
+
+bool EndpointLinks::send(const ServerId &server, wire::Envelope &envelope) {
+  EndpointLink *link = find(server);
+  if (!link)
+    return false;
+  if (link->Client->send(envelope))
+    return true;
+  noteNoConnection(link->State, Clock::now());
+  return false;
+}
+
+void EndpointLinks::probe(EndpointLink &link) {
+  wire::Envelope envelope;
+  envelope.mutable_probe()->set_number(++link.ProbeNumber);
+  link.ProbeSentAt = Clock::now();
+  if (!link.Client->send(envelope))
+    noteNoConnection(link.State, Clock::now());
+}
+
+void EndpointLinks::tick() {
+  auto now = Clock::now();
+  std::vector<EndpointLink> closing = std::move(Closing);
+  Closing.clear();
+  for (const EndpointLink &it : closing)
+    if (it.Life)
+      Events.OnLost(it.Server, *it.Life);
+  std::erase_if(Links, [](const auto &it) {
+    return it.second.IsRetired && it.second.CallsOpen == 0;
+  });
+  std::vector<ServerId> lost;
+  for (auto &[server, link] : Links) {
+    switch (decideLink(link.State, {}, link.CallsOpen > 0, now)) {
+    case LinkStep::Nothing:
+      break;
+    case LinkStep::Reopen:
+      link.Client->reopen();
+      probe(link);
+      break;
+    case LinkStep::Probe:
+      probe(link);
+      break;
+    case LinkStep::DeclareLost:
+      lost.push_back(server);
+      break;
+    }
+  }
+  for (const ServerId &it : lost) {
+    EndpointLink &link = Links[it];
+    logInfo(Part::Link, "endpoint process of server " + it.Value + " is lost");
+    if (link.Life)
+      Events.OnLost(it, *link.Life);
+  }
+}
+
+void EndpointLinks::onEnvelope(const ServerId &server,
+                               const wire::Envelope &envelope) {
+  EndpointLink *link = find(server);
+  if (!link)
+    return;
+  if (envelope.has_probe_answer() &&
+      envelope.probe_answer().server() != server.Value)
+    return;
+  bool wasDown = noteHeard(link->State, Clock::now());
+  Incarnation life{envelope.incarnation()};
+  if (link->Life && *link->Life != life) {
+    Incarnation old = *link->Life;
+    link->Life = life;
+    logInfo(Part::Link, "server " + server.Value + " has a new process");
+    Events.OnLost(server, old);
+  } else if (wasDown && link->Life) {
+    Events.OnRestored(server);
+  }
+  link->Life = life;
+  if (!envelope.has_probe_answer())
+    return Events.OnMessage(server, envelope);
+  if (envelope.probe_answer().number() == link->ProbeNumber)
+    link->RoundTrip = std::chrono::duration_cast<std::chrono::microseconds>(
+        Clock::now() - link->ProbeSentAt);
+  Events.OnLoad(server, envelope.probe_answer().load());
+}
+
+} // namespace greengagespar
--- /dev/null
+++ b/src/entry/entry.cpp
@@ -0,0 +1,286 @@
+#include "entry.h"
+
+#include "greengagespar/base/log.h"
+#include <boost/json.hpp>
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+
+namespace greengagespar {
+
+namespace json = boost::json;
+
+namespace {
+
+// How often links, deadlines and waiting calls are looked at.
+constexpr timeval TickInterval{0, 10000};
+
+constexpr std::size_t MaxHeaderValueBytes = 256;
+constexpr std::string_view Json = "application/json";
+
+HttpLimits limitsOf(const EntrySettings &settings) {
+  HttpLimits limits;
+  limits.MaxHeaderBytes = settings.MaxHeaderBytes;
+  limits.MaxBodyBytes = settings.MaxBodyBytes;
+  limits.MaxConnections = settings.MaxConnections;
+  limits.ArrivalTimeout = settings.HeaderTimeout;
+  limits.IdleTimeout = settings.IdleTimeout;
+  return limits;
+}
+
+std::string_view methodName(evhttp_cmd_type type) {
+  switch (type) {
+  case EVHTTP_REQ_GET:
+    return "GET";
+  case EVHTTP_REQ_POST:
+    return "POST";
+  case EVHTTP_REQ_HEAD:
+    return "HEAD";
+  case EVHTTP_REQ_PUT:
+    return "PUT";
+  case EVHTTP_REQ_DELETE:
+    return "DELETE";
+  case EVHTTP_REQ_PATCH:
+    return "PATCH";
+  default:
+    return "OPTIONS";
+  }
+}
+
+Result<std::string> headerOf(evhttp_request *request, const char *name) {
+  const char *value =
+      evhttp_find_header(evhttp_request_get_input_headers(request), name);
+  std::string text = value ? value : "";
+  if (!isPlainText(text, MaxHeaderValueBytes))
+    return fail(ErrorKind::BadRequest,
+                std::string(name) + " is not printable ASCII of at most " +
+                    std::to_string(MaxHeaderValueBytes) + " bytes");
+  return text;
+}
+
+std::string bodyOf(evhttp_request *request) {
+  evbuffer *buf = evhttp_request_get_input_buffer(request);
+  std::string body(evbuffer_get_length(buf), '\0');
+  evbuffer_copyout(buf, body.data(), body.size());
+  return body;
+}
+
+Result<void> setDeadline(ActiveCall &call, evhttp_request *request,
+                         std::chrono::milliseconds standard,
+                         std::chrono::milliseconds most) {
+  BOOST_LEAF_AUTO(text, headerOf(request, "X-Deadline-Ms"));
+  std::chrono::milliseconds left = standard;
+  if (!text.empty()) {
+    BOOST_LEAF_ASSIGN(left, parseDeadline(text));
+  }
+  call.State.Expires = deadlineAfter(std::min(left, most), call.Arrived);
+  return {};
+}
+
+bool isDeclared(const Service &service, std::string_view method,
+                std::string_view path) {
+  for (const CallPattern &it : service.NonRepeatable)
+    if (it.Method == method && path.starts_with(it.PathPrefix))
+      return true;
+  return false;
+}
+
+} // namespace
+
+Entry::Entry(event_base *base, zmq::context_t &context,
+             const EntrySettings &settings)
+    : Base(base),
+      Settings(settings), Self{settings.Name, newIncarnation(), Generation{}},
+      Router(base, context, Self, settings.DataCentre),
+      Http(base, limitsOf(settings),
+           [this](evhttp_request *request) { onRequest(request); }),
+      Ticker(event_new(base, -1, EV_PERSIST, onTick, this)) {}
+
+Entry::~Entry() { event_free(Ticker); }
+
+Result<void> Entry::start() {
+  BOOST_LEAF_CHECK(Http.bind(Settings.Listen));
+  event_add(Ticker, &TickInterval);
+  logInfo(Part::Entry, "listening on " + Settings.Listen.Value);
+  return {};
+}
+
+void Entry::setContract(std::shared_ptr<const Contract> contract) {
+  if (InForce && contract->At <= InForce->At)
+    return;
+  InForce = std::move(contract);
+  Self.Settings = InForce->At;
+  Router.setContract(*InForce);
+  logInfo(Part::Contract, "settings generation " +
+                              std::to_string(InForce->At.Value) +
+                              " is in force");
+}
+
+void Entry::leave() {
+  if (LeavingSince)
+    return;
+  LeavingSince = Clock::now();
+  logInfo(Part::Entry, "leaving: no new work after the grace period");
+}
+
+bool Entry::refusesNewWork() const {
+  return LeavingSince && *LeavingSince + Settings.DrainGrace < Clock::now();
+}
+
+void Entry::onTick(int, short, void *self) {
+  static_cast<Entry *>(self)->tick();
+}
+
+void Entry::tick() {
+  Router.tick();
+  if (!refusesNewWork() || Router.open() > 0)
+    return;
+  logInfo(Part::Entry, "left: no calls in progress");
+  event_base_loopbreak(Base);
+}
+
+void Entry::onRequest(evhttp_request *request) {
+  auto call = std::make_unique<ActiveCall>();
+  call->Arrived = Clock::now();
+  call->Id = Router.nextId();
+  call->Reply = std::make_unique<CallerReply>(request);
+  const char *rawPath =
+      evhttp_uri_get_path(evhttp_request_get_evhttp_uri(request));
+  std::string_view path = rawPath ? rawPath : "/";
+  if (path == "/healthz")
+    return call->Reply->sendWhole(200, "text/plain", "ok\n");
+  if (path == "/readyz")
+    return onReady(*call->Reply);
+  if (path == "/metrics")
+    return onMetrics(*call->Reply);
+  if (path == "/v1/entries")
+    return onEntries(*call->Reply);
+  bool isAdmitted = recoverFrom(
+      [&]() -> Result<bool> {
+        BOOST_LEAF_CHECK(admit(*call, request, path));
+        return true;
+      },
+      [&](const Error &e) {
+        sendError(*call->Reply, e, answerRow(e.Kind).DefaultRan);
+        return false;
+      });
+  if (isAdmitted)
+    Router.start(std::move(call));
+}
+
+Result<void> Entry::admit(ActiveCall &call, evhttp_request *request,
+                          std::string_view path) {
+  bool isPost = evhttp_request_get_command(request) == EVHTTP_REQ_POST;
+  bool isCompletion = path == "/v1/completions";
+  bool isChat = path == "/v1/chat/completions";
+  bool isService = path.starts_with("/v1/services/");
+  if (!isCompletion && !isChat && !isService)
+    return fail(ErrorKind::NotFound, "no such path");
+  if (!isService && !isPost)
+    return fail(ErrorKind::BadRequest, "drafts are asked for with POST");
+  if (refusesNewWork())
+    return fail(ErrorKind::Leaving,
+                "this entry is leaving; ask another one of /v1/entries");
+  if (!InForce)
+    return fail(ErrorKind::NotReady, "this entry has no settings yet");
+  BOOST_LEAF_CHECK(admitWorkspace(call, request));
+  if (isService)
+    return admitService(call, request);
+  return admitDraft(call, request,
+                    isChat ? DraftShape::Chat : DraftShape::Completion);
+}
+
+Result<void> Entry::admitWorkspace(ActiveCall &call,
+                                   evhttp_request *request) const {
+  BOOST_LEAF_AUTO(name, headerOf(request, "X-Workspace"));
+  call.Workspace = {name};
+  if (name.empty())
+    return fail(ErrorKind::BadRequest, "the header X-Workspace is missing");
+  if (!InForce->Workspaces.contains(call.Workspace))
+    return fail(ErrorKind::UnknownWorkspace, "workspace is not declared");
+  return {};
+}
+
+Result<void> Entry::admitDraft(ActiveCall &call, evhttp_request *request,
+                               DraftShape shape) const {
+  BOOST_LEAF_AUTO(draft, parseDraft(shape, bodyOf(request)));
+  call.Draft = std::move(draft);
+  for (const auto &[id, group] : InForce->Groups) {
+    if (group.Model != call.Draft->Model)
+      continue;
+    call.Pool = {PoolId::Kind::Group, group.Model};
+    return setDeadline(call, request, group.DefaultDeadline, group.MaxDeadline);
+  }
+  return fail(ErrorKind::UnknownGroup, "no group serves this model");
+}
+
+Result<void> Entry::admitService(ActiveCall &call,
+                                 evhttp_request *request) const {
+  BOOST_LEAF_AUTO(target, parseServiceTarget(evhttp_request_get_uri(request)));
+  auto it = InForce->Services.find(target.Service);
+  if (it == InForce->Services.end())
+    return fail(ErrorKind::UnknownGroup, "no such service");
+  const Service &service = it->second;
+  BOOST_LEAF_CHECK(
+      setDeadline(call, request, service.DefaultDeadline, service.MaxDeadline));
+  BOOST_LEAF_AUTO(type, headerOf(request, "Content-Type"));
+  BOOST_LEAF_AUTO(key, headerOf(request, "Idempotency-Key"));
+  call.Pool = {PoolId::Kind::Service, target.Service.Value};
+  wire::ServiceCall work;
+  work.set_method(std::string(methodName(evhttp_request_get_command(request))));
+  work.set_path(target.Path);
+  work.set_content_type(type);
+  work.set_body(bodyOf(request));
+  if (isDeclared(service, work.method(), target.Path)) {
+    if (key.empty())
+      return fail(ErrorKind::IdempotencyKeyNeeded,
+                  "this call may not be repeated: send an Idempotency-Key");
+    call.State.Repeatable = Repeat::Keyed;
+    work.set_idempotency_key(key);
+    work.set_key_scope(call.Workspace.Value + "/" + target.Service.Value);
+    work.set_dedupe_window_ms(
+        static_cast<std::uint32_t>(service.DedupeWindow.count()));
+  }
+  call.Service = std::move(work);
+  return {};
+}
+
+void Entry::onEntries(CallerReply &reply) const {
+  json::object self;
+  self["address"] = Settings.Advertise.Value;
+  self["data_centre"] = Settings.DataCentre.Value;
+  json::object out;
+  out["entries"] = json::array{std::move(self)};
+  out["keep_ms"] = Settings.AddressKeep.count();
+  reply.sendWhole(200, Json, json::serialize(out));
+}
+
+void Entry::onReady(CallerReply &reply) const {
+  if (!InForce)
+    return sendError(reply, {ErrorKind::NotReady, "no settings yet"}, Ran::No);
+  if (LeavingSince)
+    return sendError(reply, {ErrorKind::Leaving, "leaving"}, Ran::No);
+  reply.sendWhole(200, "text/plain", "ready\n");
+}
+
+void Entry::onMetrics(CallerReply &reply) const {
+  const CallCounters &counters = Router.counters();
+  std::string text;
+  auto add = [&](const std::string &name, std::uint64_t value) {
+    text += "greengagespar_" + name + " " + std::to_string(value) + "\n";
+  };
+  add("calls_started_total", counters.Started);
+  add("calls_completed_total", counters.Completed);
+  add("attempts_total", counters.Attempts);
+  add("callers_gone_total", counters.CallersGone);
+  add("stray_messages_total", counters.Strays);
+  add("connections", Http.connections());
+  for (int i = 0; i < ErrorKindCount; ++i)
+    add("calls_refused_total{kind=\"" +
+            std::string(answerRow(static_cast<ErrorKind>(i)).Name) + "\"}",
+        counters.Refused[static_cast<std::size_t>(i)]);
+  reply.sendWhole(200, "text/plain; version=0.0.4", text);
+}
+
+} // namespace greengagespar
--- /dev/null
+++ b/src/entry/entry.h
@@ -0,0 +1,70 @@
+/// \file
+/// The entry process towards callers: takes requests, checks them against the
+/// accepted settings and hands calls to the router. Not thread safe: used from
+/// the loop's thread only.
+#ifndef GREENGAGESPAR_ENTRY_ENTRY_H
+#define GREENGAGESPAR_ENTRY_ENTRY_H
+
+#include "call_router.h"
+#include "greengagespar/contract/contract.h"
+#include "greengagespar/entry/entry_settings.h"
+#include "http_server.h"
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+struct event;
+struct event_base;
+
+namespace greengagespar {
+
+/// The entry process.
+class Entry {
+public:
+  /// Precondition: \p base and \p context outlive the entry.
+  Entry(event_base *base, zmq::context_t &context,
+        const EntrySettings &settings);
+  ~Entry();
+  Entry(const Entry &) = delete;
+  Entry &operator=(const Entry &) = delete;
+
+  /// Starts to listen. Fails when an address can't be bound.
+  Result<void> start();
+
+  /// Puts accepted settings in force. Older ones than those in force are
+  /// dropped.
+  void setContract(std::shared_ptr<const Contract> contract);
+
+  /// Begins a graceful shutdown: no new work after the grace period; the loop
+  /// ends once the calls in progress have ended.
+  void leave();
+
+private:
+  static void onTick(int, short, void *self);
+  void tick();
+  void onRequest(evhttp_request *request);
+  void onEntries(CallerReply &reply) const;
+  void onReady(CallerReply &reply) const;
+  void onMetrics(CallerReply &reply) const;
+  Result<void> admit(ActiveCall &call, evhttp_request *request,
+                     std::string_view path);
+  Result<void> admitWorkspace(ActiveCall &call, evhttp_request *request) const;
+  Result<void> admitDraft(ActiveCall &call, evhttp_request *request,
+                          DraftShape shape) const;
+  Result<void> admitService(ActiveCall &call, evhttp_request *request) const;
+  bool refusesNewWork() const;
+
+  event_base *Base;
+  EntrySettings Settings;
+  LinkIdentity Self;
+  CallRouter Router;
+  HttpServer Http;
+  std::shared_ptr<const Contract> InForce;
+  std::optional<Clock::time_point> LeavingSince;
+  event *Ticker;
+};
+
+} // namespace greengagespar
+
+#endif // GREENGAGESPAR_ENTRY_ENTRY_H
--- /dev/null
+++ b/src/include/greengagespar/base/event_loop.h
@@ -0,0 +1,42 @@
+/// \file
+/// The one event loop of a process and the signals that end it.
+#ifndef GREENGAGESPAR_BASE_EVENT_LOOP_H
+#define GREENGAGESPAR_BASE_EVENT_LOOP_H
+
+#include <functional>
+
+struct event;
+struct event_base;
+
+namespace greengagespar {
+
+/// Owns a libevent loop. Not thread safe: create and run it on one thread, once
+/// in a process.
+class EventLoop {
+public:
+  EventLoop();
+  ~EventLoop();
+  EventLoop(const EventLoop &) = delete;
+  EventLoop &operator=(const EventLoop &) = delete;
+
+  /// The loop that everything in the process runs on.
+  event_base *base() const { return Base; }
+
+  /// Calls \p leave on SIGTERM and on SIGINT.
+  void onTermination(std::function<void()> leave);
+
+  /// Runs until something breaks the loop.
+  void run();
+
+private:
+  static void onSignal(int, short, void *self);
+
+  event_base *Base;
+  event *Terminate = nullptr;
+  event *Interrupt = nullptr;
+  std::function<void()> Leave;
+};
+
+} // namespace greengagespar
+
+#endif // GREENGAGESPAR_BASE_EVENT_LOOP_H
--- a/src/include/greengagespar/link/link.h
+++ b/src/include/greengagespar/link/link.h
@@ -29,7 +29,7 @@
 
 /// What every envelope says of its sender.
 struct LinkIdentity {
-  std::string Name;
+  HostId Name;
   Incarnation Life;
   Generation Settings; ///< Kept up to date by the owner.
 };
--- a/src/link/link.cpp
+++ b/src/link/link.cpp
@@ -26,7 +26,7 @@
 
 void stamp(wire::Envelope &envelope, const LinkIdentity &self) {
   envelope.set_version(LinkVersion);
-  envelope.set_sender(self.Name);
+  envelope.set_sender(self.Name.Value);
   envelope.set_incarnation(self.Life.Value);
   envelope.set_generation(self.Settings.Value);
 }
