--- /dev/null
+++ b/testsuite/standins/weights.cpp
@@ -0,0 +1,86 @@
+/// \file
+/// A stand-in for the weight store: deterministic bytes under a rate limit.
+#include "http_server.h"
+
+#include "expected_text.h"
+#include <CLI/CLI.hpp>
+#include <algorithm>
+#include <cstdint>
+#include <string>
+
+using namespace greengagespar::standin;
+using Clock = std::chrono::steady_clock;
+
+namespace {
+
+constexpr std::string_view WeightsPrefix = "/v1/weights/";
+constexpr std::uint64_t MaxLength = std::uint64_t{16} * 1024 * 1024;
+
+// A token bucket that holds one second of bytes.
+struct Store {
+  double BytesPerSecond = 1e8;
+  std::uint64_t ItemBytes =
+      std::uint64_t{256} * 1024 * 1024; ///< Size of each item.
+  double Available = 0;
+  Clock::time_point FilledAt = Clock::now();
+};
+
+void refill(Store &store) {
+  auto now = Clock::now();
+  std::chrono::duration<double> passed = now - store.FilledAt;
+  store.FilledAt = now;
+  store.Available =
+      std::min(store.BytesPerSecond,
+               store.Available + passed.count() * store.BytesPerSecond);
+}
+
+std::string bytesAt(std::uint64_t nameHash, std::uint64_t offset,
+                    std::uint64_t length) {
+  std::string out(length, '\0');
+  for (std::uint64_t i = 0; i < length; ++i)
+    out[i] = static_cast<char>(nameHash + (offset + i) * 131);
+  return out;
+}
+
+void refuse(const Store &store, const Request &req, double missing) {
+  constexpr double msPerSecond = 1000;
+  auto ms = static_cast<std::int64_t>(
+      missing / store.BytesPerSecond * msPerSecond + 1);
+  evhttp_add_header(evhttp_request_get_output_headers(req.Raw),
+                    "Retry-After-Ms", std::to_string(ms).c_str());
+  sendText(req, 429, "", nullptr);
+}
+
+void serve(Store &store, const Request &req) {
+  if (req.Method != "GET" || !req.Path.starts_with(WeightsPrefix))
+    return sendText(req, HTTP_NOTFOUND, "", nullptr);
+  std::uint64_t offset = queryNumber(req, "offset", 0);
+  std::uint64_t length = queryNumber(req, "length", MaxLength);
+  if (offset > store.ItemBytes)
+    return sendText(req, 416, "", nullptr);
+  length = std::min({length, MaxLength, store.ItemBytes - offset});
+  refill(store);
+  // A request over one second of bytes waits for a full bucket only.
+  double needed = std::min(static_cast<double>(length), store.BytesPerSecond);
+  if (store.Available < needed)
+    return refuse(store, req, needed - store.Available);
+  store.Available -= static_cast<double>(length);
+  std::uint64_t hash = hashText(req.Path.substr(WeightsPrefix.size()));
+  sendText(req, HTTP_OK, bytesAt(hash, offset, length),
+           "application/octet-stream");
+}
+
+} // namespace
+
+int main(int argc, char **argv) {
+  int port = 0;
+  Store store;
+  CLI::App app("Stand-in for the weight store");
+  app.add_option("--port", port, "port on 127.0.0.1; 0 picks a free one");
+  app.add_option("--bytes-per-second", store.BytesPerSecond, "its rate");
+  app.add_option("--item-bytes", store.ItemBytes, "size of each item");
+  CLI11_PARSE(app, argc, argv);
+  store.Available = store.BytesPerSecond;
+  HttpServer server(port, [&store](const Request &req) { serve(store, req); });
+  return server.run();
+}
