--- a/testsuite/standins/expected_text.h
+++ b/src/include/greengagespar/load/expected_text.h
@@ -1,8 +1,9 @@
 /// \file
-/// The text that the engine stand-in generates: a pure function of the prompt,
-/// so that a test knows the whole answer to its own request. Thread safe.
-#ifndef GREENGAGESPAR_STANDINS_EXPECTED_TEXT_H
-#define GREENGAGESPAR_STANDINS_EXPECTED_TEXT_H
+/// The text that a test engine generates: a pure function of the prompt, so
+/// that the load tool and tests know the whole answer to each request. Thread
+/// safe.
+#ifndef GREENGAGESPAR_LOAD_EXPECTED_TEXT_H
+#define GREENGAGESPAR_LOAD_EXPECTED_TEXT_H
 
 #include <algorithm>
 #include <cstdint>
@@ -10,7 +11,7 @@
 #include <string>
 #include <string_view>
 
-namespace greengagespar::standin {
+namespace greengagespar::load {
 
 /// The seed of hashText.
 inline constexpr std::uint64_t HashSeed = 14695981039346656037ULL;
@@ -86,6 +87,6 @@
   return out;
 }
 
-} // namespace greengagespar::standin
+} // namespace greengagespar::load
 
-#endif // GREENGAGESPAR_STANDINS_EXPECTED_TEXT_H
+#endif // GREENGAGESPAR_LOAD_EXPECTED_TEXT_H
--- a/testsuite/standins/batch.cpp
+++ b/testsuite/standins/batch.cpp
@@ -1,6 +1,6 @@
 #include "batch.h"
 
-#include "expected_text.h"
+#include "greengagespar/load/expected_text.h"
 #include <algorithm>
 #include <utility>
 
@@ -144,7 +144,7 @@
     made.Id = stream.Id;
     if (stream.Next < stream.Total) {
       made.Index = stream.Next++;
-      made.Text = tokenOf(stream.PromptHash, made.Index);
+      made.Text = load::tokenOf(stream.PromptHash, made.Index);
     }
     made.Last = stream.Next >= stream.Total;
     if (made.Last) {
--- a/testsuite/standins/engine.cpp
+++ b/testsuite/standins/engine.cpp
@@ -3,7 +3,7 @@
 /// and cancel, a prefix cache, lagging reports, and orders.
 #include "batch.h"
 #include "engine_orders.h"
-#include "expected_text.h"
+#include "greengagespar/load/expected_text.h"
 #include "http_server.h"
 
 #include <CLI/CLI.hpp>
@@ -14,6 +14,7 @@
 #include <utility>
 
 using namespace greengagespar::standin;
+namespace load = greengagespar::load;
 using std::chrono::milliseconds;
 
 namespace {
@@ -131,11 +132,11 @@
       numberOr(body, "max_tokens", DefaultMaxTokens));
   stream.Id = textOr(body, "id");
   stream.CacheKey = textOr(body, "cache_key");
-  stream.PromptHash = hashText(prompt);
-  stream.PromptTokens = promptTokens(prompt);
+  stream.PromptHash = load::hashText(prompt);
+  stream.PromptTokens = load::promptTokens(prompt);
   stream.Next = static_cast<std::uint64_t>(numberOr(body, "offset", 0));
-  stream.Total = tokenCount(prompt, limit);
-  stream.CutByLimit = naturalLength(prompt) > limit;
+  stream.Total = load::tokenCount(prompt, limit);
+  stream.CutByLimit = load::naturalLength(prompt) > limit;
   stream.Priority = numberOr(body, "priority", 0);
   return stream;
 }
--- a/testsuite/standins/http_server.cpp
+++ b/testsuite/standins/http_server.cpp
@@ -211,6 +211,8 @@
   std::_Exit(0);
 }
 
+event_base *HttpServer::base() { return Self->Base; }
+
 void HttpServer::after(std::chrono::microseconds delay,
                        std::function<void()> task) {
   timeval tv = toTimeval(delay);
--- a/testsuite/standins/http_server.h
+++ b/testsuite/standins/http_server.h
@@ -68,6 +68,9 @@
   /// Prints "ready port=N" and serves until SIGTERM or SIGINT. Returns 0.
   int run();
 
+  /// Returns the server's loop.
+  event_base *base();
+
   /// Runs \p task once on the loop after \p delay.
   void after(std::chrono::microseconds delay, std::function<void()> task);
 
--- a/testsuite/standins/weights.cpp
+++ b/testsuite/standins/weights.cpp
@@ -2,13 +2,14 @@
 /// A stand-in for the weight store: deterministic bytes under a rate limit.
 #include "http_server.h"
 
-#include "expected_text.h"
+#include "greengagespar/load/expected_text.h"
 #include <CLI/CLI.hpp>
 #include <algorithm>
 #include <cstdint>
 #include <string>
 
 using namespace greengagespar::standin;
+namespace load = greengagespar::load;
 using Clock = std::chrono::steady_clock;
 
 namespace {
@@ -65,7 +66,7 @@
   if (store.Available < needed)
     return refuse(store, req, needed - store.Available);
   store.Available -= static_cast<double>(length);
-  std::uint64_t hash = hashText(req.Path.substr(WeightsPrefix.size()));
+  std::uint64_t hash = load::hashText(req.Path.substr(WeightsPrefix.size()));
   sendText(req, HTTP_OK, bytesAt(hash, offset, length),
            "application/octet-stream");
 }
