--- a/testsuite/harness/client.cpp
+++ b/testsuite/harness/client.cpp
@@ -49,7 +49,7 @@
   return true;
 }
 
-HttpAnswer call(const Address &server, HttpRequest request,
+HttpAnswer call(const Address &server, const HttpRequest &request,
                 load::OnPart onPart) {
   Loop loop;
   load::HttpClient client(loop.base(), server);
@@ -57,7 +57,7 @@
   bool done = false;
   auto patience = request.Timeout + Margin;
   client.send(
-      std::move(request),
+      request,
       [&](const HttpAnswer &answer) {
         out = answer;
         done = true;
@@ -71,7 +71,7 @@
   HttpRequest request;
   request.Target = target;
   request.Timeout = Patience;
-  return call(server, std::move(request));
+  return call(server, request);
 }
 
 HttpAnswer sendJson(const Address &server, const std::string &method,
@@ -81,7 +81,7 @@
   request.Target = target;
   request.Headers = {{"Content-Type", "application/json"}};
   request.Body = boost::json::serialize(body);
-  return call(server, std::move(request));
+  return call(server, request);
 }
 
 boost::json::value jsonOf(const HttpAnswer &answer) {
--- a/testsuite/harness/client.h
+++ b/testsuite/harness/client.h
@@ -39,7 +39,7 @@
 };
 
 /// Sends one request and waits for the end of its answer.
-HttpAnswer call(const Address &server, HttpRequest request,
+HttpAnswer call(const Address &server, const HttpRequest &request,
                 load::OnPart onPart = nullptr);
 
 /// Sends GET \p target.
