--- a/testsuite/harness/harness_test.cpp
+++ b/testsuite/harness/harness_test.cpp
@@ -1,6 +1,7 @@
 #include "client.h"
 #include "cluster.h"
 #include "greengagespar/load/expected_text.h"
+#include "greengagespar/load/run.h"
 #include "process.h"
 
 #include <boost/test/unit_test.hpp>
@@ -202,6 +203,19 @@
 
 BOOST_AUTO_TEST_SUITE(OtherStandins)
 
+BOOST_AUTO_TEST_CASE(load_straightToAnEngine_isAllRight) {
+  Standin engine("standin-engine", {"--step-ms", "1"});
+  load::LoadPlan plan;
+  plan.Targets = {engine.At};
+  plan.TargetKind = load::CallTarget::Engine;
+  plan.Phases = {{200, milliseconds(100)}, {400, milliseconds(100)}};
+  plan.Calls.Bookings = 0;
+  plan.Calls.Status = 0;
+  load::LoadReport report = load::runLoad(plan);
+  BOOST_TEST(report.Sent > 0);
+  BOOST_TEST(report.Ok == report.Sent);
+}
+
 BOOST_AUTO_TEST_CASE(ledger_sameOrderTwice_countsBoth) {
   Standin ledger("standin-service", {});
   for (int i = 0; i < 2; ++i)
