--- a/src/call/call_state.cpp
+++ b/src/call/call_state.cpp
@@ -120,6 +120,11 @@
   if (!isAtEndpoint(state))
     return {};
   state.MayHaveRun = true;
+  if (state.Repeatable == Repeat::Never)
+    return refuse(state,
+                  {ErrorKind::OutcomeUnknown,
+                   "the endpoint process was lost while it had the call"},
+                  Ran::Unknown);
   // A keyed call is safe to send elsewhere: the votes on its key decide.
   return dispatchAgain(
       state, {ErrorKind::LinkDown, "the endpoint process was lost"}, true);
--- a/src/entry/api.cpp
+++ b/src/entry/api.cpp
@@ -182,7 +182,8 @@
   ServiceTarget target;
   target.Service = {std::string(rest.substr(0, end))};
   std::string_view path = rest.substr(end);
-  target.Path = path.starts_with('/') ? "" : "/";
+  if (!path.starts_with('/'))
+    target.Path += '/';
   target.Path += path;
   return target;
 }
--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -1,6 +1,7 @@
 #include "entry.h"
 
 #include "greengagespar/base/log.h"
+#include "greengagespar/contract/repeat_rule.h"
 #include <boost/json.hpp>
 #include <event2/buffer.h>
 #include <event2/event.h>
@@ -78,14 +79,6 @@
   return {};
 }
 
-bool isDeclared(const Service &service, std::string_view method,
-                std::string_view path) {
-  for (const CallPattern &it : service.NonRepeatable)
-    if (it.Method == method && path.starts_with(it.PathPrefix))
-      return true;
-  return false;
-}
-
 } // namespace
 
 Entry::Entry(event_base *base, zmq::context_t &context,
@@ -232,7 +225,10 @@
   work.set_path(target.Path);
   work.set_content_type(type);
   work.set_body(bodyOf(request));
-  if (isDeclared(service, work.method(), target.Path)) {
+  RepeatRule rule = repeatRule(service, work.method(), target.Path);
+  if (rule == RepeatRule::NotRetried)
+    call.State.Repeatable = Repeat::Never;
+  if (rule == RepeatRule::AtMostOnce) {
     if (key.empty())
       return fail(ErrorKind::IdempotencyKeyNeeded,
                   "this call may not be repeated: send an Idempotency-Key");
--- a/src/include/greengagespar/call/call_state.h
+++ b/src/include/greengagespar/call/call_state.h
@@ -19,6 +19,8 @@
 /// Whether the system may run a call more than once.
 enum class Repeat {
   Allowed, ///< Idempotent, or a draft that resumes at an offset.
+  Never,   ///< Not declared, but not idempotent: sent again only if it did
+           ///< not run.
   Keyed,   ///< At most once; the caller's idempotency key identifies it.
 };
 
