--- a/src/load/calls_test.cpp
+++ b/src/load/calls_test.cpp
@@ -1,4 +1,5 @@
 #include "greengagespar/load/calls.h"
+#include "greengagespar/load/entries.h"
 #include "greengagespar/load/expected_text.h"
 #include "greengagespar/load/run.h"
 
@@ -71,6 +72,26 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(Entries)
+
+BOOST_AUTO_TEST_CASE(readEntries_answers_giveAddressesOrFail) {
+  auto count = [](std::string_view body) {
+    return greengagespar::recoverFrom(
+        [&]() -> greengagespar::Result<std::size_t> {
+          BOOST_LEAF_AUTO(list, readEntries(body));
+          return list.size();
+        },
+        [](const greengagespar::Error &) { return std::size_t{0}; });
+  };
+  BOOST_TEST(count(R"({"entries":[{"address":"a:1"},{"address":"b:2"}]})") ==
+             2U);
+  for (const char *bad : {"", "[]", "{}", R"({"entries":[]})",
+                          R"({"entries":[1,{"address":2}]})"})
+    BOOST_TEST(count(bad) == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(Source)
 
 BOOST_AUTO_TEST_CASE(next_sameSeed_givesSameCalls) {
--- a/src/load/main.cpp
+++ b/src/load/main.cpp
@@ -2,6 +2,7 @@
 /// greengagespar-load: sends an open-loop load of drafts, bookings and status
 /// checks, checks each answer, and prints one JSON line. Exit status 0: every
 /// answer was right; 1: some were not; 2: bad command line.
+#include "greengagespar/load/entries.h"
 #include "greengagespar/load/run.h"
 
 #include <CLI/CLI.hpp>
@@ -32,6 +33,19 @@
                  "tokens of a straggler");
 }
 
+// Replaces the targets by those that the first of them lists.
+bool askTargets(LoadPlan &plan) {
+  return recoverFrom(
+      [&]() -> Result<bool> {
+        BOOST_LEAF_ASSIGN(plan.Targets, askEntries(plan.Targets.front()));
+        return true;
+      },
+      [](const Error &e) {
+        std::fprintf(stderr, "%s\n", e.Message.c_str());
+        return false;
+      });
+}
+
 void printProgress(const LoadReport &report) {
   std::fprintf(stderr, "sent %llu, ok %llu, wrong %llu\n",
                static_cast<unsigned long long>(report.Sent),
@@ -48,10 +62,12 @@
   std::int64_t deadlineMs = plan.Deadline.count();
   std::vector<std::string> entries;
   std::vector<std::string> engines;
+  bool ask = false;
   constexpr int badCommandLine = 2;
   CLI::App app("Sends load to entries and checks each answer");
   app.set_version_flag("--version", "0.1.0");
   app.add_option("--entry", entries, "address of an entry; repeatable");
+  app.add_flag("--ask", ask, "ask the first entry for the addresses to use");
   app.add_option("--direct", engines,
                  "address of an engine that is called without the system");
   app.add_option("--rate", phase.CallsPerSecond, "calls a second")
@@ -78,6 +94,8 @@
   }
   for (const std::string &it : direct ? engines : entries)
     plan.Targets.push_back({it});
+  if (ask && !direct && !askTargets(plan))
+    return 1;
   if (direct) {
     plan.TargetKind = CallTarget::Engine;
     plan.Calls.Bookings = 0;
--- a/testsuite/demo/demo.cpp
+++ b/testsuite/demo/demo.cpp
@@ -6,6 +6,7 @@
 /// "demo: failed" (exit status 1).
 #include "cluster.h"
 #include "greengagespar/load/calls.h"
+#include "greengagespar/load/entries.h"
 
 #include <CLI/CLI.hpp>
 #include <boost/json.hpp>
@@ -90,15 +91,11 @@
   return out;
 }
 
-std::vector<Address> askEntries(const Address &entry) {
-  std::vector<Address> out;
-  boost::json::value answer = jsonOf(get(entry, "/v1/entries"));
-  if (answer.is_object() && answer.as_object().contains("entries"))
-    for (const auto &it : answer.at("entries").as_array())
-      out.push_back({std::string(it.at("address").as_string())});
-  if (out.empty())
-    throw std::runtime_error("the entry lists no addresses");
-  return out;
+std::vector<Address> listedEntries(const Address &entry) {
+  return recoverFrom([&] { return load::askEntries(entry); },
+                     [](const Error &e) -> std::vector<Address> {
+                       throw std::runtime_error(e.Message);
+                     });
 }
 
 // Sends all tasks, a few at a time, to the listed entries in turn.
@@ -209,7 +206,7 @@
   std::deque<Task> tasks = readTasks(file, cluster.plan());
   cluster.start();
   std::fprintf(stderr, "demo: the entries are ready\n");
-  std::vector<Address> entries = askEntries(cluster.address("entry-1"));
+  std::vector<Address> entries = listedEntries(cluster.address("entry-1"));
   std::fprintf(stderr, "demo: %zu entries listed, sending %zu calls\n",
                entries.size(), tasks.size());
   Tally tally = Sender(entries, tasks).run();
