--- a/testsuite/harness/cluster.cpp
+++ b/testsuite/harness/cluster.cpp
@@ -187,7 +187,7 @@
     const auto *it = settings.if_contains("upstream_kind");
     if (it && it->as_string() == kind)
       out.push_back({{"id", name},
-                     {"endpoint", local(Nodes.at(name).LinkPort)},
+                     {"endpoint", local(reachedPort(name))},
                      {"data_centre", Nodes.at(name).DataCentre}});
   }
   return out;
--- a/testsuite/harness/cluster.h
+++ b/testsuite/harness/cluster.h
@@ -85,8 +85,9 @@
   /// Sets the platform's faults.
   void setFaults(const boost::json::object &faults);
 
-  /// Lets the programs reach the platform's, an engine's or a ledger's address
-  /// through a relay, which is named NAME-relay. Precondition: nothing runs.
+  /// Lets the programs reach the address of the platform, an engine, a ledger
+  /// or an endpoint process through a relay, which is named NAME-relay.
+  /// Precondition: nothing runs.
   void addRelay(const std::string &name);
 
   /// Sends a command to a relay.
