Admit, queue and limit calls at each entry on its own

Cause: several entries share servers with no common state, and a crest or one workspace must not take the others' service. Ruled out: first come first served (one workspace fills it), deficit round robin with a quantum (cost of a call is unknown before it ends), a fixed part of the slots for each entry (idle slots while one entry is full).

--- a/src/include/greengagespar/route/choose.h
+++ b/src/include/greengagespar/route/choose.h
@@ -44,7 +44,8 @@
   /// Servers that a cache event said to hold the prefix. A hint that may be
   /// late or wrong: such a server is tried first, under the same load bound.
   std::vector<ServerId> PrefixHolders = {};
-  std::vector<ServerId> Exclude = {}; ///< Servers this call already failed on.
+  /// Servers that the call already failed on, avoided while there are others.
+  std::vector<ServerId> Exclude = {};
   bool MayProbe = true; ///< It may be sent to a server that is being probed.
 };
 
@@ -76,7 +77,12 @@
 double estimateCost(const EndpointView &view, double load,
                     double typicalLatencyMs);
 
-/// Chooses a server for \p request, or none when all are leaving or excluded.
+/// Returns the slots behind a queue: limits and calls of the servers that take
+/// calls now, or of all that are not leaving when every one of them looks sick.
+Capacity capacityOf(const std::vector<EndpointView> &views);
+
+/// Chooses a server for \p request, or none when all are leaving or at
+/// this entry's limit.
 /// When every server is put aside or silent, all take part. Call
 /// reviewStanding before it and noteSent after it.
 std::optional<Choice> chooseEndpoint(const std::vector<EndpointView> &views,
--- a/src/include/greengagespar/route/endpoint_view.h
+++ b/src/include/greengagespar/route/endpoint_view.h
@@ -9,6 +9,7 @@
 #include "greengagespar/base/clock.h"
 #include "greengagespar/base/errors.h"
 #include "greengagespar/contract/contract.h"
+#include "greengagespar/route/concurrency.h"
 #include <chrono>
 #include <optional>
 #include <vector>
@@ -39,6 +40,7 @@
   std::chrono::microseconds OneWay{0}; ///< One-way network latency to it.
   int Slots = 16;                      ///< Slots that the contract declares.
   int InFlight = 0;                    ///< This entry's calls on it.
+  ConcurrencyLimit Limit{16, 16};      ///< How many it may have there.
   std::optional<LoadReport> Report;    ///< The newest load report.
   int InFlightAtReport = 0;    ///< This entry's calls when the report came.
   double LatencyMs = 0;        ///< Decayed mean of answer latency; see Samples.
@@ -69,7 +71,8 @@
 /// Notes that a call ended without evidence, as when its caller went away.
 void noteAbandoned(EndpointView &view);
 
-/// Notes a load report. A report older than the one held is dropped.
+/// Notes a load report and adjusts the entry's limit to it. A report older than
+/// the one held is dropped.
 void noteReport(EndpointView &view, const LoadReport &report);
 
 /// Notes that the link to the server is silent, or speaks again. Calls in
@@ -84,6 +87,11 @@
 /// choice or on a timer. \p views are the servers of one group or service.
 void reviewStanding(std::vector<EndpointView> &views, Clock::time_point now);
 
+/// Whether this entry may have one more call on \p view by its limit.
+inline bool hasRoom(const EndpointView &view) {
+  return view.InFlight < allowedCalls(view.Limit);
+}
+
 /// Whether \p kind is evidence that the server or its link is faulty.
 bool isServerFault(ErrorKind kind);
 
--- /dev/null
+++ b/src/route/admission.cpp
@@ -0,0 +1,302 @@
+#include "greengagespar/route/admission.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace greengagespar {
+
+namespace {
+
+using std::chrono::milliseconds;
+using Seconds = std::chrono::duration<double>;
+
+constexpr milliseconds MinRetryAfter{50};
+constexpr milliseconds MaxRetryAhead{30000};
+constexpr Seconds StartRateWindow{2.0};
+
+// Until calls have been timed, one takes this long.
+constexpr double AssumedServiceMs = 100;
+
+// A call is accepted into a wait only if calls like it nearly always fit its
+// deadline; with a slot free, if the quick ones do.
+constexpr double CautiousQuantile = 0.9;
+constexpr double TypicalQuantile = 0.5;
+constexpr double QuickQuantile = 0.1;
+
+// How a call compares with its deadline.
+struct Fit {
+  Clock::duration Left;
+  Clock::duration Wait;
+  Clock::duration Needed;
+};
+
+Clock::duration toDuration(Seconds time) {
+  return std::chrono::duration_cast<Clock::duration>(time);
+}
+
+double meanServiceMs(const Admission &admission) {
+  return admission.Times.Samples > 0 ? admission.Times.MeanMs
+                                     : AssumedServiceMs;
+}
+
+bool isActive(const Lane &lane) {
+  return lane.Running > 0 || waitingOf(lane) > 0;
+}
+
+// The weight of all workspaces with calls, that of `workspace` included.
+double activeWeight(const CallQueue &queue, const Workspace &workspace) {
+  double sum = workspace.Weight;
+  for (const auto &[id, lane] : queue.Lanes)
+    if (id != workspace.Id && isActive(lane))
+      sum += lane.Weight;
+  return sum;
+}
+
+double startsPerSecond(const Admission &admission, const WorkspaceId &workspace,
+                       Clock::time_point now) {
+  auto it = admission.Paces.find(workspace);
+  if (it == admission.Paces.end())
+    return 0;
+  Seconds since = now - it->second.StartsAt;
+  return it->second.StartsPerSecond * std::exp(-since / StartRateWindow);
+}
+
+double fairShare(const CallQueue &queue, const Workspace &workspace) {
+  return workspace.Weight / activeWeight(queue, workspace);
+}
+
+// Calls of all workspaces that start in a second while there is a queue.
+double totalRate(const Admission &admission, const Capacity &capacity) {
+  return std::max(1, capacity.Limit) * 1000.0 / meanServiceMs(admission);
+}
+
+// Calls of one workspace that start in a second while it has a queue.
+double laneRate(const Admission &admission, const Workspace &workspace,
+                const Capacity &capacity, Clock::time_point now) {
+  double costMs =
+      chargeOf(admission.Queue, workspace.Id, meanServiceMs(admission));
+  double fair = fairShare(admission.Queue, workspace) *
+                std::max(1, capacity.Limit) * 1000.0 / costMs;
+  return std::max(fair, startsPerSecond(admission, workspace.Id, now));
+}
+
+std::size_t waitingIn(const CallQueue &queue, const WorkspaceId &workspace) {
+  auto it = queue.Lanes.find(workspace);
+  return it == queue.Lanes.end() ? 0 : waitingOf(it->second);
+}
+
+int runningOf(const CallQueue &queue, const WorkspaceId &workspace) {
+  auto it = queue.Lanes.find(workspace);
+  return it == queue.Lanes.end() ? 0 : it->second.Running;
+}
+
+bool hasFreeSlot(const Admission &admission, const Capacity &capacity) {
+  auto waiting = static_cast<int>(admission.Queue.Calls.size());
+  return capacity.InFlight + waiting < capacity.Limit;
+}
+
+// Spaces the returns of refused calls at the rate at which they could start,
+// so that callers who obey don't come back all at once.
+milliseconds spacedRetry(Admission &admission, const Workspace &workspace,
+                         Clock::duration earliest, const Capacity &capacity,
+                         Clock::time_point now) {
+  LanePace &pace = admission.Paces[workspace.Id];
+  double rate = laneRate(admission, workspace, capacity, now);
+  Clock::time_point at = std::max(now + earliest, pace.NextRetry);
+  at = std::min(at, now + MaxRetryAhead);
+  pace.NextRetry = at + toDuration(Seconds(1.0 / rate));
+  return boundRetryAfter(at - now);
+}
+
+Clock::duration neededService(const Admission &admission,
+                              const ArrivingCall &call, Clock::duration left,
+                              double quantile) {
+  return call.ExpectedService.value_or(
+      expectedService(admission.Times, left, quantile));
+}
+
+Fit fitOf(const Admission &admission, const ArrivingCall &call,
+          const Workspace &workspace, const Capacity &capacity,
+          Clock::time_point now) {
+  Clock::duration left = call.Due.At - now;
+  Clock::duration wait = estimateWait(admission, workspace, capacity, now);
+  bool waits = wait > Clock::duration::zero();
+  double quantile = waits ? CautiousQuantile : QuickQuantile;
+  return {left, wait, neededService(admission, call, left, quantile)};
+}
+
+// The longest wait after which the call still fits its deadline.
+Clock::duration longestWait(const Admission &admission, const Fit &fit) {
+  const AdmissionOptions &options = admission.Options;
+  Clock::duration wait = fit.Left - fit.Needed;
+  wait = std::min(wait, toDuration(options.MaxWaitShare * Seconds(fit.Left)));
+  if (options.MaxWait > milliseconds::zero())
+    wait = std::min<Clock::duration>(wait, options.MaxWait);
+  return wait;
+}
+
+std::optional<Refusal> checkDeadline(Admission &admission,
+                                     const ArrivingCall &call,
+                                     const Workspace &workspace,
+                                     const Capacity &capacity,
+                                     Clock::time_point now) {
+  Fit fit = fitOf(admission, call, workspace, capacity, now);
+  Clock::duration longest = longestWait(admission, fit);
+  if (fit.Left <= Clock::duration::zero() || longest < Clock::duration::zero())
+    return Refusal{ErrorKind::DeadlineTooShort};
+  Clock::duration wait =
+      toDuration(admission.Options.WaitSafety * Seconds(fit.Wait));
+  if (wait <= longest)
+    return std::nullopt;
+  return Refusal{
+      ErrorKind::Overloaded,
+      spacedRetry(admission, workspace, wait - longest, capacity, now)};
+}
+
+// Refuses a call that was taken out of the queue and never started.
+RefusedCall refuseQueued(Admission &admission, const QueuedCall &call,
+                         const Capacity &capacity, Clock::time_point now) {
+  Workspace workspace;
+  workspace.Id = call.Workspace;
+  workspace.Weight = admission.Queue.Lanes[call.Workspace].Weight;
+  Clock::duration wait = estimateWait(admission, workspace, capacity, now);
+  milliseconds retry = spacedRetry(admission, workspace, wait, capacity, now);
+  return {call, {ErrorKind::Overloaded, retry}};
+}
+
+bool isOverBounds(const Admission &admission, std::size_t bytes) {
+  const AdmissionOptions &options = admission.Options;
+  return admission.Queue.Calls.size() >= options.MaxCalls ||
+         admission.Queue.Bytes + bytes > options.MaxBytes;
+}
+
+double heldWithOneMore(const CallQueue &queue, const Workspace &workspace) {
+  auto calls = static_cast<double>(waitingIn(queue, workspace.Id) + 1);
+  return calls / workspace.Weight;
+}
+
+// Makes room for a call by refusing others of lanes that hold more for their
+// weight. False when the call's own lane holds the most.
+bool makeRoom(Admission &admission, const ArrivingCall &call,
+              const Workspace &workspace, const Capacity &capacity,
+              Clock::time_point now, AdmissionDecision &decision) {
+  CallQueue &queue = admission.Queue;
+  while (isOverBounds(admission, call.Bytes)) {
+    const QueuedCall *victim = overShareCall(queue);
+    if (!victim || victim->Workspace == workspace.Id)
+      return false;
+    const Lane &lane = queue.Lanes[victim->Workspace];
+    double held = static_cast<double>(waitingOf(lane)) / lane.Weight;
+    if (held <= heldWithOneMore(queue, workspace))
+      return false;
+    QueuedCall evicted = *remove(queue, victim->Id);
+    decision.Evicted.push_back(refuseQueued(admission, evicted, capacity, now));
+  }
+  return true;
+}
+
+void enqueue(Admission &admission, const ArrivingCall &call,
+             const Workspace &workspace, Clock::time_point now) {
+  Clock::duration left = call.Due.At - now;
+  Clock::duration needed =
+      neededService(admission, call, left, TypicalQuantile);
+  QueuedCall queued;
+  queued.Id = call.Id;
+  queued.Workspace = call.Workspace;
+  queued.EnqueuedAt = now;
+  queued.Due = call.Due;
+  queued.LatestStart = std::max(now, call.Due.At - needed);
+  queued.Bytes = call.Bytes;
+  queued.TokensProduced = call.TokensProduced;
+  push(admission.Queue, queued, workspace.Weight);
+}
+
+AdmissionDecision refuse(const Refusal &why) { return {why, {}}; }
+
+} // namespace
+
+Clock::duration estimateWait(const Admission &admission,
+                             const Workspace &workspace,
+                             const Capacity &capacity, Clock::time_point now) {
+  if (hasFreeSlot(admission, capacity))
+    return Clock::duration::zero();
+  const CallQueue &queue = admission.Queue;
+  auto calls = static_cast<double>(waitingIn(queue, workspace.Id) + 1);
+  double fairSlots = fairShare(queue, workspace) * capacity.Limit;
+  double under = std::max(0.0, fairSlots - runningOf(queue, workspace.Id));
+  double first = std::min(calls, under);
+  double rest = calls - first;
+  return toDuration(
+      Seconds(first / totalRate(admission, capacity) +
+              rest / laneRate(admission, workspace, capacity, now)));
+}
+
+AdmissionDecision offer(Admission &admission, const ArrivingCall &call,
+                        const Workspace &workspace, const Capacity &capacity,
+                        Clock::time_point now) {
+  if (capacity.Servers == 0)
+    return refuse(
+        {ErrorKind::NoEndpoint, answerRow(ErrorKind::NoEndpoint).RetryAfter});
+  if (auto why = checkDeadline(admission, call, workspace, capacity, now))
+    return refuse(*why);
+  AdmissionDecision decision;
+  if (!makeRoom(admission, call, workspace, capacity, now, decision)) {
+    milliseconds retry =
+        spacedRetry(admission, workspace, MinRetryAfter, capacity, now);
+    decision.Refused = Refusal{ErrorKind::Overloaded, retry};
+    return decision;
+  }
+  enqueue(admission, call, workspace, now);
+  return decision;
+}
+
+AdmissionDecision offerAgain(Admission &admission, const ArrivingCall &call,
+                             const Workspace &workspace,
+                             const Capacity &capacity, Clock::time_point now) {
+  Clock::duration left = call.Due.At - now;
+  if (left <= Clock::duration::zero())
+    return refuse({ErrorKind::DeadlineTooShort});
+  if (capacity.Servers == 0)
+    return refuse(
+        {ErrorKind::NoEndpoint, answerRow(ErrorKind::NoEndpoint).RetryAfter});
+  enqueue(admission, call, workspace, now);
+  return {};
+}
+
+const QueuedCall *nextCall(const Admission &admission, Clock::time_point now,
+                           bool allowLong) {
+  return peekNext(admission.Queue, now, allowLong);
+}
+
+std::optional<StartedCall> start(Admission &admission, CallId id,
+                                 Clock::time_point now) {
+  auto waiting = admission.Queue.Calls.find(id);
+  if (waiting == admission.Queue.Calls.end())
+    return std::nullopt;
+  WorkspaceId workspace = waiting->second.Workspace;
+  LanePace &pace = admission.Paces[workspace];
+  pace.StartsPerSecond = startsPerSecond(admission, workspace, now) +
+                         1.0 / StartRateWindow.count();
+  pace.StartsAt = now;
+  return StartedCall{*take(admission.Queue, id, meanServiceMs(admission)), now};
+}
+
+void finish(Admission &admission, const StartedCall &call, bool completed,
+            Clock::time_point now) {
+  Clock::duration took = now - call.StartedAt;
+  double ms = std::chrono::duration<double, std::milli>(took).count();
+  settle(admission.Queue, call.Call.Workspace, ms);
+  if (completed)
+    noteServiceTime(admission.Times, call.Call.Due.At - call.Call.EnqueuedAt,
+                    took);
+}
+
+std::vector<RefusedCall> expire(Admission &admission, const Capacity &capacity,
+                                Clock::time_point now) {
+  std::vector<RefusedCall> refused;
+  for (const QueuedCall &it : takeExpired(admission.Queue, now))
+    refused.push_back(refuseQueued(admission, it, capacity, now));
+  return refused;
+}
+
+} // namespace greengagespar
--- a/src/route/choose.cpp
+++ b/src/route/choose.cpp
@@ -57,6 +57,12 @@
          view.ProbesInFlight == 0;
 }
 
+void addServer(Capacity &capacity, const EndpointView &view) {
+  capacity.Limit += allowedCalls(view.Limit);
+  capacity.InFlight += view.InFlight;
+  ++capacity.Servers;
+}
+
 double typicalLatency(const std::vector<EndpointView> &views,
                       const ChoiceOptions &options) {
   double sum = 0;
@@ -143,6 +149,17 @@
   return {near.Index, ChoiceReason::Cheapest};
 }
 
+// Every server was excluded or is at its limit: failed ones get another try.
+std::optional<Choice> chooseDespiteFailures(
+    const std::vector<EndpointView> &views, const ChoiceRequest &request,
+    const ChoiceOptions &options, Clock::time_point now, Rng &rng) {
+  if (request.Exclude.empty())
+    return std::nullopt;
+  ChoiceRequest again = request;
+  again.Exclude.clear();
+  return chooseEndpoint(views, again, options, now, rng);
+}
+
 } // namespace
 
 std::vector<double> estimateLoads(const std::vector<EndpointView> &views,
@@ -166,6 +183,19 @@
   return loads;
 }
 
+Capacity capacityOf(const std::vector<EndpointView> &views) {
+  Capacity healthy;
+  Capacity all;
+  for (const EndpointView &it : views) {
+    if (it.Target.Leaving)
+      continue;
+    addServer(all, it);
+    if (isHealthy(it))
+      addServer(healthy, it);
+  }
+  return healthy.Servers > 0 ? healthy : all;
+}
+
 double estimateCost(const EndpointView &view, double load,
                     double typicalLatencyMs) {
   double latency = view.Samples > 0 ? view.LatencyMs : typicalLatencyMs;
@@ -185,20 +215,26 @@
   Candidates own;
   Candidates other;
   Candidates sick;
+  bool anyHealthy = false;
   for (std::size_t i = 0; i < views.size(); ++i) {
     const EndpointView &view = views[i];
     if (!mayTakeCalls(view, request))
       continue;
     if (request.MayProbe && needsProbe(view))
       return Choice{i, ChoiceReason::Probe};
+    anyHealthy = anyHealthy || isHealthy(view);
+    if (!hasRoom(view))
+      continue;
     Candidate it{i, loads[i], estimateCost(view, loads[i], typical)};
     Candidates &list = !isHealthy(view) ? sick : view.OwnCentre ? own : other;
     list.push_back(it);
   }
   if (!own.empty() || !other.empty())
     return chooseAmong(views, own, other, request, options, rng);
-  if (sick.empty())
+  if (anyHealthy)
     return std::nullopt;
+  if (sick.empty())
+    return chooseDespiteFailures(views, request, options, now, rng);
   return Choice{drawCheaperOfTwo(sick, rng).Index, ChoiceReason::AllSick};
 }
 
--- a/src/route/endpoint_view.cpp
+++ b/src/route/endpoint_view.cpp
@@ -59,6 +59,11 @@
   view.ProbesInFlight = 0;
 }
 
+void keepReport(EndpointView &view, const LoadReport &report) {
+  view.Report = report;
+  view.InFlightAtReport = view.InFlight;
+}
+
 bool looksSick(const EndpointView &view) {
   if (view.ConsecutiveFailures >= FailuresInARow)
     return true;
@@ -124,7 +129,8 @@
   endCall(view);
   if (kind == ErrorKind::Overloaded) {
     int slots = view.Report ? view.Report->Slots : view.Slots;
-    noteReport(view, LoadReport{slots, 1, slots, now});
+    lowerLimit(view.Limit, view.InFlight);
+    keepReport(view, LoadReport{slots, 1, slots, now});
     return;
   }
   if (!isServerFault(kind))
@@ -141,8 +147,9 @@
 void noteReport(EndpointView &view, const LoadReport &report) {
   if (view.Report && report.AsOf < view.Report->AsOf)
     return;
-  view.Report = report;
-  view.InFlightAtReport = view.InFlight;
+  keepReport(view, report);
+  adjustLimit(view.Limit,
+              {report.Running, report.Waiting, report.Slots, view.InFlight});
 }
 
 void noteSilent(EndpointView &view, bool silent) { view.Silent = silent; }
--- /dev/null
+++ b/src/route/queue.cpp
@@ -0,0 +1,150 @@
+#include "greengagespar/route/queue.h"
+
+#include "greengagespar/route/priority.h"
+#include "greengagespar/route/service_time.h"
+#include <algorithm>
+#include <array>
+#include <chrono>
+
+namespace greengagespar {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Time from a call's arrival to its due time, by length class.
+constexpr std::array<milliseconds, LengthClassCount> DueAfter = {
+    milliseconds{2000}, milliseconds{2500}, milliseconds{ParkTime},
+    milliseconds{ParkTime}};
+
+bool isLongCall(const QueuedCall &call) {
+  return isLong(lengthClass(call.TokensProduced));
+}
+
+std::set<detail::QueueKey> &indexOf(Lane &lane, const QueuedCall &call) {
+  return isLongCall(call) ? lane.Long : lane.Fresh;
+}
+
+// Takes a call out of every index.
+QueuedCall extract(CallQueue &queue, CallId id) {
+  auto it = queue.Calls.find(id);
+  QueuedCall call = it->second;
+  queue.Calls.erase(it);
+  Lane &lane = queue.Lanes[call.Workspace];
+  indexOf(lane, call).erase({dueTime(call), id});
+  queue.ByLatestStart.erase({call.LatestStart, id});
+  lane.Bytes -= call.Bytes;
+  queue.Bytes -= call.Bytes;
+  return call;
+}
+
+// The first call of a lane that may start, or null.
+const detail::QueueKey *firstOf(const Lane &lane, Clock::time_point now,
+                                bool allowLong) {
+  const detail::QueueKey *best = nullptr;
+  if (!lane.Fresh.empty())
+    best = &*lane.Fresh.begin();
+  if (lane.Long.empty())
+    return best;
+  const detail::QueueKey &resumed = *lane.Long.begin();
+  if (!allowLong && resumed.At > now)
+    return best;
+  return !best || resumed < *best ? &resumed : best;
+}
+
+double heldForWeight(const Lane &lane) {
+  return static_cast<double>(waitingOf(lane)) / lane.Weight;
+}
+
+} // namespace
+
+Clock::time_point dueTime(const QueuedCall &call) {
+  auto length = static_cast<std::size_t>(lengthClass(call.TokensProduced));
+  return std::min(call.LatestStart, call.EnqueuedAt + DueAfter[length]);
+}
+
+void push(CallQueue &queue, const QueuedCall &call, double weight) {
+  Lane &lane = queue.Lanes[call.Workspace];
+  lane.Weight = weight;
+  // A workspace that was idle gains no credit for it.
+  if (waitingOf(lane) == 0)
+    lane.StartTag = std::max(lane.StartTag, queue.VirtualTime);
+  indexOf(lane, call).insert({dueTime(call), call.Id});
+  queue.ByLatestStart.insert({call.LatestStart, call.Id});
+  lane.Bytes += call.Bytes;
+  queue.Bytes += call.Bytes;
+  queue.Calls.emplace(call.Id, call);
+}
+
+const QueuedCall *peekNext(const CallQueue &queue, Clock::time_point now,
+                           bool allowLong) {
+  const Lane *bestLane = nullptr;
+  const detail::QueueKey *best = nullptr;
+  for (const auto &[workspace, lane] : queue.Lanes) {
+    const detail::QueueKey *first = firstOf(lane, now, allowLong);
+    if (!first || (bestLane && bestLane->StartTag <= lane.StartTag))
+      continue;
+    bestLane = &lane;
+    best = first;
+  }
+  return best ? &queue.Calls.at(best->Id) : nullptr;
+}
+
+double chargeOf(const CallQueue &queue, const WorkspaceId &workspace,
+                double meanCostMs) {
+  constexpr double MinCostMs = 1.0;
+  auto it = queue.Lanes.find(workspace);
+  bool known = it != queue.Lanes.end() && it->second.CostSamples > 0;
+  return std::max(MinCostMs, known ? it->second.MeanCostMs : meanCostMs);
+}
+
+std::optional<QueuedCall> take(CallQueue &queue, CallId id, double meanCostMs) {
+  if (!queue.Calls.contains(id))
+    return std::nullopt;
+  QueuedCall call = extract(queue, id);
+  Lane &lane = queue.Lanes[call.Workspace];
+  queue.VirtualTime = std::max(queue.VirtualTime, lane.StartTag);
+  lane.StartTag += chargeOf(queue, call.Workspace, meanCostMs) / lane.Weight;
+  ++lane.Running;
+  return call;
+}
+
+void settle(CallQueue &queue, const WorkspaceId &workspace, double tookMs) {
+  constexpr double CostWeight = 0.02;
+  Lane &lane = queue.Lanes[workspace];
+  lane.Running = std::max(0, lane.Running - 1);
+  noteDecayedMean(lane.MeanCostMs, lane.CostSamples, tookMs, CostWeight);
+}
+
+std::optional<QueuedCall> remove(CallQueue &queue, CallId id) {
+  if (!queue.Calls.contains(id))
+    return std::nullopt;
+  return extract(queue, id);
+}
+
+std::vector<QueuedCall> takeExpired(CallQueue &queue, Clock::time_point now) {
+  std::vector<QueuedCall> expired;
+  while (!queue.ByLatestStart.empty() && queue.ByLatestStart.begin()->At < now)
+    expired.push_back(extract(queue, queue.ByLatestStart.begin()->Id));
+  return expired;
+}
+
+std::optional<Clock::time_point> nextExpiry(const CallQueue &queue) {
+  if (queue.ByLatestStart.empty())
+    return std::nullopt;
+  return queue.ByLatestStart.begin()->At;
+}
+
+const QueuedCall *overShareCall(const CallQueue &queue) {
+  const Lane *most = nullptr;
+  for (const auto &[workspace, lane] : queue.Lanes)
+    if (waitingOf(lane) > 0 &&
+        (!most || heldForWeight(lane) > heldForWeight(*most)))
+      most = &lane;
+  if (!most)
+    return nullptr;
+  const auto &index = most->Fresh.empty() ? most->Long : most->Fresh;
+  return &queue.Calls.at(index.rbegin()->Id);
+}
+
+} // namespace greengagespar
--- /dev/null
+++ b/src/route/queue_test.cpp
@@ -0,0 +1,131 @@
+#include "greengagespar/route/queue.h"
+
+#include "greengagespar/route/priority.h"
+#include <boost/test/unit_test.hpp>
+
+using namespace greengagespar;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct Queue {
+  Clock::time_point Now = Clock::time_point{} + 1h;
+  CallQueue Calls;
+  std::uint64_t LastId = 0;
+
+  CallId add(const std::string &workspace, Clock::duration latestStart = 30s,
+             int tokens = 0, double weight = 1) {
+    QueuedCall call;
+    call.Id = {Incarnation{1}, ++LastId};
+    call.Workspace = {workspace};
+    call.EnqueuedAt = Now;
+    call.Due = {Now + latestStart + 1s};
+    call.LatestStart = Now + latestStart;
+    call.TokensProduced = tokens;
+    call.Bytes = 10;
+    push(Calls, call, weight);
+    return call.Id;
+  }
+
+  QueuedCall takeNext(double costMs = 100, bool allowLong = true) {
+    const QueuedCall *next = peekNext(Calls, Now, allowLong);
+    BOOST_REQUIRE(next);
+    QueuedCall call = *take(Calls, next->Id, costMs);
+    settle(Calls, call.Workspace, costMs);
+    return call;
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(CallQueues, Queue)
+
+BOOST_AUTO_TEST_CASE(queue_oneSendsFiftyTimes_othersGoNext) {
+  for (int i = 0; i < 50; ++i)
+    add("flood");
+  takeNext();
+  CallId steady = add("steady");
+  takeNext();
+  BOOST_TEST((takeNext().Id == steady || !Calls.Calls.contains(steady)));
+}
+
+BOOST_AUTO_TEST_CASE(queue_weights_shareSlotTime) {
+  for (int i = 0; i < 300; ++i) {
+    add("three", 30s, 0, 3);
+    add("one", 30s, 0, 1);
+  }
+  int three = 0;
+  for (int i = 0; i < 200; ++i)
+    three += takeNext().Workspace.Value == "three" ? 1 : 0;
+  BOOST_TEST(std::abs(three - 150) <= 2);
+}
+
+BOOST_AUTO_TEST_CASE(queue_longCallsOfOneWorkspace_countBySlotTime) {
+  for (int i = 0; i < 300; ++i) {
+    add("drafts");
+    add("quotes");
+  }
+  double spent[2] = {0, 0};
+  for (int i = 0; i < 300; ++i) {
+    bool drafts = peekNext(Calls, Now, true)->Workspace.Value == "drafts";
+    double cost = drafts ? 400 : 100;
+    spent[drafts ? 0 : 1] += cost;
+    takeNext(cost);
+  }
+  BOOST_TEST(spent[0] < 1.1 * spent[1]);
+  BOOST_TEST(spent[1] < 1.1 * spent[0]);
+}
+
+BOOST_AUTO_TEST_CASE(queue_idleWorkspace_savesNoCredit) {
+  add("late");
+  takeNext();
+  for (int i = 0; i < 100; ++i) {
+    add("busy");
+    takeNext();
+  }
+  int late = 0;
+  for (int i = 0; i < 20; ++i) {
+    add("late");
+    add("busy");
+  }
+  for (int i = 0; i < 20; ++i)
+    late += takeNext().Workspace.Value == "late" ? 1 : 0;
+  BOOST_TEST(late <= 11);
+}
+
+BOOST_AUTO_TEST_CASE(queue_lessSlack_goesFirst) {
+  add("w", 20s);
+  CallId urgent = add("w", 500ms);
+  BOOST_TEST((takeNext().Id == urgent));
+}
+
+BOOST_AUTO_TEST_CASE(queue_longDeadline_isNotOvertakenForEver) {
+  CallId patient = add("w", 100s);
+  Now += 2100ms;
+  add("w", 1s);
+  BOOST_TEST((takeNext().Id == patient));
+}
+
+BOOST_AUTO_TEST_CASE(queue_resumedLongCall_waitsForItsSlotOrItsTime) {
+  CallId resumed = add("w", 30s, 500);
+  BOOST_TEST(!peekNext(Calls, Now, false));
+  BOOST_TEST(peekNext(Calls, Now, true));
+  Now += ParkTime + 1ms;
+  BOOST_TEST((takeNext(100, false).Id == resumed));
+}
+
+BOOST_AUTO_TEST_CASE(queue_expiredCalls_areHandedOut) {
+  CallId early = add("w", 100ms);
+  CallId late = add("w", 200ms);
+  BOOST_TEST((nextExpiry(Calls) == Now + 100ms));
+  Now += 150ms;
+  auto expired = takeExpired(Calls, Now);
+  BOOST_REQUIRE(expired.size() == 1);
+  BOOST_TEST((expired[0].Id == early));
+  BOOST_TEST(Calls.Bytes == 10);
+  BOOST_TEST(remove(Calls, late).has_value());
+  BOOST_TEST(!remove(Calls, late).has_value());
+  BOOST_TEST(Calls.Bytes == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
