--- a/src/include/greengagespar/route/admission.h
+++ b/src/include/greengagespar/route/admission.h
@@ -20,9 +20,9 @@
 
 /// Tuning of admission.
 struct AdmissionOptions {
-  std::size_t MaxCalls = 4000;            ///< Calls that wait.
-  std::size_t MaxBytes = 8 * 1024 * 1024; ///< Memory of calls that wait.
-  double WaitSafety = 1.2;                ///< Factor on the estimated wait.
+  std::size_t MaxCalls = 4000;                 ///< Calls that wait.
+  std::size_t MaxBytes = std::size_t{8} << 20; ///< Memory of calls that wait.
+  double WaitSafety = 1.2;   ///< Factor on the estimated wait.
   double MaxWaitShare = 0.5; ///< Longest wait as a share of the time left.
   std::chrono::milliseconds MaxWait{0}; ///< Longest wait; zero: no bound.
 };
--- a/src/route/priority.cpp
+++ b/src/route/priority.cpp
@@ -12,6 +12,7 @@
 
 constexpr std::chrono::milliseconds UrgentSlack{1000};
 constexpr int PriorityStep = 10;
+constexpr Clock::rep MaxSteps = 1000;
 
 constexpr double ReservedShare = 0.25;
 
@@ -41,7 +42,6 @@
   if (slack < UrgentSlack)
     level = 0;
   auto steps = std::max<Clock::rep>(0, sinceToken / AgingStep);
-  constexpr Clock::rep MaxSteps = 1000;
   return {(level - static_cast<int>(std::min(steps, MaxSteps))) * PriorityStep};
 }
 
--- a/src/route/priority_test.cpp
+++ b/src/route/priority_test.cpp
@@ -42,6 +42,7 @@
 
 BOOST_AUTO_TEST_CASE(chooseToPark_shortWaits_parksLongestUpToReserve) {
   std::vector<StreamProgress> streams;
+  streams.reserve(16);
   for (int i = 0; i < 16; ++i)
     streams.push_back({CallId{Incarnation{1}, static_cast<std::uint64_t>(i)},
                        300 + i, 5s, 5s, 0s, 30s});
--- a/src/route/queue.cpp
+++ b/src/route/queue.cpp
@@ -17,6 +17,9 @@
     milliseconds{2000}, milliseconds{2500}, milliseconds{ParkTime},
     milliseconds{ParkTime}};
 
+constexpr double MinCostMs = 1.0;
+constexpr double CostWeight = 0.02;
+
 bool isLongCall(const QueuedCall &call) {
   return isLong(lengthClass(call.TokensProduced));
 }
@@ -92,7 +95,6 @@
 
 double chargeOf(const CallQueue &queue, const WorkspaceId &workspace,
                 double meanCostMs) {
-  constexpr double MinCostMs = 1.0;
   auto it = queue.Lanes.find(workspace);
   bool known = it != queue.Lanes.end() && it->second.CostSamples > 0;
   return std::max(MinCostMs, known ? it->second.MeanCostMs : meanCostMs);
@@ -110,7 +112,6 @@
 }
 
 void settle(CallQueue &queue, const WorkspaceId &workspace, double tookMs) {
-  constexpr double CostWeight = 0.02;
   Lane &lane = queue.Lanes[workspace];
   lane.Running = std::max(0, lane.Running - 1);
   noteDecayedMean(lane.MeanCostMs, lane.CostSamples, tookMs, CostWeight);
--- a/src/route/service_time.cpp
+++ b/src/route/service_time.cpp
@@ -1,6 +1,7 @@
 #include "greengagespar/route/service_time.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace greengagespar {
 
@@ -34,10 +35,9 @@
   if (window.Count == 0)
     return 0;
   std::array<float, SampleWindow::Capacity> sorted = window.Samples;
-  auto rank = static_cast<std::size_t>(
-      quantile * static_cast<double>(window.Count - 1) + 0.5);
+  auto rank = std::lround(quantile * static_cast<double>(window.Count - 1));
   auto end = sorted.begin() + static_cast<std::ptrdiff_t>(window.Count);
-  auto nth = sorted.begin() + static_cast<std::ptrdiff_t>(rank);
+  auto nth = sorted.begin() + rank;
   std::nth_element(sorted.begin(), nth, end);
   return *nth;
 }
