Count service-level burn, metrics, status and reports

Cause: operators need to see which objective burns, how fast and by what, with sums over entries that stay right when entries restart. Ruled out: sums of windows that each entry computes (an entry's past is lost with it), buckets sent by each entry (kilobytes for each series and beat). Change: entries count since their start; a ledger adds differences by (entry, incarnation) into rings of buckets and is kept in the group's status, so a repeated, late or raced write counts once. Burn rates over five windows, the workbook's rules, causes, Prometheus text, text, JSON and SVG reports; metrics in Boost.Accumulators.

--- /dev/null
+++ b/src/report/burn_plot.cpp
@@ -0,0 +1,163 @@
+#include "greengagespar/report/status.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <sstream>
+
+namespace greengagespar {
+
+namespace {
+
+using std::chrono::seconds;
+
+constexpr double Width = 800;
+constexpr double Height = 320;
+constexpr double Left = 50;
+constexpr double Right = 20;
+constexpr double Top = 40;
+constexpr double LineHeight = 16;
+constexpr double Bottom = 30;
+
+// The greatest value of the axis is at least this.
+constexpr double MinGreatest = 2;
+
+constexpr std::array<const char *, 6> Colours = {
+    "#1b6ca8", "#c0392b", "#1e8449", "#9a6b00", "#6c3483", "#555555"};
+
+std::string escapeXml(const std::string &text) {
+  std::string out;
+  for (char c : text) {
+    switch (c) {
+    case '&':
+      out += "&amp;";
+      break;
+    case '<':
+      out += "&lt;";
+      break;
+    case '>':
+      out += "&gt;";
+      break;
+    case '"':
+      out += "&quot;";
+      break;
+    default:
+      out += c;
+    }
+  }
+  return out;
+}
+
+double greatestRate(const BurnPlot &plot) {
+  double greatest = MinGreatest;
+  for (const BurnLine &line : plot.Lines)
+    for (double rate : line.Rates)
+      greatest = std::max(greatest, rate);
+  return std::ceil(greatest);
+}
+
+double yOf(double rate, double greatest) {
+  return Height - Bottom - rate / greatest * (Height - Top - Bottom);
+}
+
+double xOf(std::size_t i, std::size_t count) {
+  auto steps = static_cast<double>(std::max<std::size_t>(1, count - 1));
+  return Left + static_cast<double>(i) / steps * (Width - Left - Right);
+}
+
+void writeText(std::ostream &out, double x, double y, const std::string &text,
+               const char *colour = "#222222") {
+  out << "<text x=\"" << x << "\" y=\"" << y << "\" fill=\"" << colour << "\">"
+      << escapeXml(text) << "</text>\n";
+}
+
+// Draws a horizontal line with its rate at the left.
+void writeLevel(std::ostream &out, double rate, double greatest,
+                const char *colour) {
+  double y = yOf(rate, greatest);
+  out << "<line x1=\"" << Left << "\" y1=\"" << y << "\" x2=\"" << Width - Right
+      << "\" y2=\"" << y << "\" stroke=\"" << colour << "\"/>\n";
+  std::ostringstream label;
+  label << rate;
+  writeText(out, 4, y + 4, label.str());
+}
+
+void writeLine(std::ostream &out, const BurnLine &line, double greatest,
+               const char *colour) {
+  out << "<polyline fill=\"none\" stroke-width=\"2\" stroke=\"" << colour
+      << "\" points=\"";
+  for (std::size_t i = 0; i < line.Rates.size(); ++i)
+    out << xOf(i, line.Rates.size()) << ',' << yOf(line.Rates[i], greatest)
+        << ' ';
+  out << "\"/>\n";
+}
+
+double rateOf(const BurnBucket *begin, const BurnBucket *end,
+              std::int64_t first, std::int64_t last, double share) {
+  EventCounts sum;
+  for (const BurnBucket *it = begin; it != end; ++it)
+    if (it->Index >= first && it->Index <= last)
+      add(sum, it->Counts);
+  return burnRate(sum, share);
+}
+
+std::string labelOf(const SeriesKey &key) {
+  std::ostringstream out;
+  out << key.Class.Value << ' ' << measureName(key.Measured) << " within "
+      << key.WithinMs << " ms for " << key.Share * 100 << "%";
+  return out.str();
+}
+
+} // namespace
+
+BurnPlot plotOf(const BurnLedger &ledger, TargetKind kind,
+                const std::string &target, bool lastHour, WallTime now) {
+  constexpr seconds fineStep{300};
+  seconds width = lastHour ? BurnRing::FineWidth : BurnRing::CoarseWidth;
+  seconds step = lastHour ? fineStep : BurnRing::CoarseWidth;
+  seconds span = lastHour ? seconds(3600) : seconds(72 * 3600);
+  auto last = std::chrono::floor<seconds>(now).time_since_epoch() / width;
+  auto each = step / width;
+  BurnPlot plot{"Burn rate of " + target, step, {}};
+  for (const auto &[key, ring] : ledger.Rings) {
+    if (key.Kind != kind || key.Target != target)
+      continue;
+    const BurnBucket *begin = lastHour ? ring.Fine.data() : ring.Coarse.data();
+    std::size_t size = lastHour ? ring.Fine.size() : ring.Coarse.size();
+    BurnLine line{labelOf(key), {}};
+    for (auto end = last - (span / step - 1) * each; end <= last; end += each)
+      line.Rates.push_back(
+          rateOf(begin, begin + size, end - each + 1, end, key.Share));
+    plot.Lines.push_back(std::move(line));
+  }
+  return plot;
+}
+
+std::string renderSvg(const BurnPlot &plot) {
+  constexpr double budgetPace = 1;
+  std::ostringstream out;
+  double greatest = greatestRate(plot);
+  double legend = LineHeight * static_cast<double>(plot.Lines.size());
+  out << "<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"" << Width
+      << "\" height=\"" << Height + legend
+      << "\" font-family=\"sans-serif\" font-size=\"12\">\n"
+      << "<rect width=\"100%\" height=\"100%\" fill=\"#ffffff\"/>\n";
+  writeText(out, Left, LineHeight, plot.Title);
+  writeLevel(out, 0, greatest, "#222222");
+  writeLevel(out, budgetPace, greatest, "#c0392b");
+  writeLevel(out, greatest, greatest, "#cccccc");
+  for (std::size_t i = 0; i < plot.Lines.size(); ++i) {
+    const char *colour = Colours[i % Colours.size()];
+    writeLine(out, plot.Lines[i], greatest, colour);
+    writeText(out, Left, Height + LineHeight * static_cast<double>(i),
+              plot.Lines[i].Label, colour);
+  }
+  std::ostringstream scale;
+  scale << "one point each " << plot.Step / std::chrono::minutes(1)
+        << " min, newest at the right";
+  writeText(out, Width / 2, Height - LineHeight / 2, scale.str());
+  out << "</svg>\n";
+  return out.str();
+}
+
+} // namespace greengagespar
