Bound waits alike for patient and short calls, and damp the limits

Ruled out: ordering by deadline alone (still fills with patient calls). Change: a wait is bounded by a share of the workspace's shortest common deadline and is at least what the next call has waited; a limit ignores loads from before its last change and goes no lower than its calls in flight ask.

--- a/src/include/greengagespar/route/admission.h
+++ b/src/include/greengagespar/route/admission.h
@@ -14,6 +14,7 @@
 #include "greengagespar/route/queue.h"
 #include "greengagespar/route/service_time.h"
 #include "greengagespar/route/workspace_limits.h"
+#include <array>
 #include <map>
 
 namespace greengagespar {
@@ -24,6 +25,10 @@
   std::size_t MaxBytes = std::size_t{8} << 20; ///< Memory of calls that wait.
   double WaitSafety = 1.2;   ///< Factor on the estimated wait.
   double MaxWaitShare = 0.5; ///< Longest wait as a share of the time left.
+  /// Longest wait as a share of the shortest common deadline of the workspace.
+  /// Patient calls wait no longer than others, so that they don't fill a queue
+  /// that calls with short deadlines then can't enter.
+  double MaxQueueShare = 0.25;
   std::chrono::milliseconds MaxWait{0}; ///< Longest wait; zero: no bound.
 };
 
@@ -50,8 +55,16 @@
   std::vector<RefusedCall> Evicted; ///< Calls that made room for it.
 };
 
-/// What one workspace got from one group or service of late.
+/// Arriving calls with deadlines of one class.
+struct DeadlineArrivals {
+  double Count = 0;   ///< Decayed count.
+  double Seconds = 0; ///< Decayed sum of the times that they left.
+};
+
+/// What one workspace sent to one group or service, and got from it, of late.
 struct LanePace {
+  /// Its arriving calls by their deadlines.
+  std::array<DeadlineArrivals, ServiceTimes::DeadlineClasses> Arrivals{};
   double StartsPerSecond = 0;    ///< Decayed rate of its calls' starts.
   Clock::time_point StartsAt{};  ///< When StartsPerSecond was last decayed.
   Clock::time_point NextRetry{}; ///< When the next refused call may return.
@@ -73,7 +86,8 @@
 
 /// Estimates how long a new call of \p workspace would wait. Calls that fill up
 /// its fair share of the slots start as any slot falls free; the rest at the
-/// rate of the share, or at what the workspace gets now if that is more.
+/// rate of the share, or at what the workspace gets now if that is more. It is
+/// at least what its next call has waited by now.
 Clock::duration estimateWait(const Admission &admission,
                              const Workspace &workspace,
                              const Capacity &capacity, Clock::time_point now);
--- a/src/include/greengagespar/route/choose.h
+++ b/src/include/greengagespar/route/choose.h
@@ -46,6 +46,7 @@
   std::vector<ServerId> PrefixHolders = {};
   /// Servers that the call already failed on, avoided while there are others.
   std::vector<ServerId> Exclude = {};
+  LengthClass Length = LengthClass::Short; ///< By the tokens it has produced.
   bool MayProbe = true; ///< It may be sent to a server that is being probed.
 };
 
--- a/src/include/greengagespar/route/concurrency.h
+++ b/src/include/greengagespar/route/concurrency.h
@@ -9,12 +9,15 @@
 #ifndef GREENGAGESPAR_ROUTE_CONCURRENCY_H
 #define GREENGAGESPAR_ROUTE_CONCURRENCY_H
 
+#include "greengagespar/base/clock.h"
+
 namespace greengagespar {
 
 /// One entry's limit on one server.
 struct ConcurrencyLimit {
-  double Value = 4;   ///< Calls allowed; its whole part counts.
-  double Initial = 4; ///< Where an unused limit goes back to.
+  double Value = 4;              ///< Calls allowed; its whole part counts.
+  double Initial = 4;            ///< Where an unused limit goes back to.
+  Clock::time_point ChangedAt{}; ///< When it last grew or shrank.
 };
 
 /// Slots behind the queue, from the servers that take calls now.
@@ -26,17 +29,21 @@
 
 /// Load of a server, and this entry's part of it.
 struct ServerLoad {
-  int Running = 0; ///< Calls of all entries that are worked on.
-  int Waiting = 0; ///< Calls of all entries in the server's own queue.
-  int Slots = 0;   ///< Calls that it works on at a time.
-  int Own = 0;     ///< This entry's calls on it.
+  int Running = 0;          ///< Calls of all entries that are worked on.
+  int Waiting = 0;          ///< Calls of all entries in the server's own queue.
+  int Slots = 0;            ///< Calls that it works on at a time.
+  int Own = 0;              ///< This entry's calls on it.
+  Clock::time_point AsOf{}; ///< When the load was so.
 };
 
 /// Returns the limit to begin with when \p entries share \p slots.
 ConcurrencyLimit initialLimit(int slots, int entries);
 
-/// Adjusts \p limit to a new load report. Call it once for each report.
-void adjustLimit(ConcurrencyLimit &limit, const ServerLoad &load);
+/// Adjusts \p limit to a new load report. Call it once for each report. A load
+/// from before the last change says nothing about it and changes nothing, so
+/// that a lag between the two does not make the limit swing.
+void adjustLimit(ConcurrencyLimit &limit, const ServerLoad &load,
+                 Clock::time_point now);
 
 /// Lowers \p limit because the server refused a call for load while this entry
 /// had \p own calls there.
--- a/src/include/greengagespar/route/endpoint_view.h
+++ b/src/include/greengagespar/route/endpoint_view.h
@@ -10,6 +10,7 @@
 #include "greengagespar/base/errors.h"
 #include "greengagespar/contract/contract.h"
 #include "greengagespar/route/concurrency.h"
+#include "greengagespar/route/priority.h"
 #include <chrono>
 #include <optional>
 #include <vector>
@@ -40,6 +41,7 @@
   std::chrono::microseconds OneWay{0}; ///< One-way network latency to it.
   int Slots = 16;                      ///< Slots that the contract declares.
   int InFlight = 0;                    ///< This entry's calls on it.
+  int LongInFlight = 0;                ///< Those of them that are long.
   ConcurrencyLimit Limit{16, 16};      ///< How many it may have there.
   std::optional<LoadReport> Report;    ///< The newest load report.
   int InFlightAtReport = 0;    ///< This entry's calls when the report came.
@@ -73,7 +75,8 @@
 
 /// Notes a load report and adjusts the entry's limit to it. A report older than
 /// the one held is dropped.
-void noteReport(EndpointView &view, const LoadReport &report);
+void noteReport(EndpointView &view, const LoadReport &report,
+                Clock::time_point now);
 
 /// Notes that the link to the server is silent, or speaks again. Calls in
 /// flight are settled by their own noteFailure.
@@ -87,10 +90,12 @@
 /// choice or on a timer. \p views are the servers of one group or service.
 void reviewStanding(std::vector<EndpointView> &views, Clock::time_point now);
 
-/// Whether this entry may have one more call on \p view by its limit.
-inline bool hasRoom(const EndpointView &view) {
-  return view.InFlight < allowedCalls(view.Limit);
-}
+/// Notes that \p change streams of this entry on \p view became long, or that
+/// long ones ended when it is negative.
+void noteLong(EndpointView &view, int change);
+
+/// Returns the slots of \p view as this entry counts them.
+ServerSlots slotsOf(const EndpointView &view);
 
 /// Whether \p kind is evidence that the server or its link is faulty.
 bool isServerFault(ErrorKind kind);
--- a/src/route/admission.cpp
+++ b/src/route/admission.cpp
@@ -23,6 +23,11 @@
 constexpr double TypicalQuantile = 0.5;
 constexpr double QuickQuantile = 0.1;
 
+// Weight that older arrivals keep at each new one, and the share of arrivals
+// under which a deadline counts as rare.
+constexpr double ArrivalKeep = 0.99;
+constexpr double RareShare = 0.05;
+
 // How a call compares with its deadline.
 struct Fit {
   Clock::duration Left;
@@ -90,6 +95,16 @@
   return it == queue.Lanes.end() ? 0 : it->second.Running;
 }
 
+// How long the next call of a workspace has waited.
+Clock::duration waitedSoFar(const CallQueue &queue,
+                            const WorkspaceId &workspace,
+                            Clock::time_point now) {
+  auto it = queue.Lanes.find(workspace);
+  if (it == queue.Lanes.end() || it->second.Fresh.empty())
+    return Clock::duration::zero();
+  return now - queue.Calls.at(it->second.Fresh.begin()->Id).EnqueuedAt;
+}
+
 bool hasFreeSlot(const Admission &admission, const Capacity &capacity) {
   auto waiting = static_cast<int>(admission.Queue.Calls.size());
   return capacity.InFlight + waiting < capacity.Limit;
@@ -125,11 +140,35 @@
   return {left, wait, neededService(admission, call, left, quantile)};
 }
 
+void noteArrival(LanePace &pace, Clock::duration left) {
+  for (DeadlineArrivals &it : pace.Arrivals) {
+    it.Count *= ArrivalKeep;
+    it.Seconds *= ArrivalKeep;
+  }
+  DeadlineArrivals &arrivals = pace.Arrivals[deadlineClass(left)];
+  arrivals.Count += 1;
+  arrivals.Seconds += Seconds(left).count();
+}
+
+// The shortest deadline that is no rarity among the calls of a workspace.
+Seconds shortestCommonDeadline(const LanePace &pace) {
+  double count = 0;
+  for (const DeadlineArrivals &it : pace.Arrivals)
+    count += it.Count;
+  for (const DeadlineArrivals &it : pace.Arrivals)
+    if (it.Count > 0 && it.Count >= RareShare * count)
+      return Seconds(it.Seconds / it.Count);
+  return MaxRetryAhead;
+}
+
 // The longest wait after which the call still fits its deadline.
-Clock::duration longestWait(const Admission &admission, const Fit &fit) {
+Clock::duration longestWait(const Admission &admission, const LanePace &pace,
+                            const Fit &fit) {
   const AdmissionOptions &options = admission.Options;
   Clock::duration wait = fit.Left - fit.Needed;
   wait = std::min(wait, toDuration(options.MaxWaitShare * Seconds(fit.Left)));
+  wait = std::min(
+      wait, toDuration(options.MaxQueueShare * shortestCommonDeadline(pace)));
   if (options.MaxWait > milliseconds::zero())
     wait = std::min<Clock::duration>(wait, options.MaxWait);
   return wait;
@@ -141,8 +180,12 @@
                                      const Capacity &capacity,
                                      Clock::time_point now) {
   Fit fit = fitOf(admission, call, workspace, capacity, now);
-  Clock::duration longest = longestWait(admission, fit);
-  if (fit.Left <= Clock::duration::zero() || longest < Clock::duration::zero())
+  if (fit.Left <= Clock::duration::zero())
+    return Refusal{ErrorKind::DeadlineTooShort};
+  LanePace &pace = admission.Paces[workspace.Id];
+  noteArrival(pace, fit.Left);
+  Clock::duration longest = longestWait(admission, pace, fit);
+  if (longest < Clock::duration::zero())
     return Refusal{ErrorKind::DeadlineTooShort};
   Clock::duration wait =
       toDuration(admission.Options.WaitSafety * Seconds(fit.Wait));
@@ -226,9 +269,10 @@
   double under = std::max(0.0, fairSlots - runningOf(queue, workspace.Id));
   double first = std::min(calls, under);
   double rest = calls - first;
-  return toDuration(
-      Seconds(first / totalRate(admission, capacity) +
-              rest / laneRate(admission, workspace, capacity, now)));
+  Clock::duration wait =
+      toDuration(Seconds(first / totalRate(admission, capacity) +
+                         rest / laneRate(admission, workspace, capacity, now)));
+  return std::max(wait, waitedSoFar(queue, workspace.Id, now));
 }
 
 AdmissionDecision offer(Admission &admission, const ArrivingCall &call,
--- a/src/route/choose.cpp
+++ b/src/route/choose.cpp
@@ -21,7 +21,7 @@
   return std::find(items.begin(), items.end(), item) != items.end();
 }
 
-int slotsOf(const EndpointView &view) {
+int engineSlots(const EndpointView &view) {
   int slots =
       view.Report && view.Report->Slots > 0 ? view.Report->Slots : view.Slots;
   return std::max(1, slots);
@@ -110,7 +110,7 @@
   double slots = 0;
   for (const Candidate &it : from) {
     load += it.Load;
-    slots += slotsOf(views[it.Index]);
+    slots += engineSlots(views[it.Index]);
   }
   return load / slots;
 }
@@ -124,7 +124,8 @@
       return views[c.Index].Target.Id == id;
     });
     // One call more than the bound keeps a group that is nearly idle usable.
-    double bound = options.AffinityLoadBound * mean * slotsOf(views[it->Index]);
+    double bound =
+        options.AffinityLoadBound * mean * engineSlots(views[it->Index]);
     if (it->Load <= bound + 1)
       return it->Index;
   }
@@ -199,7 +200,7 @@
 double estimateCost(const EndpointView &view, double load,
                     double typicalLatencyMs) {
   double latency = view.Samples > 0 ? view.LatencyMs : typicalLatencyMs;
-  double slots = slotsOf(view);
+  double slots = engineSlots(view);
   double filled = load / slots;
   double queued = std::max(0.0, load + 1 - slots) / slots;
   double roundTripMs = 2.0 * static_cast<double>(view.OneWay.count()) / 1000.0;
@@ -223,7 +224,7 @@
     if (request.MayProbe && needsProbe(view))
       return Choice{i, ChoiceReason::Probe};
     anyHealthy = anyHealthy || isHealthy(view);
-    if (!hasRoom(view))
+    if (!admitToServer(slotsOf(view), request.Length))
       continue;
     Candidate it{i, loads[i], estimateCost(view, loads[i], typical)};
     Candidates &list = !isHealthy(view) ? sick : view.OwnCentre ? own : other;
--- a/src/route/concurrency.cpp
+++ b/src/route/concurrency.cpp
@@ -38,9 +38,14 @@
   limit.Value = std::min(target, limit.Value * MaxGrowth);
 }
 
-void shrink(ConcurrencyLimit &limit, double excess, double share) {
+// Calls in flight end in their own time: the limit goes no lower than where
+// they should be, however long the excess lasts.
+void shrink(ConcurrencyLimit &limit, const ServerLoad &load, double excess,
+            double share) {
   double target = DecreaseFactor * limit.Value - excess * share;
-  limit.Value = std::max(target, limit.Value * MaxDecrease);
+  double least = load.Own - excess * share - EqualStep;
+  target = std::max({target, least, limit.Value * MaxDecrease});
+  limit.Value = std::min(limit.Value, target);
 }
 
 } // namespace
@@ -51,7 +56,11 @@
   return {value, value};
 }
 
-void adjustLimit(ConcurrencyLimit &limit, const ServerLoad &load) {
+void adjustLimit(ConcurrencyLimit &limit, const ServerLoad &load,
+                 Clock::time_point now) {
+  if (load.AsOf < limit.ChangedAt)
+    return;
+  double before = limit.Value;
   double total = std::max(load.Running + load.Waiting, load.Own);
   double room = std::max(0.0, leastTarget(load) - total);
   double excess = total - greatestTarget(load);
@@ -59,10 +68,12 @@
   if (load.Own < UsedShare * limit.Value)
     limit.Value += ReturnWeight * (limit.Initial - limit.Value);
   else if (excess > 0)
-    shrink(limit, excess, share);
+    shrink(limit, load, excess, share);
   else if (load.Own >= allowedCalls(limit))
     grow(limit, room, share);
   limit.Value = std::clamp(limit.Value, 1.0, greatestTarget(load));
+  if (allowedCalls(limit) != static_cast<int>(before))
+    limit.ChangedAt = now;
 }
 
 void lowerLimit(ConcurrencyLimit &limit, int own) {
--- a/src/route/endpoint_view.cpp
+++ b/src/route/endpoint_view.cpp
@@ -144,12 +144,23 @@
 
 void noteAbandoned(EndpointView &view) { endCall(view); }
 
-void noteReport(EndpointView &view, const LoadReport &report) {
+void noteReport(EndpointView &view, const LoadReport &report,
+                Clock::time_point now) {
   if (view.Report && report.AsOf < view.Report->AsOf)
     return;
   keepReport(view, report);
   adjustLimit(view.Limit,
-              {report.Running, report.Waiting, report.Slots, view.InFlight});
+              {report.Running, report.Waiting, report.Slots, view.InFlight,
+               report.AsOf},
+              now);
+}
+
+void noteLong(EndpointView &view, int change) {
+  view.LongInFlight = std::max(0, view.LongInFlight + change);
+}
+
+ServerSlots slotsOf(const EndpointView &view) {
+  return {allowedCalls(view.Limit), view.InFlight, view.LongInFlight};
 }
 
 void noteSilent(EndpointView &view, bool silent) { view.Silent = silent; }
