Level out only an entry's own share of the others' load

Change: other entries' calls are averaged over reports and weighed by the entry's own share of the load; three servers are drawn in place of two.

--- a/src/include/greengagespar/route/choose.h
+++ b/src/include/greengagespar/route/choose.h
@@ -1,7 +1,7 @@
 /// \file
 /// The choice of a server for one call. Pure functions over EndpointView.
 ///
-/// Two servers are drawn at random and the cheaper one is taken (Mitzenmacher,
+/// A few servers are drawn at random and the cheapest is taken (Mitzenmacher,
 /// "The Power of Two Choices in Randomized Load Balancing", IEEE TPDS 12(10),
 /// 2001): unlike the least reported load, this does not send every entry to
 /// the same server while reports lag. Calls with a common prompt prefix go to
@@ -26,7 +26,9 @@
 /// Tuning of the choice.
 struct ChoiceOptions {
   /// Age at which half of what a load report says is forgotten.
-  std::chrono::milliseconds ReportHalfLife{500};
+  std::chrono::milliseconds ReportHalfLife{1000};
+  /// Servers drawn at random, of which the cheapest is taken.
+  std::size_t Draws = 3;
   /// Bound of a prefix's servers: load at most this many times the mean.
   double AffinityLoadBound = 1.25;
   /// Servers tried in the prefix's rendezvous order before it is given up.
@@ -54,7 +56,7 @@
 enum class ChoiceReason {
   Probe,    ///< To find out whether it has recovered.
   Affinity, ///< It probably holds the prompt prefix.
-  Cheapest, ///< The cheaper of two drawn in the own data centre.
+  Cheapest, ///< The cheapest drawn in the own data centre.
   Spill,    ///< Another data centre is quicker, or the own one has none.
   AllSick,  ///< All look sick, so none is put aside.
 };
@@ -66,8 +68,10 @@
 };
 
 /// Estimates the calls on each server, of this entry and all others, at \p now.
-/// Calls of others are taken from the report; as it ages they move to the mean
-/// of all servers, so that a server without fresh reports attracts no rush.
+/// Of a difference between servers in the calls of others an entry levels out
+/// its own share of all calls, since the other entries see it too and do the
+/// same. As a report ages its server moves to the mean of all, so that one
+/// without fresh reports attracts no rush.
 std::vector<double> estimateLoads(const std::vector<EndpointView> &views,
                                   const ChoiceOptions &options,
                                   Clock::time_point now);
--- a/src/include/greengagespar/route/endpoint_view.h
+++ b/src/include/greengagespar/route/endpoint_view.h
@@ -44,11 +44,11 @@
   int LongInFlight = 0;                ///< Those of them that are long.
   ConcurrencyLimit Limit{16, 16};      ///< How many it may have there.
   std::optional<LoadReport> Report;    ///< The newest load report.
-  int InFlightAtReport = 0;    ///< This entry's calls when the report came.
-  double LatencyMs = 0;        ///< Decayed mean of answer latency; see Samples.
-  int Samples = 0;             ///< Answers in LatencyMs, capped.
-  double FailureShare = 0;     ///< Decayed share of calls that failed, 0 to 1.
-  int Outcomes = 0;            ///< Outcomes in FailureShare, capped.
+  double Others = 0;       ///< Decayed mean of the other entries' calls on it.
+  double LatencyMs = 0;    ///< Decayed mean of answer latency; see Samples.
+  int Samples = 0;         ///< Answers in LatencyMs, capped.
+  double FailureShare = 0; ///< Decayed share of calls that failed, 0 to 1.
+  int Outcomes = 0;        ///< Outcomes in FailureShare, capped.
   int ConsecutiveFailures = 0; ///< Failures since the last answer.
   bool Silent = false;         ///< Its link is down or misses heartbeats.
   Standing State = Standing::Good;
--- a/src/route/choose.cpp
+++ b/src/route/choose.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+// Part of a difference in the others' calls that an entry levels out at least.
+constexpr double MinOwnShare = 0.1;
+
 // A candidate of one choice.
 struct Candidate {
   std::size_t Index;
@@ -37,13 +40,6 @@
   return std::exp2(-std::max(0.0, age.count()) / half.count());
 }
 
-double othersAtReport(const EndpointView &view) {
-  if (!view.Report)
-    return 0;
-  int total = view.Report->Running + view.Report->Waiting;
-  return std::max(0, total - view.InFlightAtReport);
-}
-
 bool mayTakeCalls(const EndpointView &view, const ChoiceRequest &request) {
   return !view.Target.Leaving && !contains(request.Exclude, view.Target.Id);
 }
@@ -76,15 +72,18 @@
   return n > 0 ? sum / n : static_cast<double>(options.AssumedLatency.count());
 }
 
-const Candidate &drawCheaperOfTwo(const Candidates &from, Rng &rng) {
-  std::uniform_int_distribution<std::size_t> first(0, from.size() - 1);
-  const Candidate &a = from[first(rng)];
-  if (from.size() == 1)
-    return a;
-  std::uniform_int_distribution<std::size_t> other(1, from.size() - 1);
-  std::size_t offset = static_cast<std::size_t>(&a - from.data());
-  const Candidate &b = from[(offset + other(rng)) % from.size()];
-  return b.Cost < a.Cost ? b : a;
+// Draws distinct candidates and returns the cheapest of them.
+const Candidate &drawCheapest(Candidates &from, const ChoiceOptions &options,
+                              Rng &rng) {
+  std::size_t draws = std::clamp<std::size_t>(options.Draws, 1, from.size());
+  std::size_t best = 0;
+  for (std::size_t i = 0; i < draws; ++i) {
+    std::uniform_int_distribution<std::size_t> rest(i, from.size() - 1);
+    std::swap(from[i], from[rest(rng)]);
+    if (from[i].Cost < from[best].Cost)
+      best = i;
+  }
+  return from[best];
 }
 
 // The servers to try for a prefix: those that are said to hold it, then the
@@ -132,15 +131,14 @@
   return std::nullopt;
 }
 
-Choice chooseAmong(const std::vector<EndpointView> &views,
-                   const Candidates &own, const Candidates &other,
-                   const ChoiceRequest &request, const ChoiceOptions &options,
-                   Rng &rng) {
+Choice chooseAmong(const std::vector<EndpointView> &views, Candidates &own,
+                   Candidates &other, const ChoiceRequest &request,
+                   const ChoiceOptions &options, Rng &rng) {
   if (own.empty())
-    return {drawCheaperOfTwo(other, rng).Index, ChoiceReason::Spill};
-  const Candidate &near = drawCheaperOfTwo(own, rng);
+    return {drawCheapest(other, options, rng).Index, ChoiceReason::Spill};
+  const Candidate &near = drawCheapest(own, options, rng);
   if (!other.empty()) {
-    const Candidate &far = drawCheaperOfTwo(other, rng);
+    const Candidate &far = drawCheapest(other, options, rng);
     if (far.Cost < options.SpillCostShare * near.Cost)
       return {far.Index, ChoiceReason::Spill};
   }
@@ -166,20 +164,23 @@
 std::vector<double> estimateLoads(const std::vector<EndpointView> &views,
                                   const ChoiceOptions &options,
                                   Clock::time_point now) {
-  double weighted = 0;
-  double weights = 0;
+  double others = 0;
+  double reports = 0;
+  double own = 0;
   for (const EndpointView &it : views) {
     double fresh = freshness(it, options, now);
-    weighted += fresh * othersAtReport(it);
-    weights += fresh;
+    others += fresh * it.Others;
+    reports += fresh;
+    own += it.InFlight;
   }
-  double mean = weights > 0 ? weighted / weights : 0;
+  double mean = reports > 0 ? others / reports : 0;
+  double total = own + mean * static_cast<double>(views.size());
+  double share = total > 0 ? std::max(MinOwnShare, own / total) : 1;
   std::vector<double> loads;
   loads.reserve(views.size());
   for (const EndpointView &it : views) {
-    double fresh = freshness(it, options, now);
-    double others = fresh * othersAtReport(it) + (1 - fresh) * mean;
-    loads.push_back(it.InFlight + others);
+    double excess = freshness(it, options, now) * (it.Others - mean);
+    loads.push_back(std::max(0.0, it.InFlight + mean + share * excess));
   }
   return loads;
 }
@@ -236,7 +237,7 @@
     return std::nullopt;
   if (sick.empty())
     return chooseDespiteFailures(views, request, options, now, rng);
-  return Choice{drawCheaperOfTwo(sick, rng).Index, ChoiceReason::AllSick};
+  return Choice{drawCheapest(sick, options, rng).Index, ChoiceReason::AllSick};
 }
 
 } // namespace greengagespar
--- a/src/route/choose_test.cpp
+++ b/src/route/choose_test.cpp
@@ -154,8 +154,11 @@
 BOOST_AUTO_TEST_CASE(choose_reportGrowsOld_movesToTheMeanOfOthers) {
   for (EndpointView &it : Views)
     noteReport(it, {8, 0, 16, Now}, Now);
-  Views[0].Report = LoadReport{0, 0, 16, Now - 10s};
+  noteReport(Views[0], {0, 0, 16, Now}, Now);
+  double fresh = estimateLoads(Views, Options, Now)[0];
+  Views[0].Report->AsOf = Now - 20s;
   double stale = estimateLoads(Views, Options, Now)[0];
+  BOOST_TEST(fresh < 7.9);
   BOOST_TEST(stale > 7.9);
 }
 
--- a/src/route/endpoint_view.cpp
+++ b/src/route/endpoint_view.cpp
@@ -11,6 +11,7 @@
 // Weight of a new sample in the decayed means.
 constexpr double LatencyWeight = 0.1;
 constexpr double OutcomeWeight = 0.1;
+constexpr double ReportWeight = 0.2;
 constexpr int SampleCap = 1000;
 
 constexpr int FailuresInARow = 3;
@@ -59,9 +60,13 @@
   view.ProbesInFlight = 0;
 }
 
-void keepReport(EndpointView &view, const LoadReport &report) {
+// Keeps a report. A single one is stale by the time it comes, so the calls of
+// other entries are averaged over several.
+void keepReport(EndpointView &view, const LoadReport &report, double weight) {
+  int total = report.Running + report.Waiting;
+  double others = std::max(0, total - view.InFlight);
+  view.Others += (view.Report ? weight : 1.0) * (others - view.Others);
   view.Report = report;
-  view.InFlightAtReport = view.InFlight;
 }
 
 bool looksSick(const EndpointView &view) {
@@ -130,7 +135,7 @@
   if (kind == ErrorKind::Overloaded) {
     int slots = view.Report ? view.Report->Slots : view.Slots;
     lowerLimit(view.Limit, view.InFlight);
-    keepReport(view, LoadReport{slots, 1, slots, now});
+    keepReport(view, LoadReport{slots, 1, slots, now}, 1.0);
     return;
   }
   if (!isServerFault(kind))
@@ -148,7 +153,7 @@
                 Clock::time_point now) {
   if (view.Report && report.AsOf < view.Report->AsOf)
     return;
-  keepReport(view, report);
+  keepReport(view, report, ReportWeight);
   adjustLimit(view.Limit,
               {report.Running, report.Waiting, report.Slots, view.InFlight,
                report.AsOf},
