--- a/src/include/greengagespar/route/admission.h
+++ b/src/include/greengagespar/route/admission.h
@@ -40,7 +40,7 @@
   std::size_t Bytes = 0;
   /// Time that it needs once started, when known, as from its token limit.
   std::optional<Clock::duration> ExpectedService = std::nullopt;
-  int TokensProduced = 0; ///< Over zero for a stream that is resumed.
+  LengthClass Length = LengthClass::Short; ///< By the tokens it has produced.
 };
 
 /// A queued call that is refused.
--- a/src/include/greengagespar/route/choose.h
+++ b/src/include/greengagespar/route/choose.h
@@ -49,6 +49,8 @@
   /// Servers that the call already failed on, avoided while there are others.
   std::vector<ServerId> Exclude = {};
   LengthClass Length = LengthClass::Short; ///< By the tokens it has produced.
+  /// Mean time that a call occupies a slot, as Admission measures it.
+  std::chrono::milliseconds MeanCall{500};
   bool MayProbe = true; ///< It may be sent to a server that is being probed.
 };
 
@@ -76,11 +78,17 @@
                                   const ChoiceOptions &options,
                                   Clock::time_point now);
 
-/// Estimates the time in milliseconds until \p view would answer one more call
-/// when it has \p load calls: network round trip and latency that grows with
-/// the filling of its slots and with the calls that wait for one.
+/// Times in milliseconds that the cost of a choice is made of.
+struct TypicalTimes {
+  double LatencyMs = 0; ///< Latency of servers that have not answered yet.
+  double CallMs = 0;    ///< Mean time that a call occupies a slot.
+};
+
+/// Estimates the time in milliseconds that one more call would lose on \p view
+/// when it has \p load calls: the network round trip, latency that grows as its
+/// slots fill, and the wait for a slot when they are full.
 double estimateCost(const EndpointView &view, double load,
-                    double typicalLatencyMs);
+                    const TypicalTimes &typical);
 
 /// Returns the slots behind a queue: limits and calls of the servers that take
 /// calls now, or of all that are not leaving when every one of them looks sick.
--- a/src/include/greengagespar/route/endpoint_view.h
+++ b/src/include/greengagespar/route/endpoint_view.h
@@ -42,8 +42,9 @@
   int Slots = 16;                      ///< Slots that the contract declares.
   int InFlight = 0;                    ///< This entry's calls on it.
   int LongInFlight = 0;                ///< Those of them that are long.
-  ConcurrencyLimit Limit{16, 16};      ///< How many it may have there.
-  std::optional<LoadReport> Report;    ///< The newest load report.
+  bool Preempts = false; ///< Its engine gives slots by priority at once.
+  ConcurrencyLimit Limit{16, 16};   ///< How many it may have there.
+  std::optional<LoadReport> Report; ///< The newest load report.
   double Others = 0;       ///< Decayed mean of the other entries' calls on it.
   double LatencyMs = 0;    ///< Decayed mean of answer latency; see Samples.
   int Samples = 0;         ///< Answers in LatencyMs, capped.
--- a/src/include/greengagespar/route/queue.h
+++ b/src/include/greengagespar/route/queue.h
@@ -10,6 +10,7 @@
 
 #include "greengagespar/base/clock.h"
 #include "greengagespar/base/ids.h"
+#include "greengagespar/route/priority.h"
 #include <cstddef>
 #include <map>
 #include <optional>
@@ -27,7 +28,7 @@
   Deadline Due;                  ///< When its answer is of no more use.
   Clock::time_point LatestStart; ///< A later start would miss the deadline.
   std::size_t Bytes = 0;         ///< Memory that it holds.
-  int TokensProduced = 0;        ///< Over zero for a stream that is resumed.
+  LengthClass Length = LengthClass::Short; ///< By the tokens it has produced.
 };
 
 namespace detail {
--- a/src/route/admission.cpp
+++ b/src/route/admission.cpp
@@ -250,7 +250,7 @@
   queued.Due = call.Due;
   queued.LatestStart = std::max(now, call.Due.At - needed);
   queued.Bytes = call.Bytes;
-  queued.TokensProduced = call.TokensProduced;
+  queued.Length = call.Length;
   push(admission.Queue, queued, workspace.Weight);
 }
 
--- a/src/route/choose.cpp
+++ b/src/route/choose.cpp
@@ -199,13 +199,13 @@
 }
 
 double estimateCost(const EndpointView &view, double load,
-                    double typicalLatencyMs) {
-  double latency = view.Samples > 0 ? view.LatencyMs : typicalLatencyMs;
+                    const TypicalTimes &typical) {
+  double latency = view.Samples > 0 ? view.LatencyMs : typical.LatencyMs;
   double slots = engineSlots(view);
   double filled = load / slots;
   double queued = std::max(0.0, load + 1 - slots) / slots;
   double roundTripMs = 2.0 * static_cast<double>(view.OneWay.count()) / 1000.0;
-  return roundTripMs + latency * (1 + filled + queued);
+  return roundTripMs + latency * (1 + filled) + queued * typical.CallMs;
 }
 
 std::optional<Choice> chooseEndpoint(const std::vector<EndpointView> &views,
@@ -213,7 +213,8 @@
                                      const ChoiceOptions &options,
                                      Clock::time_point now, Rng &rng) {
   std::vector<double> loads = estimateLoads(views, options, now);
-  double typical = typicalLatency(views, options);
+  TypicalTimes typical{typicalLatency(views, options),
+                       static_cast<double>(request.MeanCall.count())};
   Candidates own;
   Candidates other;
   Candidates sick;
--- a/src/route/endpoint_view.cpp
+++ b/src/route/endpoint_view.cpp
@@ -165,7 +165,8 @@
 }
 
 ServerSlots slotsOf(const EndpointView &view) {
-  return {allowedCalls(view.Limit), view.InFlight, view.LongInFlight};
+  return {allowedCalls(view.Limit), view.InFlight, view.LongInFlight,
+          view.Preempts};
 }
 
 void noteSilent(EndpointView &view, bool silent) { view.Silent = silent; }
--- a/src/route/queue.cpp
+++ b/src/route/queue.cpp
@@ -20,9 +20,7 @@
 constexpr double MinCostMs = 1.0;
 constexpr double CostWeight = 0.02;
 
-bool isLongCall(const QueuedCall &call) {
-  return isLong(lengthClass(call.TokensProduced));
-}
+bool isLongCall(const QueuedCall &call) { return isLong(call.Length); }
 
 std::set<detail::QueueKey> &indexOf(Lane &lane, const QueuedCall &call) {
   return isLongCall(call) ? lane.Long : lane.Fresh;
@@ -62,7 +60,7 @@
 } // namespace
 
 Clock::time_point dueTime(const QueuedCall &call) {
-  auto length = static_cast<std::size_t>(lengthClass(call.TokensProduced));
+  auto length = static_cast<std::size_t>(call.Length);
   return std::min(call.LatestStart, call.EnqueuedAt + DueAfter[length]);
 }
 
