Place waiting calls without one holding up the others

Cause: a booking whose key has its home on a full server would hold up every booking behind it, since only the first waiting call was looked at. Ruled out: a queue for each server (fairness and wait estimates split). Change: placeNext tries the first waiting calls in turn; noteReport takes the time, which the entry now passes.

--- a/src/entry/call_router.cpp
+++ b/src/entry/call_router.cpp
@@ -373,7 +373,7 @@
   report.Waiting = static_cast<int>(load.waiting());
   report.Slots = static_cast<int>(load.slots());
   report.AsOf = Clock::now() - std::chrono::milliseconds(load.age_ms());
-  noteReport(*view, report);
+  noteReport(*view, report, Clock::now());
   view->Target.Leaving = load.leaving() || Drained.contains(server);
 }
 
--- a/src/include/greengagespar/route/admission.h
+++ b/src/include/greengagespar/route/admission.h
@@ -15,6 +15,7 @@
 #include "greengagespar/route/service_time.h"
 #include "greengagespar/route/workspace_limits.h"
 #include <array>
+#include <functional>
 #include <map>
 
 namespace greengagespar {
@@ -108,6 +109,25 @@
 const QueuedCall *nextCall(const Admission &admission, Clock::time_point now,
                            bool allowLong);
 
+/// Chooses a server, by its position, for a waiting call; none when no server
+/// that the call may go to has room.
+using ServerChooser =
+    std::function<std::optional<std::size_t>(const QueuedCall &)>;
+
+/// A call that was started and its server.
+struct Placement {
+  StartedCall Call;
+  std::size_t Server = 0;
+};
+
+/// Starts the next waiting call that \p choose finds a server for; empty when
+/// there is none. A call that can't go anywhere, as one whose key has its home
+/// on a full server, holds up no others; only the first few of those are tried.
+/// Call expire() before it, and again until it is empty.
+std::optional<Placement> placeNext(Admission &admission,
+                                   const ServerChooser &choose, bool allowLong,
+                                   Clock::time_point now);
+
 /// Takes the call \p id out of the queue to start it.
 std::optional<StartedCall> start(Admission &admission, CallId id,
                                  Clock::time_point now);
--- a/src/include/greengagespar/route/queue.h
+++ b/src/include/greengagespar/route/queue.h
@@ -16,6 +16,7 @@
 #include <optional>
 #include <set>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace greengagespar {
@@ -76,11 +77,14 @@
 /// Adds \p call, whose id must not be waiting, to the lane of its workspace.
 void push(CallQueue &queue, const QueuedCall &call, double weight);
 
+/// Calls that are passed over because no server that they may go to has room.
+using PassedOver = std::unordered_set<CallId>;
+
 /// Returns the call to start next, or null. Without \p allowLong a resumed long
 /// call is passed over unless it is past its due time. Valid until the queue
 /// changes. Calls past their latest start are left to expire().
 const QueuedCall *peekNext(const CallQueue &queue, Clock::time_point now,
-                           bool allowLong);
+                           bool allowLong, const PassedOver &passed = {});
 
 /// Takes the call \p id out of the queue to start it, and charges its lane.
 /// \p meanCostMs is the cost of calls of an unknown workspace. Empty when it
--- a/src/route/admission.cpp
+++ b/src/route/admission.cpp
@@ -28,6 +28,9 @@
 constexpr double ArrivalKeep = 0.99;
 constexpr double RareShare = 0.05;
 
+// Waiting calls that are tried before a round is given up.
+constexpr std::size_t MaxPassedOver = 16;
+
 // How a call compares with its deadline.
 struct Fit {
   Clock::duration Left;
@@ -325,6 +328,22 @@
   return StartedCall{*take(admission.Queue, id, meanServiceMs(admission)), now};
 }
 
+std::optional<Placement> placeNext(Admission &admission,
+                                   const ServerChooser &choose, bool allowLong,
+                                   Clock::time_point now) {
+  PassedOver passed;
+  while (passed.size() < MaxPassedOver) {
+    const QueuedCall *call = peekNext(admission.Queue, now, allowLong, passed);
+    if (!call)
+      return std::nullopt;
+    CallId id = call->Id;
+    if (auto server = choose(*call))
+      return Placement{*start(admission, id, now), *server};
+    passed.insert(id);
+  }
+  return std::nullopt;
+}
+
 void finish(Admission &admission, const StartedCall &call, bool completed,
             Clock::time_point now) {
   Clock::duration took = now - call.StartedAt;
--- a/src/route/admission_test.cpp
+++ b/src/route/admission_test.cpp
@@ -104,6 +104,23 @@
   BOOST_TEST(!nextCall(State, Now, true));
 }
 
+BOOST_AUTO_TEST_CASE(placeNext_callWithoutServer_holdsUpNoOthers) {
+  arrive("w", 1s);
+  arrive("w", 1s);
+  std::uint64_t stuck = 1;
+  auto choose = [&](const QueuedCall &call) -> std::optional<std::size_t> {
+    if (call.Id.Number == stuck)
+      return std::nullopt;
+    return 3;
+  };
+  auto placed = placeNext(State, choose, true, Now);
+  BOOST_REQUIRE(placed.has_value());
+  BOOST_TEST(placed->Call.Call.Id.Number == 2);
+  BOOST_TEST(placed->Server == 3);
+  BOOST_TEST(!placeNext(State, choose, true, Now).has_value());
+  BOOST_TEST(State.Queue.Calls.size() == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 namespace {
--- a/src/route/queue.cpp
+++ b/src/route/queue.cpp
@@ -39,18 +39,23 @@
   return call;
 }
 
+// The first call of an index that is not passed over, or null.
+const detail::QueueKey *firstOf(const std::set<detail::QueueKey> &index,
+                                const PassedOver &passed) {
+  for (const detail::QueueKey &it : index)
+    if (!passed.contains(it.Id))
+      return &it;
+  return nullptr;
+}
+
 // The first call of a lane that may start, or null.
 const detail::QueueKey *firstOf(const Lane &lane, Clock::time_point now,
-                                bool allowLong) {
-  const detail::QueueKey *best = nullptr;
-  if (!lane.Fresh.empty())
-    best = &*lane.Fresh.begin();
-  if (lane.Long.empty())
-    return best;
-  const detail::QueueKey &resumed = *lane.Long.begin();
-  if (!allowLong && resumed.At > now)
+                                bool allowLong, const PassedOver &passed) {
+  const detail::QueueKey *best = firstOf(lane.Fresh, passed);
+  const detail::QueueKey *resumed = firstOf(lane.Long, passed);
+  if (!resumed || (!allowLong && resumed->At > now))
     return best;
-  return !best || resumed < *best ? &resumed : best;
+  return !best || *resumed < *best ? resumed : best;
 }
 
 double heldForWeight(const Lane &lane) {
@@ -78,11 +83,11 @@
 }
 
 const QueuedCall *peekNext(const CallQueue &queue, Clock::time_point now,
-                           bool allowLong) {
+                           bool allowLong, const PassedOver &passed) {
   const Lane *bestLane = nullptr;
   const detail::QueueKey *best = nullptr;
   for (const auto &[workspace, lane] : queue.Lanes) {
-    const detail::QueueKey *first = firstOf(lane, now, allowLong);
+    const detail::QueueKey *first = firstOf(lane, now, allowLong, passed);
     if (!first || (bestLane && bestLane->StartTag <= lane.StartTag))
       continue;
     bestLane = &lane;
