--- a/src/report/burn_plot.cpp
+++ b/src/report/burn_plot.cpp
@@ -19,6 +19,9 @@
 constexpr double LineHeight = 16;
 constexpr double Bottom = 30;
 
+// Lines between the foot of the plot and its first label.
+constexpr double LegendOffset = 0.75;
+
 // The greatest value of the axis is at least this.
 constexpr double MinGreatest = 2;
 
@@ -149,8 +152,8 @@
   for (std::size_t i = 0; i < plot.Lines.size(); ++i) {
     const char *colour = Colours[i % Colours.size()];
     writeLine(out, plot.Lines[i], greatest, colour);
-    writeText(out, Left, Height + LineHeight * static_cast<double>(i),
-              plot.Lines[i].Label, colour);
+    double y = Height + LineHeight * (static_cast<double>(i) + LegendOffset);
+    writeText(out, Left, y, plot.Lines[i].Label, colour);
   }
   std::ostringstream scale;
   scale << "one point each " << plot.Step / std::chrono::minutes(1)
