Keep stragglers from marking a server slow, and prefixes off slow servers

Cause: one answer of 30 s among ones of 50 ms put its server aside when the answer time of whole calls is noted; a prefix kept its server while that was three times slower than the others. Change: a sample counts for at most four times the mean so far; a prefix's server must cost at most 1.5 times the cheapest drawn.

--- a/src/include/greengagespar/route/choose.h
+++ b/src/include/greengagespar/route/choose.h
@@ -31,6 +31,9 @@
   std::size_t Draws = 3;
   /// Bound of a prefix's servers: load at most this many times the mean.
   double AffinityLoadBound = 1.25;
+  /// Bound of the same: cost at most this many times that of the cheapest
+  /// drawn.
+  double AffinityCostBound = 1.5;
   /// Servers tried in the prefix's rendezvous order before it is given up.
   std::size_t AffinityTries = 3;
   /// Another data centre is used when its cost is below this share of the own
--- a/src/route/choose.cpp
+++ b/src/route/choose.cpp
@@ -116,7 +116,8 @@
 
 std::optional<std::size_t>
 chooseByPrefix(const std::vector<EndpointView> &views, const Candidates &from,
-               const ChoiceRequest &request, const ChoiceOptions &options) {
+               double cheapest, const ChoiceRequest &request,
+               const ChoiceOptions &options) {
   double mean = meanLoadShare(views, from);
   for (const ServerId &id : prefixOrder(views, from, request, options)) {
     auto it = std::find_if(from.begin(), from.end(), [&](const Candidate &c) {
@@ -125,7 +126,8 @@
     // One call more than the bound keeps a group that is nearly idle usable.
     double bound =
         options.AffinityLoadBound * mean * engineSlots(views[it->Index]);
-    if (it->Load <= bound + 1)
+    bool cheapEnough = it->Cost <= options.AffinityCostBound * cheapest;
+    if (cheapEnough && it->Load <= bound + 1)
       return it->Index;
   }
   return std::nullopt;
@@ -143,7 +145,7 @@
       return {far.Index, ChoiceReason::Spill};
   }
   if (!request.PrefixKey.empty())
-    if (auto index = chooseByPrefix(views, own, request, options))
+    if (auto index = chooseByPrefix(views, own, near.Cost, request, options))
       return {*index, ChoiceReason::Affinity};
   return {near.Index, ChoiceReason::Cheapest};
 }
--- a/src/route/choose_test.cpp
+++ b/src/route/choose_test.cpp
@@ -124,6 +124,22 @@
   BOOST_TEST((Views[1].State == Standing::Aside));
 }
 
+BOOST_AUTO_TEST_CASE(choose_oneStraggler_putsNobodyAside) {
+  for (std::size_t i = 0; i < Views.size(); ++i)
+    answer(i, 50ms, 20);
+  answer(1, 30s, 2);
+  choose();
+  BOOST_TEST((Views[1].State == Standing::Good));
+}
+
+BOOST_AUTO_TEST_CASE(choose_slowHolderOfPrefix_isPassedOver) {
+  for (std::size_t i = 0; i < Views.size(); ++i)
+    answer(i, i == 1 ? 150ms : 50ms, 20);
+  ChoiceRequest request{.PrefixKey = "p",
+                        .PrefixHolders = {Views[1].Target.Id}};
+  BOOST_TEST(choose(request)->Index != 1);
+}
+
 BOOST_AUTO_TEST_CASE(choose_allLookSick_noneIsPutAside) {
   for (std::size_t i = 0; i < Views.size(); ++i)
     failTimes(i, 3);
--- a/src/route/endpoint_view.cpp
+++ b/src/route/endpoint_view.cpp
@@ -19,6 +19,7 @@
 constexpr int MinOutcomes = 10;
 
 constexpr double SlowFactor = 4.0;
+constexpr double OutlierFactor = 4.0;
 constexpr int MinLatencySamples = 10;
 constexpr std::size_t MinPeers = 2;
 
@@ -41,6 +42,9 @@
 void noteLatency(EndpointView &view, double ms) {
   view.Samples = std::min(view.Samples + 1, SampleCap);
   double weight = std::max(LatencyWeight, 1.0 / view.Samples);
+  // One straggler says little about the server.
+  if (view.Samples > MinLatencySamples)
+    ms = std::min(ms, OutlierFactor * view.LatencyMs);
   view.LatencyMs += weight * (ms - view.LatencyMs);
 }
 
