--- a/src/route/choose.cpp
+++ b/src/route/choose.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+// Part of a difference in the others' calls that an entry levels out at least.
+constexpr double MinOwnShare = 0.1;
+
 // A candidate of one choice.
 struct Candidate {
   std::size_t Index;
@@ -21,7 +24,7 @@
   return std::find(items.begin(), items.end(), item) != items.end();
 }
 
-int slotsOf(const EndpointView &view) {
+int engineSlots(const EndpointView &view) {
   int slots =
       view.Report && view.Report->Slots > 0 ? view.Report->Slots : view.Slots;
   return std::max(1, slots);
@@ -37,13 +40,6 @@
   return std::exp2(-std::max(0.0, age.count()) / half.count());
 }
 
-double othersAtReport(const EndpointView &view) {
-  if (!view.Report)
-    return 0;
-  int total = view.Report->Running + view.Report->Waiting;
-  return std::max(0, total - view.InFlightAtReport);
-}
-
 bool mayTakeCalls(const EndpointView &view, const ChoiceRequest &request) {
   return !view.Target.Leaving && !contains(request.Exclude, view.Target.Id);
 }
@@ -57,6 +53,12 @@
          view.ProbesInFlight == 0;
 }
 
+void addServer(Capacity &capacity, const EndpointView &view) {
+  capacity.Limit += allowedCalls(view.Limit);
+  capacity.InFlight += view.InFlight;
+  ++capacity.Servers;
+}
+
 double typicalLatency(const std::vector<EndpointView> &views,
                       const ChoiceOptions &options) {
   double sum = 0;
@@ -70,15 +72,18 @@
   return n > 0 ? sum / n : static_cast<double>(options.AssumedLatency.count());
 }
 
-const Candidate &drawCheaperOfTwo(const Candidates &from, Rng &rng) {
-  std::uniform_int_distribution<std::size_t> first(0, from.size() - 1);
-  const Candidate &a = from[first(rng)];
-  if (from.size() == 1)
-    return a;
-  std::uniform_int_distribution<std::size_t> other(1, from.size() - 1);
-  std::size_t offset = static_cast<std::size_t>(&a - from.data());
-  const Candidate &b = from[(offset + other(rng)) % from.size()];
-  return b.Cost < a.Cost ? b : a;
+// Draws distinct candidates and returns the cheapest of them.
+const Candidate &drawCheapest(Candidates &from, const ChoiceOptions &options,
+                              Rng &rng) {
+  std::size_t draws = std::clamp<std::size_t>(options.Draws, 1, from.size());
+  std::size_t best = 0;
+  for (std::size_t i = 0; i < draws; ++i) {
+    std::uniform_int_distribution<std::size_t> rest(i, from.size() - 1);
+    std::swap(from[i], from[rest(rng)]);
+    if (from[i].Cost < from[best].Cost)
+      best = i;
+  }
+  return from[best];
 }
 
 // The servers to try for a prefix: those that are said to hold it, then the
@@ -104,76 +109,105 @@
   double slots = 0;
   for (const Candidate &it : from) {
     load += it.Load;
-    slots += slotsOf(views[it.Index]);
+    slots += engineSlots(views[it.Index]);
   }
   return load / slots;
 }
 
 std::optional<std::size_t>
 chooseByPrefix(const std::vector<EndpointView> &views, const Candidates &from,
-               const ChoiceRequest &request, const ChoiceOptions &options) {
+               double cheapest, const ChoiceRequest &request,
+               const ChoiceOptions &options) {
   double mean = meanLoadShare(views, from);
   for (const ServerId &id : prefixOrder(views, from, request, options)) {
     auto it = std::find_if(from.begin(), from.end(), [&](const Candidate &c) {
       return views[c.Index].Target.Id == id;
     });
     // One call more than the bound keeps a group that is nearly idle usable.
-    double bound = options.AffinityLoadBound * mean * slotsOf(views[it->Index]);
-    if (it->Load <= bound + 1)
+    double bound =
+        options.AffinityLoadBound * mean * engineSlots(views[it->Index]);
+    bool cheapEnough = it->Cost <= options.AffinityCostBound * cheapest;
+    if (cheapEnough && it->Load <= bound + 1)
       return it->Index;
   }
   return std::nullopt;
 }
 
-Choice chooseAmong(const std::vector<EndpointView> &views,
-                   const Candidates &own, const Candidates &other,
-                   const ChoiceRequest &request, const ChoiceOptions &options,
-                   Rng &rng) {
+Choice chooseAmong(const std::vector<EndpointView> &views, Candidates &own,
+                   Candidates &other, const ChoiceRequest &request,
+                   const ChoiceOptions &options, Rng &rng) {
   if (own.empty())
-    return {drawCheaperOfTwo(other, rng).Index, ChoiceReason::Spill};
-  const Candidate &near = drawCheaperOfTwo(own, rng);
+    return {drawCheapest(other, options, rng).Index, ChoiceReason::Spill};
+  const Candidate &near = drawCheapest(own, options, rng);
   if (!other.empty()) {
-    const Candidate &far = drawCheaperOfTwo(other, rng);
+    const Candidate &far = drawCheapest(other, options, rng);
     if (far.Cost < options.SpillCostShare * near.Cost)
       return {far.Index, ChoiceReason::Spill};
   }
   if (!request.PrefixKey.empty())
-    if (auto index = chooseByPrefix(views, own, request, options))
+    if (auto index = chooseByPrefix(views, own, near.Cost, request, options))
       return {*index, ChoiceReason::Affinity};
   return {near.Index, ChoiceReason::Cheapest};
 }
 
+// Every server was excluded or is at its limit: failed ones get another try.
+std::optional<Choice> chooseDespiteFailures(
+    const std::vector<EndpointView> &views, const ChoiceRequest &request,
+    const ChoiceOptions &options, Clock::time_point now, Rng &rng) {
+  if (request.Exclude.empty())
+    return std::nullopt;
+  ChoiceRequest again = request;
+  again.Exclude.clear();
+  return chooseEndpoint(views, again, options, now, rng);
+}
+
 } // namespace
 
 std::vector<double> estimateLoads(const std::vector<EndpointView> &views,
                                   const ChoiceOptions &options,
                                   Clock::time_point now) {
-  double weighted = 0;
-  double weights = 0;
+  double others = 0;
+  double reports = 0;
+  double own = 0;
   for (const EndpointView &it : views) {
     double fresh = freshness(it, options, now);
-    weighted += fresh * othersAtReport(it);
-    weights += fresh;
+    others += fresh * it.Others;
+    reports += fresh;
+    own += it.InFlight;
   }
-  double mean = weights > 0 ? weighted / weights : 0;
+  double mean = reports > 0 ? others / reports : 0;
+  double total = own + mean * static_cast<double>(views.size());
+  double share = total > 0 ? std::max(MinOwnShare, own / total) : 1;
   std::vector<double> loads;
   loads.reserve(views.size());
   for (const EndpointView &it : views) {
-    double fresh = freshness(it, options, now);
-    double others = fresh * othersAtReport(it) + (1 - fresh) * mean;
-    loads.push_back(it.InFlight + others);
+    double excess = freshness(it, options, now) * (it.Others - mean);
+    loads.push_back(std::max(0.0, it.InFlight + mean + share * excess));
   }
   return loads;
 }
 
+Capacity capacityOf(const std::vector<EndpointView> &views) {
+  Capacity healthy;
+  Capacity all;
+  for (const EndpointView &it : views) {
+    if (it.Target.Leaving)
+      continue;
+    addServer(all, it);
+    if (isHealthy(it))
+      addServer(healthy, it);
+  }
+  return healthy.Servers > 0 ? healthy : all;
+}
+
 double estimateCost(const EndpointView &view, double load,
-                    double typicalLatencyMs) {
-  double latency = view.Samples > 0 ? view.LatencyMs : typicalLatencyMs;
-  double slots = slotsOf(view);
+                    const TypicalTimes &typical) {
+  double latency = view.Samples > 0 ? view.LatencyMs : typical.LatencyMs;
+  double slots = engineSlots(view);
   double filled = load / slots;
   double queued = std::max(0.0, load + 1 - slots) / slots;
   double roundTripMs = 2.0 * static_cast<double>(view.OneWay.count()) / 1000.0;
-  return roundTripMs + latency * (1 + filled + queued);
+  return roundTripMs + latency * (1 + filled) + queued * typical.CallMs;
 }
 
 std::optional<Choice> chooseEndpoint(const std::vector<EndpointView> &views,
@@ -181,25 +215,32 @@
                                      const ChoiceOptions &options,
                                      Clock::time_point now, Rng &rng) {
   std::vector<double> loads = estimateLoads(views, options, now);
-  double typical = typicalLatency(views, options);
+  TypicalTimes typical{typicalLatency(views, options),
+                       static_cast<double>(request.MeanCall.count())};
   Candidates own;
   Candidates other;
   Candidates sick;
+  bool anyHealthy = false;
   for (std::size_t i = 0; i < views.size(); ++i) {
     const EndpointView &view = views[i];
     if (!mayTakeCalls(view, request))
       continue;
     if (request.MayProbe && needsProbe(view))
       return Choice{i, ChoiceReason::Probe};
+    anyHealthy = anyHealthy || isHealthy(view);
+    if (!admitToServer(slotsOf(view), request.Length))
+      continue;
     Candidate it{i, loads[i], estimateCost(view, loads[i], typical)};
     Candidates &list = !isHealthy(view) ? sick : view.OwnCentre ? own : other;
     list.push_back(it);
   }
   if (!own.empty() || !other.empty())
     return chooseAmong(views, own, other, request, options, rng);
-  if (sick.empty())
+  if (anyHealthy)
     return std::nullopt;
-  return Choice{drawCheaperOfTwo(sick, rng).Index, ChoiceReason::AllSick};
+  if (sick.empty())
+    return chooseDespiteFailures(views, request, options, now, rng);
+  return Choice{drawCheapest(sick, options, rng).Index, ChoiceReason::AllSick};
 }
 
 } // namespace greengagespar
