--- /dev/null
+++ b/src/link/member_message.cpp
@@ -0,0 +1,44 @@
+#include "greengagespar/link/member_message.h"
+
+#include <algorithm>
+
+namespace greengagespar {
+
+void writeMember(const MemberRow &row, wire::Member &message) {
+  message.set_name(row.Host.Value);
+  message.set_callers(row.Callers.Value);
+  message.set_link(row.Link.Value);
+  message.set_data_centre(row.DataCentre.Value);
+  message.set_incarnation(row.Life.Value);
+  message.set_heartbeat(row.Heartbeat);
+  message.set_generation(row.Settings.Value);
+  message.set_is_endpoint(row.Role == MemberRole::Endpoint);
+  message.set_leaving(row.Leaving);
+}
+
+std::optional<MemberRow> readMember(const wire::Member &message) {
+  if (message.link().empty() || message.name().empty())
+    return std::nullopt;
+  MemberRow row;
+  row.Host = {message.name()};
+  row.Role = message.is_endpoint() ? MemberRole::Endpoint : MemberRole::Entry;
+  row.Link = {message.link()};
+  row.Callers = {message.callers()};
+  row.DataCentre = {message.data_centre()};
+  row.Life = {message.incarnation()};
+  row.Heartbeat = message.heartbeat();
+  row.Leaving = message.leaving();
+  row.Settings = {message.generation()};
+  return row;
+}
+
+std::vector<MemberRow> readMembers(const wire::Members &message) {
+  std::vector<MemberRow> rows;
+  int count = std::min(message.members_size(), MaxRowsTaken);
+  for (int i = 0; i < count; ++i)
+    if (auto row = readMember(message.members(i)))
+      rows.push_back(std::move(*row));
+  return rows;
+}
+
+} // namespace greengagespar
--- /dev/null
+++ b/src/link/settings_pulls.cpp
@@ -0,0 +1,63 @@
+#include "greengagespar/link/settings_pulls.h"
+
+#include "greengagespar/platform/captured.h"
+#include <utility>
+#include <vector>
+
+namespace greengagespar {
+
+namespace {
+
+constexpr std::chrono::milliseconds TickInterval{50};
+
+} // namespace
+
+SettingsPulls::SettingsPulls(event_base *loop, Send send)
+    : SendTo(std::move(send)), Tick(loop, [this] { tick(); }) {}
+
+void SettingsPulls::pull(const Address &peer, Generation since, Done done) {
+  Pull &pull = Open[peer];
+  Done earlier = std::exchange(pull.Finish, std::move(done));
+  pull.Since = since;
+  pull.Expires = Clock::now() + PullTimeout;
+  pull.IsSent = false;
+  trySend(peer, pull);
+  Tick.start(TickInterval);
+  if (earlier)
+    earlier(capturedFailure<std::string>(ErrorKind::LinkDown, "asked again"));
+}
+
+void SettingsPulls::trySend(const Address &peer, Pull &pull) {
+  wire::Envelope envelope;
+  envelope.mutable_pull_settings()->set_newer_than(pull.Since.Value);
+  pull.IsSent = SendTo(peer, envelope);
+}
+
+void SettingsPulls::answered(const Address &peer,
+                             const wire::Settings &settings) {
+  auto node = Open.extract(peer);
+  if (!node.empty())
+    node.mapped().Finish(settings.snapshot());
+}
+
+void SettingsPulls::tick() {
+  auto now = Clock::now();
+  std::vector<Done> late;
+  for (auto it = Open.begin(); it != Open.end();) {
+    if (it->second.Expires <= now) {
+      late.push_back(std::move(it->second.Finish));
+      it = Open.erase(it);
+      continue;
+    }
+    if (!it->second.IsSent)
+      trySend(it->first, it->second);
+    ++it;
+  }
+  if (!Open.empty())
+    Tick.start(TickInterval);
+  for (const Done &done : late)
+    done(capturedFailure<std::string>(ErrorKind::LinkDown,
+                                      "the peer sent no settings in time"));
+}
+
+} // namespace greengagespar
