Wire membership, settings and the fence between running processes

Cause: entries answered only their own address, had no settings, and endpoint processes ran calls of any generation. Change: ControlPlane joins the links between entries, the settings follower and the status of settings in force; /v1/entries and refusals of a leaving entry name the live entries; endpoint processes learn settings from entries, hold calls sent under newer settings at most 500 ms and refuse those under older ones. A process whose clock stands back takes a life after the one that its peers remember. The setting peers lets an entry start without the platform. Ruled out: a pull straight over the link of the endpoint (the links between entries serve any process); a list of calls to send again after a pull (they wait in the router as other calls do).

--- a/src/endpoint/endpoint.cpp
+++ b/src/endpoint/endpoint.cpp
@@ -51,6 +51,7 @@
              [this](const PeerId &peer, const wire::Envelope &envelope) {
                onMessage(peer, envelope);
              }),
+      Settled(base, settings, Self.Life.Value, fenceHooks()),
       Target(base, settings.Upstream, settings.MaxAnswerBytes),
       Ticker(event_new(base, -1, EV_PERSIST, onTick, this)) {}
 
@@ -59,6 +60,7 @@
 Result<void> Endpoint::start() {
   BOOST_LEAF_CHECK(Server.bind(Settings.Link));
   event_add(Ticker, &TickInterval);
+  Settled.start();
   logInfo(Part::Endpoint, "listening on " + Settings.Link.Value);
   return {};
 }
@@ -84,6 +86,7 @@
     if (!it->Key)
       abandon(it);
   forgetOld(Table, now, CallWindow);
+  Settled.tick(now);
   std::erase_if(
       Revoked, [&](const auto &it) { return it.second + RevokedWindow < now; });
   stopWhenIdle();
@@ -102,12 +105,33 @@
   return LeavingSince && *LeavingSince + Settings.DrainGrace < Clock::now();
 }
 
+SettingsFenceHooks Endpoint::fenceHooks() {
+  SettingsFenceHooks hooks;
+  hooks.Send = [this](const PeerId &peer, wire::Envelope &envelope) {
+    return Server.send(peer, envelope);
+  };
+  hooks.OnContract = [this](std::shared_ptr<const Contract> contract) {
+    InForce = std::move(contract);
+    Self.Settings = InForce->At;
+  };
+  hooks.OnReleased = [this](const HeldRun &held) {
+    onRun(held.Peer, held.Message);
+  };
+  hooks.OnExpired = [this](const HeldRun &held) {
+    refuse(held.Peer, held.Message.run().call(), ErrorKind::StaleSettings,
+           "the settings of this call did not come in time", true);
+  };
+  return hooks;
+}
+
 void Endpoint::onMessage(const PeerId &peer, const wire::Envelope &envelope) {
+  if (Settled.take(peer, envelope))
+    return;
   switch (envelope.body_case()) {
   case wire::Envelope::kProbe:
     return onProbe(peer, envelope.probe());
   case wire::Envelope::kRun:
-    return onRun(peer, envelope.run());
+    return onRun(peer, envelope);
   case wire::Envelope::kRevoke:
     return onRevoke(peer, envelope.revoke());
   case wire::Envelope::kResume:
@@ -146,7 +170,21 @@
   Server.send(peer, envelope);
 }
 
-void Endpoint::onRun(const PeerId &peer, const wire::Run &run) {
+bool Endpoint::passesFence(const PeerId &peer, const wire::Envelope &envelope) {
+  Fence fence = Settled.decide(envelope);
+  if (fence == Fence::Run)
+    return true;
+  if (fence == Fence::Refuse)
+    refuse(peer, envelope.run().call(), ErrorKind::StaleSettings,
+           "the call was sent under earlier settings", true);
+  else if (!Settled.hold(peer, envelope))
+    refuse(peer, envelope.run().call(), ErrorKind::StaleSettings,
+           "too many calls wait for settings", true);
+  return false;
+}
+
+void Endpoint::onRun(const PeerId &peer, const wire::Envelope &envelope) {
+  const wire::Run &run = envelope.run();
   CallId id = callOf(run.call());
   if (run.endpoint_incarnation() != Self.Life.Value)
     return refuse(peer, run.call(), ErrorKind::LinkDown,
@@ -161,9 +199,11 @@
   if (refusesNewWork())
     return refuse(peer, run.call(), ErrorKind::Leaving,
                   "this endpoint is leaving", true);
-  wire::Envelope envelope;
-  *envelope.mutable_acknowledge()->mutable_call() = run.call();
-  Server.send(peer, envelope);
+  if (!passesFence(peer, envelope))
+    return;
+  wire::Envelope taken;
+  *taken.mutable_acknowledge()->mutable_call() = run.call();
+  Server.send(peer, taken);
   if (run.has_service() && !run.service().idempotency_key().empty())
     return runKeyed(peer, run);
   ExecutionPtr execution = makeExecution(peer, run);
@@ -387,6 +427,8 @@
 void Endpoint::onResume(const PeerId &peer, const wire::Resume &resume) {
   CallId id = callOf(resume.call());
   auto it = Table.ByCall.find(id);
+  if (it == Table.ByCall.end() && Settled.redirect(id, peer))
+    return;
   if (it == Table.ByCall.end())
     return refuse(peer, resume.call(), ErrorKind::NotFound,
                   "this process does not know the call", false);
--- a/src/endpoint/endpoint.h
+++ b/src/endpoint/endpoint.h
@@ -10,6 +10,7 @@
 #include "greengagespar/base/errors.h"
 #include "greengagespar/endpoint/endpoint_settings.h"
 #include "greengagespar/link/link.h"
+#include "settings_fence.h"
 #include "upstream.h"
 #include <unordered_map>
 
@@ -40,7 +41,9 @@
   void tick();
   void onMessage(const PeerId &peer, const wire::Envelope &envelope);
   void onProbe(const PeerId &peer, const wire::Probe &probe);
-  void onRun(const PeerId &peer, const wire::Run &run);
+  SettingsFenceHooks fenceHooks();
+  void onRun(const PeerId &peer, const wire::Envelope &envelope);
+  bool passesFence(const PeerId &peer, const wire::Envelope &envelope);
   void onRevoke(const PeerId &peer, const wire::Revoke &revoke);
   void onResume(const PeerId &peer, const wire::Resume &resume);
   void onCancel(const wire::Cancel &cancel);
@@ -73,6 +76,8 @@
   EndpointSettings Settings;
   LinkIdentity Self;
   LinkServer Server;
+  SettingsFence Settled;
+  std::shared_ptr<const Contract> InForce;
   Upstream Target;
   ExecutionTable Table;
   std::unordered_map<CallId, Clock::time_point> Revoked;
--- /dev/null
+++ b/src/endpoint/settings_fence.cpp
@@ -0,0 +1,133 @@
+#include "settings_fence.h"
+
+#include "execution.h"
+#include <algorithm>
+#include <utility>
+
+namespace greengagespar {
+
+namespace {
+
+// A starting endpoint process gives entries this long to be heard of before it
+// reads the platform, so that a data centre that starts again does not read
+// it at one moment.
+constexpr std::chrono::milliseconds StartSpread{5000};
+
+ObjectClientOptions clientOptions(const EndpointSettings &settings) {
+  ObjectClientOptions options;
+  options.Platform = settings.Platform;
+  return options;
+}
+
+ConfigFollowerOptions followerOptions(std::uint64_t seed) {
+  ConfigFollowerOptions options;
+  options.Role = ConfigRole::Follows;
+  options.StartSpread = StartSpread;
+  options.Seed = seed;
+  return options;
+}
+
+// A peer's routing id stands for its address: answers go there.
+Address addressOf(const PeerId &peer) { return {peer.Value}; }
+
+} // namespace
+
+SettingsFence::SettingsFence(event_base *base, const EndpointSettings &settings,
+                             std::uint64_t seed, SettingsFenceHooks hooks)
+    : Hooks(std::move(hooks)), Platform(base, clientOptions(settings)),
+      Pulls(base,
+            [this](const Address &peer, wire::Envelope &envelope) {
+              return Hooks.Send(PeerId{peer.Value}, envelope);
+            }),
+      Follower(base, Platform, followerOptions(seed), followerHooks()),
+      Release(base, [this] { release(); }) {}
+
+ConfigFollowerHooks SettingsFence::followerHooks() {
+  ConfigFollowerHooks hooks;
+  hooks.OnContract = [this](std::shared_ptr<const Contract> contract) {
+    Hooks.OnContract(std::move(contract));
+    // From the loop, because a message may be in work now.
+    Release.start({});
+  };
+  hooks.Pull = [this](const Address &peer, Generation since,
+                      ConfigFollowerHooks::PullAnswer done) {
+    Pulls.pull(peer, since, std::move(done));
+  };
+  return hooks;
+}
+
+bool SettingsFence::take(const PeerId &peer, const wire::Envelope &envelope) {
+  if (envelope.has_settings()) {
+    Pulls.answered(addressOf(peer), envelope.settings());
+    return true;
+  }
+  if (envelope.has_pull_settings()) {
+    wire::Envelope answer;
+    auto *settings = answer.mutable_settings();
+    settings->set_generation(Follower.held().At.Value);
+    settings->set_snapshot(
+        Follower.serve({envelope.pull_settings().newer_than()}));
+    Hooks.Send(peer, answer);
+    return true;
+  }
+  // Only entries send these, and they answer pulls.
+  bool isFromEntry = envelope.has_probe() || envelope.has_run();
+  if (isFromEntry && envelope.generation() > 0)
+    Follower.peerMentioned(addressOf(peer), {envelope.generation()});
+  return false;
+}
+
+Fence SettingsFence::decide(const wire::Envelope &run) const {
+  return decideFence({run.generation()}, Follower.generation());
+}
+
+bool SettingsFence::hold(const PeerId &peer, const wire::Envelope &run) {
+  std::size_t bytes = run.ByteSizeLong();
+  if (HeldBytes + bytes > MaxHeldBytes)
+    return false;
+  bool isNew =
+      Held.emplace(callOf(run.run().call()), HeldRun{peer, run, Clock::now()})
+          .second;
+  if (isNew)
+    HeldBytes += bytes;
+  return true;
+}
+
+bool SettingsFence::redirect(const CallId &call, const PeerId &peer) {
+  auto it = Held.find(call);
+  if (it == Held.end())
+    return false;
+  it->second.Peer = peer;
+  return true;
+}
+
+void SettingsFence::release() {
+  auto now = Clock::now();
+  std::unordered_map<CallId, HeldRun> held = std::exchange(Held, {});
+  HeldBytes = 0;
+  for (auto &[id, it] : held) {
+    auto waited =
+        std::chrono::duration_cast<std::chrono::milliseconds>(now - it.Since);
+    std::int64_t left = it.Message.run().time_left_ms() - waited.count();
+    it.Message.mutable_run()->set_time_left_ms(
+        static_cast<std::uint32_t>(std::max<std::int64_t>(left, 0)));
+    Hooks.OnReleased(it);
+  }
+}
+
+void SettingsFence::tick(Clock::time_point now) {
+  std::vector<HeldRun> expired;
+  for (auto it = Held.begin(); it != Held.end();) {
+    if (now - it->second.Since < HoldTime) {
+      ++it;
+      continue;
+    }
+    HeldBytes -= it->second.Message.ByteSizeLong();
+    expired.push_back(std::move(it->second));
+    it = Held.erase(it);
+  }
+  for (const HeldRun &it : expired)
+    Hooks.OnExpired(it);
+}
+
+} // namespace greengagespar
--- a/src/entry/active_call.cpp
+++ b/src/entry/active_call.cpp
@@ -2,6 +2,11 @@
 
 namespace greengagespar {
 
+bool waitsForSettings(const ActiveCall &call, Generation inForce,
+                      Clock::time_point now) {
+  return call.Needs && *call.Needs > inForce && now < call.NeedsUntil;
+}
+
 void fillRun(const ActiveCall &call, Clock::time_point now, wire::Run &run) {
   run.mutable_call()->set_entry(call.Id.Entry.Value);
   run.mutable_call()->set_number(call.Id.Number);
--- a/src/entry/active_call.h
+++ b/src/entry/active_call.h
@@ -36,12 +36,20 @@
 
   bool IsWaiting = false; ///< For a server that can take it.
   ServerId Avoid;         ///< The server that failed it last.
+  /// Set when an endpoint process refused the call because its own settings
+  /// are of this newer generation. The call waits for them, or for a while.
+  std::optional<Generation> Needs;
+  Clock::time_point NeedsUntil;
   bool IsCounted = false; ///< Counted as in flight on State.Server.
   Clock::time_point SentAt;
   const wire::Chunk *Arriving = nullptr; ///< The chunk being handled.
   const wire::End *Ending = nullptr;     ///< The end being handled.
 };
 
+/// Whether \p call still waits for newer settings than \p inForce.
+bool waitsForSettings(const ActiveCall &call, Generation inForce,
+                      Clock::time_point now);
+
 /// Writes the work of \p call, from its offset on, into \p run.
 void fillRun(const ActiveCall &call, Clock::time_point now, wire::Run &run);
 
--- a/src/entry/api.cpp
+++ b/src/entry/api.cpp
@@ -149,13 +149,19 @@
   return event;
 }
 
-std::string renderError(const Error &error, Ran ran) {
+std::string renderError(const Error &error, Ran ran,
+                        const std::vector<Address> &entries) {
   const AnswerRow &row = answerRow(error.Kind);
   json::object inner;
   inner["kind"] = row.Name;
   inner["message"] = error.Message;
   inner["ran"] = ranName(ran);
   inner["retry_after_ms"] = row.RetryAfter.count();
+  json::array others;
+  for (const Address &it : entries)
+    others.emplace_back(it.Value);
+  if (!others.empty())
+    inner["entries"] = std::move(others);
   return json::serialize(json::object{{"error", std::move(inner)}});
 }
 
--- a/src/entry/api.h
+++ b/src/entry/api.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace greengagespar {
 
@@ -56,8 +57,10 @@
 /// The server-sent event that ends a whole stream.
 inline constexpr std::string_view StreamEnd = "data: [DONE]\n\n";
 
-/// Renders an error as the one JSON shape of all refusals.
-std::string renderError(const Error &error, Ran ran);
+/// Renders an error as the one JSON shape of all refusals. \p entries are the
+/// addresses that a caller should use instead, where there are any.
+std::string renderError(const Error &error, Ran ran,
+                        const std::vector<Address> &entries = {});
 
 /// Parses the header X-Deadline-Ms. Fails with BadRequest when it is not a
 /// whole number of milliseconds, and with DeadlineTooShort when it is not
--- a/src/entry/call_router.cpp
+++ b/src/entry/call_router.cpp
@@ -14,6 +14,9 @@
 // How often the callers' connections are looked at.
 constexpr std::chrono::milliseconds CallerCheckInterval{100};
 
+// How long a call waits for newer settings before it is sent without them.
+constexpr std::chrono::milliseconds SettingsPatience{500};
+
 // Bytes that a caller may leave untaken before its call is given up.
 constexpr std::size_t MaxWaitingBytes = 4 << 20;
 
@@ -68,13 +71,14 @@
 
 } // namespace
 
-void sendError(CallerReply &reply, const Error &error, Ran ran) {
+void sendError(CallerReply &reply, const Error &error, Ran ran,
+               const std::vector<Address> &entries) {
   const AnswerRow &row = answerRow(error.Kind);
   std::vector<HttpHeader> headers;
   if (row.RetryAfter.count() > 0)
     headers.push_back({"Retry-After", "1"});
-  reply.sendWhole(row.HttpStatus, "application/json", renderError(error, ran),
-                  headers);
+  reply.sendWhole(row.HttpStatus, "application/json",
+                  renderError(error, ran, entries), headers);
 }
 
 CallRouter::CallRouter(event_base *base, zmq::context_t &context,
@@ -190,8 +194,10 @@
 }
 
 void CallRouter::performDispatch(ActiveCall &call, const Dispatch &action) {
-  call.Avoid = action.Avoid;
-  call.IsWaiting = !trySend(call);
+  // Newer settings than this entry's are no fault of the server. The next tick
+  // tries again, once they are in force here.
+  call.Avoid = call.Needs ? ServerId{} : action.Avoid;
+  call.IsWaiting = call.Needs || !trySend(call);
 }
 
 bool CallRouter::trySend(ActiveCall &call) {
@@ -353,8 +359,13 @@
     ++Counters.Strays;
     return;
   }
-  if (const auto *refused = std::get_if<Refused>(&*event))
+  if (const auto *refused = std::get_if<Refused>(&*event)) {
     countEnd(*call, refused->Reason.Kind);
+    if (refused->Reason.Kind == ErrorKind::StaleSettings) {
+      call->Needs = Generation{envelope.generation()};
+      call->NeedsUntil = Clock::now() + SettingsPatience;
+    }
+  }
   call->Arriving = envelope.has_chunk() ? &envelope.chunk() : nullptr;
   call->Ending = envelope.has_end() ? &envelope.end() : nullptr;
   apply(*call, *event);
@@ -396,8 +407,11 @@
   auto now = Clock::now();
   Links.tick();
   for (auto &[id, call] : Calls)
-    if (call->IsWaiting && call->State.Phase == CallPhase::Waiting)
+    if (call->IsWaiting && call->State.Phase == CallPhase::Waiting &&
+        !waitsForSettings(*call, Self.Settings, now)) {
+      call->Needs.reset();
       call->IsWaiting = !trySend(*call);
+    }
   checkDeadlines(now);
   checkCallers(now);
   removeDone();
--- a/src/entry/call_router.h
+++ b/src/entry/call_router.h
@@ -49,6 +49,9 @@
   /// Makes a call's identity, unique in this life of the process.
   CallId nextId() { return {Self.Life, NextCall++}; }
 
+  /// The links to endpoint processes.
+  EndpointLinks &links() { return Links; }
+
   /// Calls in progress.
   std::size_t open() const { return Calls.size(); }
   const CallCounters &counters() const { return Counters; }
@@ -91,8 +94,10 @@
   Clock::time_point CallersChecked;
 };
 
-/// Answers \p reply with the one JSON shape of all refusals.
-void sendError(CallerReply &reply, const Error &error, Ran ran);
+/// Answers \p reply with the one JSON shape of all refusals. \p entries as in
+/// renderError.
+void sendError(CallerReply &reply, const Error &error, Ran ran,
+               const std::vector<Address> &entries = {});
 
 } // namespace greengagespar
 
--- /dev/null
+++ b/src/entry/control_plane.cpp
@@ -0,0 +1,187 @@
+#include "control_plane.h"
+
+#include "greengagespar/base/hash.h"
+#include "greengagespar/base/log.h"
+#include <algorithm>
+#include <utility>
+
+namespace greengagespar {
+
+namespace {
+
+// Time between two looks at the role and at what is to be reported.
+constexpr std::chrono::milliseconds ReviewInterval{500};
+
+// A starting entry watches nothing until it may have heard of its peers, so
+// that many that start at one moment do not all watch.
+constexpr std::chrono::milliseconds MeetPeers{1500};
+
+// A starting entry reports nothing until its links to all processes may be up.
+constexpr std::chrono::seconds MeetNodes{4};
+
+// An entry that knows no other one lists the entries again after this.
+constexpr std::chrono::seconds ListAgain{30};
+
+ObjectClientOptions clientOptions(const EntrySettings &settings) {
+  ObjectClientOptions options;
+  options.Platform = settings.Platform;
+  return options;
+}
+
+ConfigFollowerOptions followerOptions(std::uint64_t seed) {
+  ConfigFollowerOptions options;
+  options.Role = ConfigRole::Follows;
+  options.Seed = seed;
+  options.Acceptor.Seed = seed + 1;
+  return options;
+}
+
+MemberView emptyView(const EntrySettings &settings) {
+  MemberView view;
+  view.Self = settings.Link;
+  view.DataCentre = settings.DataCentre;
+  return view;
+}
+
+MemberRow directoryRow(const EntrySettings &settings) {
+  MemberRow row;
+  row.Host = settings.Name;
+  row.Link = settings.Link;
+  row.Callers = settings.Advertise;
+  row.DataCentre = settings.DataCentre;
+  return row;
+}
+
+} // namespace
+
+ControlPlane::ControlPlane(event_base *base, zmq::context_t &context,
+                           const EntrySettings &settings, LinkIdentity &self,
+                           ControlPlaneHooks hooks)
+    : Settings(settings), Self(self), Hooks(std::move(hooks)),
+      Platform(base, clientOptions(settings)),
+      Peers(base, context, self, emptyView(settings), peerHooks()),
+      Pulls(base,
+            [this](const Address &peer, wire::Envelope &envelope) {
+              return Peers.send(peer, envelope);
+            }),
+      Follower(base, Platform, followerOptions(self.Life.Value),
+               followerHooks()),
+      Directory(base, Platform, directoryRow(settings), self.Life.Value,
+                [this](const std::vector<Address> &found) {
+                  ListedAt = Clock::now();
+                  Peers.addSeeds(found);
+                }),
+      Reporter(Platform, self.Life.Value), Review(base, [this] { review(); }) {}
+
+PeerLinksHooks ControlPlane::peerHooks() {
+  PeerLinksHooks hooks;
+  hooks.OwnRow = [this] { return ownRow(); };
+  hooks.OnMentioned = [this](const Address &peer, Generation at) {
+    peerMentioned(peer, at);
+  };
+  hooks.Serve = [this](Generation since) { return serve(since); };
+  hooks.OnSettings = [this](const Address &peer, const wire::Settings &it) {
+    Pulls.answered(peer, it);
+  };
+  hooks.OnChange = [this] { reviewRole(); };
+  hooks.OnOutlived = [this](Incarnation life) { takeLaterLife(life); };
+  return hooks;
+}
+
+ConfigFollowerHooks ControlPlane::followerHooks() {
+  ConfigFollowerHooks hooks;
+  hooks.OnContract = [this](std::shared_ptr<const Contract> contract) {
+    Hooks.OnContract(std::move(contract));
+  };
+  hooks.Pull = [this](const Address &peer, Generation since,
+                      ConfigFollowerHooks::PullAnswer done) {
+    Pulls.pull(peer, since, std::move(done));
+  };
+  hooks.Turn = [this](const TeamId &team) { return turnOf(team); };
+  return hooks;
+}
+
+Result<void> ControlPlane::start() {
+  StartedAt = Clock::now();
+  Peers.addSeeds(Settings.Peers);
+  BOOST_LEAF_CHECK(Peers.start());
+  Directory.start();
+  Follower.start();
+  review();
+  return {};
+}
+
+void ControlPlane::leave() {
+  Leaving = true;
+  Peers.announce();
+}
+
+MemberRow ControlPlane::ownRow() const {
+  MemberRow row = directoryRow(Settings);
+  row.Life = Self.Life;
+  row.Leaving = Leaving;
+  row.Settings = Self.Settings;
+  return row;
+}
+
+std::vector<EntryAddress>
+ControlPlane::entriesFor(std::string_view caller) const {
+  const MemberView &view = Peers.view();
+  std::vector<EntryAddress> out;
+  for (const Address &it : entriesToAnswer(view, Settings.DataCentre,
+                                           stableHash(caller), MaxEntriesTold))
+    for (const auto &[link, member] : view.Members)
+      if (member.Row.Callers == it && takesWork(member)) {
+        out.push_back({it, member.Row.DataCentre});
+        break;
+      }
+  return out;
+}
+
+void ControlPlane::peerMentioned(const Address &peer, Generation at) {
+  if (at.Value > 0)
+    Follower.peerMentioned(peer, at);
+}
+
+void ControlPlane::review() {
+  auto now = Clock::now();
+  reviewRole();
+  if (Watches && now - StartedAt > MeetNodes)
+    Reporter.review(Follower.held(), allNodes(),
+                    [this](const TeamId &team) { return turnOf(team) == 0; });
+  if (Peers.view().Members.size() < 2 && now - ListedAt > ListAgain)
+    Directory.start();
+  Review.start(ReviewInterval);
+}
+
+void ControlPlane::reviewRole() {
+  if (Clock::now() - StartedAt < MeetPeers)
+    return;
+  auto watchers = watchersOf(Settings.DataCentre, Peers.view());
+  Watches = std::ranges::count(watchers, Settings.Link) > 0;
+  Follower.setRole(Watches ? ConfigRole::Accepts : ConfigRole::Follows);
+}
+
+std::size_t ControlPlane::turnOf(const TeamId &team) const {
+  auto order = watcherOrder(team, Peers.view());
+  auto it = std::ranges::find(order, Settings.Link);
+  return static_cast<std::size_t>(it - order.begin());
+}
+
+MemberView ControlPlane::allNodes() const {
+  MemberView all = Peers.view();
+  for (MemberRow &it : Hooks.Endpoints()) {
+    Address link = it.Link;
+    all.Members[link] = {std::move(it), MemberState::Live, {}};
+  }
+  return all;
+}
+
+void ControlPlane::takeLaterLife(Incarnation known) {
+  logWarning(Part::Host,
+             "peers remember a later life of this address, so its clock "
+             "stands back; taking a life after that one");
+  Self.Life = {known.Value + 1};
+}
+
+} // namespace greengagespar
--- a/src/entry/endpoint_links.cpp
+++ b/src/entry/endpoint_links.cpp
@@ -11,26 +11,27 @@
     : Base(base), Context(context), Self(self), Events(std::move(events)) {}
 
 void EndpointLinks::setServers(const std::vector<Server> &servers) {
-  std::unordered_map<ServerId, Address> wanted;
+  std::unordered_map<ServerId, Server> wanted;
   for (const Server &it : servers)
-    wanted[it.Id] = it.Endpoint;
+    wanted[it.Id] = it;
   for (auto &[server, link] : Links) {
     auto found = wanted.find(server);
     link.IsRetired = found == wanted.end();
     if (link.IsRetired)
       continue;
     // This may run inside a message of the link that is replaced.
-    if (found->second != link.Client->address())
+    if (found->second.Endpoint != link.Client->address())
       Closing.push_back(std::exchange(link, {}));
     else
       wanted.erase(found);
   }
-  for (const auto &[server, address] : wanted) {
+  for (const auto &[server, declared] : wanted) {
     EndpointLink &link = Links[server];
     link.Server = server;
+    link.DataCentre = declared.DataCentre;
     link.IsRetired = false;
     link.Client = std::make_unique<LinkClient>(
-        Base, Context, Self, address,
+        Base, Context, Self, declared.Endpoint,
         [this, id = server](const wire::Envelope &envelope) {
           onEnvelope(id, envelope);
         });
@@ -102,6 +103,42 @@
   }
 }
 
+void EndpointLinks::setExchange(SettingsExchange exchange) {
+  Exchange = std::move(exchange);
+}
+
+std::vector<MemberRow> EndpointLinks::rows() const {
+  std::vector<MemberRow> rows;
+  for (const auto &[server, link] : Links) {
+    if (link.State.Phase != LinkPhase::Up || !link.Life || link.IsRetired)
+      continue;
+    MemberRow row;
+    row.Host = link.Host;
+    row.Role = MemberRole::Endpoint;
+    row.Link = link.Client->address();
+    row.DataCentre = link.DataCentre;
+    row.Life = *link.Life;
+    row.Settings = link.Settings;
+    rows.push_back(std::move(row));
+  }
+  return rows;
+}
+
+void EndpointLinks::exchange(EndpointLink &link,
+                             const wire::Envelope &envelope) {
+  link.Host = {envelope.sender()};
+  link.Settings = {envelope.generation()};
+  if (Exchange.OnMentioned)
+    Exchange.OnMentioned(link.Client->address(), link.Settings);
+  if (!envelope.has_pull_settings() || !Exchange.Serve)
+    return;
+  wire::Envelope answer;
+  answer.mutable_settings()->set_generation(Self.Settings.Value);
+  answer.mutable_settings()->set_snapshot(
+      Exchange.Serve({envelope.pull_settings().newer_than()}));
+  link.Client->send(answer);
+}
+
 void EndpointLinks::onEnvelope(const ServerId &server,
                                const wire::Envelope &envelope) {
   EndpointLink *link = find(server);
@@ -121,6 +158,7 @@
     Events.OnRestored(server);
   }
   link->Life = life;
+  exchange(*link, envelope);
   if (!envelope.has_probe_answer())
     return Events.OnMessage(server, envelope);
   if (envelope.probe_answer().number() == link->ProbeNumber)
--- a/src/entry/endpoint_links.h
+++ b/src/entry/endpoint_links.h
@@ -6,6 +6,7 @@
 #define GREENGAGESPAR_ENTRY_ENDPOINT_LINKS_H
 
 #include "greengagespar/contract/contract.h"
+#include "greengagespar/host/member.h"
 #include "greengagespar/link/link.h"
 #include "greengagespar/link/liveness.h"
 #include <functional>
@@ -31,9 +32,20 @@
   std::function<void(const ServerId &, Incarnation life)> OnLost;
 };
 
+/// How endpoint processes and this entry pass settings on.
+struct SettingsExchange {
+  /// A message of the endpoint process at \p peer carried its generation.
+  std::function<void(const Address &peer, Generation at)> OnMentioned;
+  /// The settings newer than a generation, for an endpoint that asks.
+  std::function<std::string(Generation since)> Serve;
+};
+
 /// One link.
 struct EndpointLink {
   ServerId Server;
+  DataCentreId DataCentre;
+  HostId Host;         ///< As the endpoint process names itself.
+  Generation Settings; ///< The settings that it has in force.
   std::unique_ptr<LinkClient> Client;
   Liveness State;
   std::optional<Incarnation> Life;
@@ -51,6 +63,12 @@
   EndpointLinks(event_base *base, zmq::context_t &context,
                 const LinkIdentity &self, EndpointLinkEvents events);
 
+  /// Passes settings on. Until it is called none are.
+  void setExchange(SettingsExchange exchange);
+
+  /// The endpoint processes whose links are up.
+  std::vector<MemberRow> rows() const;
+
   /// Opens and closes links so that there is one to each of \p servers.
   void setServers(const std::vector<Server> &servers);
 
@@ -70,12 +88,14 @@
 
 private:
   void onEnvelope(const ServerId &server, const wire::Envelope &envelope);
+  void exchange(EndpointLink &link, const wire::Envelope &envelope);
   void probe(EndpointLink &link);
 
   event_base *Base;
   zmq::context_t &Context;
   const LinkIdentity &Self;
   EndpointLinkEvents Events;
+  SettingsExchange Exchange;
   std::unordered_map<ServerId, EndpointLink> Links;
   std::vector<EndpointLink> Closing;
 };
--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -67,6 +67,17 @@
   return body;
 }
 
+// The caller's address and port, by which callers are spread over entries.
+std::string callerOf(evhttp_request *request) {
+  evhttp_connection *connection = evhttp_request_get_connection(request);
+  if (!connection)
+    return {};
+  char *address = nullptr;
+  ev_uint16_t port = 0;
+  evhttp_connection_get_peer(connection, &address, &port);
+  return std::string(address ? address : "") + ":" + std::to_string(port);
+}
+
 Result<void> setDeadline(ActiveCall &call, evhttp_request *request,
                          std::chrono::milliseconds standard,
                          std::chrono::milliseconds most) {
@@ -86,14 +97,30 @@
     : Base(base),
       Settings(settings), Self{settings.Name, newIncarnation(), Generation{}},
       Router(base, context, Self, settings.DataCentre),
+      Control(base, context, settings, Self, controlHooks()),
       Http(base, limitsOf(settings),
            [this](evhttp_request *request) { onRequest(request); }),
       Ticker(event_new(base, -1, EV_PERSIST, onTick, this)) {}
 
 Entry::~Entry() { event_free(Ticker); }
 
+ControlPlaneHooks Entry::controlHooks() {
+  ControlPlaneHooks hooks;
+  hooks.OnContract = [this](std::shared_ptr<const Contract> contract) {
+    setContract(std::move(contract));
+  };
+  hooks.Endpoints = [this] { return Router.links().rows(); };
+  return hooks;
+}
+
 Result<void> Entry::start() {
+  Router.links().setExchange(
+      {[this](const Address &peer, Generation at) {
+         Control.peerMentioned(peer, at);
+       },
+       [this](Generation since) { return Control.serve(since); }});
   BOOST_LEAF_CHECK(Http.bind(Settings.Listen));
+  BOOST_LEAF_CHECK(Control.start());
   event_add(Ticker, &TickInterval);
   logInfo(Part::Entry, "listening on " + Settings.Listen.Value);
   return {};
@@ -105,9 +132,6 @@
   InForce = std::move(contract);
   Self.Settings = InForce->At;
   Router.setContract(*InForce);
-  logInfo(Part::Contract, "settings generation " +
-                              std::to_string(InForce->At.Value) +
-                              " is in force");
 }
 
 void Entry::leave() {
@@ -115,6 +139,7 @@
     return;
   LeavingSince = Clock::now();
   logInfo(Part::Entry, "leaving: no new work after the grace period");
+  Control.leave();
 }
 
 bool Entry::refusesNewWork() const {
@@ -147,15 +172,16 @@
     return onReady(*call->Reply);
   if (path == "/metrics")
     return onMetrics(*call->Reply);
+  std::string caller = callerOf(request);
   if (path == "/v1/entries")
-    return onEntries(*call->Reply);
+    return onEntries(*call->Reply, caller);
   bool isAdmitted = recoverFrom(
       [&]() -> Result<bool> {
         BOOST_LEAF_CHECK(admit(*call, request, path));
         return true;
       },
       [&](const Error &e) {
-        sendError(*call->Reply, e, answerRow(e.Kind).DefaultRan);
+        refuse(*call->Reply, e, caller);
         return false;
       });
   if (isAdmitted)
@@ -242,18 +268,28 @@
   return {};
 }
 
-void Entry::onEntries(CallerReply &reply) const {
-  json::object self;
-  self["address"] = Settings.Advertise.Value;
-  self["data_centre"] = Settings.DataCentre.Value;
+void Entry::onEntries(CallerReply &reply, const std::string &caller) const {
+  json::array entries;
+  for (const EntryAddress &it : Control.entriesFor(caller))
+    entries.push_back(
+        {{"address", it.Callers.Value}, {"data_centre", it.DataCentre.Value}});
   json::object out;
-  out["entries"] = json::array{std::move(self)};
+  out["entries"] = std::move(entries);
   out["keep_ms"] = Settings.AddressKeep.count();
   reply.sendWhole(200, Json, json::serialize(out));
 }
 
+void Entry::refuse(CallerReply &reply, const Error &error,
+                   const std::string &caller) const {
+  std::vector<Address> others;
+  if (error.Kind == ErrorKind::Leaving)
+    for (const EntryAddress &it : Control.entriesFor(caller))
+      others.push_back(it.Callers);
+  sendError(reply, error, answerRow(error.Kind).DefaultRan, others);
+}
+
 void Entry::onReady(CallerReply &reply) const {
-  if (!InForce)
+  if (!InForce || !Control.ready())
     return sendError(reply, {ErrorKind::NotReady, "no settings yet"}, Ran::No);
   if (LeavingSince)
     return sendError(reply, {ErrorKind::Leaving, "leaving"}, Ran::No);
@@ -272,6 +308,10 @@
   add("callers_gone_total", counters.CallersGone);
   add("stray_messages_total", counters.Strays);
   add("connections", Http.connections());
+  add("settings_generation", Self.Settings.Value);
+  add("peer_messages_total", Control.peerCounts().Messages);
+  add("peer_bytes_total", Control.peerCounts().Bytes);
+  add("platform_calls_total", totalSent(Control.platformCounts()));
   for (int i = 0; i < ErrorKindCount; ++i)
     add("calls_refused_total{kind=\"" +
             std::string(answerRow(static_cast<ErrorKind>(i)).Name) + "\"}",
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -6,6 +6,7 @@
 #define GREENGAGESPAR_ENTRY_ENTRY_H
 
 #include "call_router.h"
+#include "control_plane.h"
 #include "greengagespar/contract/contract.h"
 #include "greengagespar/entry/entry_settings.h"
 #include "http_server.h"
@@ -32,10 +33,6 @@
   /// Starts to listen. Fails when an address can't be bound.
   Result<void> start();
 
-  /// Puts accepted settings in force. Older ones than those in force are
-  /// dropped.
-  void setContract(std::shared_ptr<const Contract> contract);
-
   /// Begins a graceful shutdown: no new work after the grace period; the loop
   /// ends once the calls in progress have ended.
   void leave();
@@ -44,7 +41,11 @@
   static void onTick(int, short, void *self);
   void tick();
   void onRequest(evhttp_request *request);
-  void onEntries(CallerReply &reply) const;
+  void setContract(std::shared_ptr<const Contract> contract);
+  ControlPlaneHooks controlHooks();
+  void onEntries(CallerReply &reply, const std::string &caller) const;
+  void refuse(CallerReply &reply, const Error &error,
+              const std::string &caller) const;
   void onReady(CallerReply &reply) const;
   void onMetrics(CallerReply &reply) const;
   Result<void> admit(ActiveCall &call, evhttp_request *request,
@@ -59,6 +60,7 @@
   EntrySettings Settings;
   LinkIdentity Self;
   CallRouter Router;
+  ControlPlane Control;
   HttpServer Http;
   std::shared_ptr<const Contract> InForce;
   std::optional<Clock::time_point> LeavingSince;
--- a/src/entry/entry_settings.cpp
+++ b/src/entry/entry_settings.cpp
@@ -1,11 +1,15 @@
 #include "greengagespar/entry/entry_settings.h"
 
+#include <set>
+
 namespace greengagespar {
 
 namespace {
 
 using S = EntrySettings;
 
+constexpr std::size_t MaxPeers = 64;
+
 Schema<S> makeSchema() {
   constexpr auto required = Presence::Required;
   constexpr auto optional = Presence::Optional;
@@ -23,6 +27,9 @@
             "Address that callers are told to use; default: listen."),
       field("platform", &S::Platform, ipPort(), required,
             "Address of the platform's object API."),
+      field("peers", &S::Peers, listOfValues(ipPort(), MaxPeers), optional,
+            "Link addresses of other entries, to start by while the platform "
+            "is out."),
       field("max_body_bytes", &S::MaxBodyBytes, byteCount(KiB, 16 * MiB),
             optional, "Largest body of a request."),
       field("max_header_bytes", &S::MaxHeaderBytes, byteCount(KiB, MiB),
@@ -71,6 +78,12 @@
     settings.Advertise = settings.Listen;
   if (settings.Link == settings.Listen)
     addFinding(findings, "link", "the address of listen", "another address");
+  std::set<Address> seen{settings.Link};
+  for (std::size_t i = 0; i < settings.Peers.size(); ++i)
+    if (!seen.insert(settings.Peers[i]).second)
+      addFinding(findings, "peers[" + std::to_string(i) + "]",
+                 settings.Peers[i].Value,
+                 "an address that is neither link nor a peer before it");
 }
 
 } // namespace greengagespar
--- a/src/entry/entry_settings_test.cpp
+++ b/src/entry/entry_settings_test.cpp
@@ -36,4 +36,25 @@
   BOOST_TEST(findings.size() == 1u);
 }
 
+BOOST_AUTO_TEST_CASE(completeEntrySettings_ownOrRepeatedPeer_isRefused) {
+  EntrySettings settings = defaultEntrySettings();
+  settings.Peers = {{"127.0.0.1:7002"}, settings.Link, {"127.0.0.1:7002"}};
+  Findings findings;
+  completeEntrySettings(settings, findings);
+  BOOST_REQUIRE(findings.size() == 2u);
+  BOOST_TEST(findings[0].Path == "peers[1]");
+  BOOST_TEST(findings[1].Path == "peers[2]");
+}
+
+BOOST_AUTO_TEST_CASE(entrySettings_peers_areReadAndChecked) {
+  Findings findings;
+  EntrySettings settings;
+  auto value = writeObject(entrySettingsSchema(), defaultEntrySettings());
+  value["peers"] = boost::json::array{"127.0.0.1:7002", "no address"};
+  readObject(entrySettingsSchema(), value, "", settings, findings);
+  BOOST_REQUIRE(findings.size() == 1u);
+  BOOST_TEST(findings[0].Path == "peers[1]");
+  BOOST_TEST((settings.Peers.at(0) == Address{"127.0.0.1:7002"}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/entry/peer_links.cpp
+++ b/src/entry/peer_links.cpp
@@ -51,15 +51,14 @@
       Seeds.insert(it);
 }
 
-void PeerLinks::announce() { NextRound = {}; }
+void PeerLinks::announce() { round(); }
 
 void PeerLinks::tick() {
   auto now = Clock::now();
   if (now >= NextRound)
     round();
   else
-    std::erase_if(Unsent,
-                  [this](const Address &it) { return sendDigest(it); });
+    std::erase_if(Unsent, [this](const Address &it) { return sendDigest(it); });
   Tick.start(TickInterval);
 }
 
@@ -81,8 +80,8 @@
 void PeerLinks::sweep(Clock::time_point now) {
   SweepOutcome outcome = sweepMembers(View, now);
   for (const Address &it : outcome.Silent)
-    logWarning(Part::Host, "entry " + View.Members[it].Row.Host.Value +
-                               " at " + it.Value + " is silent");
+    logWarning(Part::Host, "entry " + View.Members[it].Row.Host.Value + " at " +
+                               it.Value + " is silent");
   // Entries that lost each other for long look for each other again.
   addSeeds(outcome.Forgotten);
   if (!outcome.Silent.empty())
@@ -191,7 +190,7 @@
   // Passed on at once, so that callers are not sent there any more.
   if (Urgent.size() < DigestRows)
     Urgent.insert(row.Link);
-  announce();
+  NextRound = {};
   return true;
 }
 
--- a/src/entry/peer_links.h
+++ b/src/entry/peer_links.h
@@ -69,7 +69,7 @@
   /// Adds link addresses from which other entries may be found.
   void addSeeds(const std::vector<Address> &seeds);
 
-  /// Begins a round at once, for example because this process is leaving.
+  /// Sends a round at once, for example because this process is leaving.
   void announce();
 
   /// Sends \p envelope to the entry at \p peer, over a new link if there is
--- a/src/include/greengagespar/base/schema.h
+++ b/src/include/greengagespar/base/schema.h
@@ -229,6 +229,37 @@
   return out;
 }
 
+/// A list of at most \p maxItems values of \p item.
+template <class M>
+Codec<std::vector<M>> listOfValues(Codec<M> item, std::size_t maxItems) {
+  Codec<std::vector<M>> codec{"a list of at most " + std::to_string(maxItems) +
+                                  ": " + item.Expected,
+                              {},
+                              {}};
+  codec.Read = [read = item.Read, maxItems, expected = codec.Expected](
+                   const boost::json::value &value, const std::string &path,
+                   std::vector<M> &out, Findings &findings) {
+    const boost::json::array *items = value.if_array();
+    if (!items || items->size() > maxItems) {
+      addFinding(findings, path,
+                 items ? std::to_string(items->size()) + " items"
+                       : describeValue(value),
+                 expected);
+      return;
+    }
+    out.assign(items->size(), M{});
+    for (std::size_t i = 0; i < items->size(); ++i)
+      read((*items)[i], path + "[" + std::to_string(i) + "]", out[i], findings);
+  };
+  codec.Write = [write = item.Write](const std::vector<M> &in) {
+    boost::json::array items;
+    for (const M &it : in)
+      items.push_back(write(it));
+    return boost::json::value(std::move(items));
+  };
+  return codec;
+}
+
 /// Reads \p value, which stands at \p path, as an object of struct S into
 /// \p out. Adds a finding for each key that is unknown, missing or not as
 /// expected; goes on after each.
--- a/src/include/greengagespar/config/config_follower.h
+++ b/src/include/greengagespar/config/config_follower.h
@@ -78,6 +78,8 @@
 
   /// The generation in force here; empty while there is none.
   std::optional<Generation> generation() const { return State.Installed; }
+  /// The settings in force here; empty while there are none.
+  const Snapshot &held() const { return Held; }
   /// Whether this process has settings good enough to serve.
   bool ready() const { return isReady(State, Clock::now()); }
 
--- a/src/include/greengagespar/entry/entry_settings.h
+++ b/src/include/greengagespar/entry/entry_settings.h
@@ -5,18 +5,21 @@
 
 #include "greengagespar/base/schema.h"
 #include "greengagespar/base/units.h"
+#include <vector>
 
 namespace greengagespar {
 
 /// What one entry process learns from its settings file. Plain value.
 struct EntrySettings {
-  HostId Name;                    ///< Unique among all entries.
-  DataCentreId DataCentre;        ///< Where it runs.
-  Address Listen;                 ///< For callers' HTTP.
-  Address Link;                   ///< For links from other processes.
-  Address Advertise;              ///< Told to callers; Listen when not given.
-  Address Platform;               ///< The platform's object API.
-  std::size_t MaxBodyBytes = MiB; ///< Of one request.
+  HostId Name;             ///< Unique among all entries.
+  DataCentreId DataCentre; ///< Where it runs.
+  Address Listen;          ///< For callers' HTTP.
+  Address Link;            ///< For links from other processes.
+  Address Advertise;       ///< Told to callers; Listen when not given.
+  Address Platform;        ///< The platform's object API.
+  /// Link addresses of other entries, to start by while the platform is out.
+  std::vector<Address> Peers;
+  std::size_t MaxBodyBytes = MiB;        ///< Of one request.
   std::size_t MaxHeaderBytes = 16 * KiB; ///< Of one request.
   int MaxConnections = 4096;             ///< Callers' connections at a time.
   std::chrono::milliseconds HeaderTimeout{10000}; ///< For a whole request.
