Cluster waits until the team's settings serve calls

Cause: an entry that starts before settings are accepted answers /readyz with 200 under generation 0; the demo had 40 to 72 retries after unknown_workspace.

--- a/testsuite/demo/demo.cpp
+++ b/testsuite/demo/demo.cpp
@@ -46,7 +46,7 @@
   int Answered = 0;
   int Wrong = 0;
   int Lost = 0;
-  int Retries = 0; ///< After an error that says the call did not run.
+  std::map<std::string, int> Retries; ///< By kind of an error without effect.
 };
 
 std::string textOf(const boost::json::object &item, std::string_view key) {
@@ -98,6 +98,19 @@
                      });
 }
 
+// Entries learn of each other over links, so the list fills up in seconds.
+std::vector<Address> waitForEntries(const Address &entry, std::size_t count) {
+  std::vector<Address> out;
+  bool all = waitUntil([&] {
+    out = listedEntries(entry);
+    return out.size() == count;
+  });
+  if (!all)
+    throw std::runtime_error(std::to_string(out.size()) + " of " +
+                             std::to_string(count) + " entries listed");
+  return out;
+}
+
 // Sends all tasks, a few at a time, to the listed entries in turn.
 class Sender {
 public:
@@ -134,7 +147,7 @@
 
   void end(const Task &task, const CallOutcome &outcome) {
     if (outcome.Result == Verdict::Refused && task.Tries < MaxTries) {
-      ++Result.Retries;
+      ++Result.Retries[outcome.ErrorKind];
       return sendLater(task);
     }
     count(task, outcome);
@@ -206,14 +219,16 @@
   std::deque<Task> tasks = readTasks(file, cluster.plan());
   cluster.start();
   std::fprintf(stderr, "demo: the entries are ready\n");
-  std::vector<Address> entries = listedEntries(cluster.address("entry-1"));
+  std::vector<Address> entries = waitForEntries(
+      cluster.address("entry-1"), cluster.named("greengagespar-entry").size());
   std::fprintf(stderr, "demo: %zu entries listed, sending %zu calls\n",
                entries.size(), tasks.size());
   Tally tally = Sender(entries, tasks).run();
   int bad = countBadBookings(cluster, tasks);
   bool ok = tally.Wrong == 0 && tally.Lost == 0 && bad == 0;
-  std::fprintf(stderr, "demo: %d retries, %d bookings not run exactly once\n",
-               tally.Retries, bad);
+  for (const auto &[kind, n] : tally.Retries)
+    std::fprintf(stderr, "demo: %d retries after %s\n", n, kind.c_str());
+  std::fprintf(stderr, "demo: %d bookings not run exactly once\n", bad);
   if (!ok)
     std::fprintf(stderr, "%s\n", cluster.diagnosis().c_str());
   std::printf("demo: %s: %d answered, %d wrong, %d lost\n",
--- a/testsuite/harness/cluster.cpp
+++ b/testsuite/harness/cluster.cpp
@@ -1,5 +1,6 @@
 #include "cluster.h"
 
+#include "greengagespar/load/calls.h"
 #include <stdexcept>
 #include <thread>
 #include <utility>
@@ -128,6 +129,9 @@
   for (const std::string &name : named("greengagespar-entry"))
     require(waitReady(name, ReadyPatience),
             name + " is not ready\n" + diagnosis());
+  for (const std::string &name : named("greengagespar-entry"))
+    require(waitServing(name, ReadyPatience),
+            name + " does not serve the team\n" + diagnosis());
 }
 
 void Cluster::start(const std::string &name) {
@@ -181,6 +185,22 @@
       patience);
 }
 
+bool Cluster::waitServing(const std::string &name, milliseconds patience) {
+  if (Plan.Workspaces.empty() || Plan.Helpers + Plan.Ledgers == 0)
+    return true;
+  load::CallSpec probe;
+  probe.Kind =
+      Plan.Ledgers > 0 ? load::CallKind::Status : load::CallKind::Draft;
+  probe.Workspace = Plan.Workspaces.front();
+  probe.Model = Plan.Group;
+  probe.Service = Plan.Service;
+  probe.Prompt = "len=1";
+  probe.Order = "none";
+  HttpRequest request = load::requestOf(probe, load::CallTarget::Entry);
+  return waitUntil([&] { return call(address(name), request).Status == 200; },
+                   patience);
+}
+
 boost::json::array Cluster::servers(const std::string &kind) const {
   boost::json::array out;
   for (const auto &[name, settings] : Settings) {
--- a/testsuite/harness/cluster.h
+++ b/testsuite/harness/cluster.h
@@ -42,7 +42,8 @@
   explicit Cluster(ClusterPlan plan);
 
   /// Starts everything, writes the team's settings into the platform, and waits
-  /// until each entry is ready. Throws std::runtime_error when one is not.
+  /// until each entry is ready and serves calls under these settings. Throws
+  /// std::runtime_error when one does not.
   void start();
 
   /// Starts one process. Precondition: it is not running.
@@ -72,6 +73,11 @@
   bool waitReady(const std::string &name,
                  std::chrono::milliseconds patience = Patience);
 
+  /// Waits until entry \p name serves a call under the team's settings: a
+  /// status check, or a draft of one token when there is no ledger.
+  bool waitServing(const std::string &name,
+                   std::chrono::milliseconds patience = Patience);
+
   /// Writes the team's settings, as the plan says, into the platform.
   void writeTeamSettings();
 
