Decide by votes which endpoint process runs the call of a key

Cause: a key's record lived in one endpoint process, so a second try at another one, or after a restart, could run the call twice. Ruled out: a platform write for each call (bookings must go on through an outage); one hash home for each key (its restart forgets); letting the newest recovery answer win and forgetting peers' lives after a restart: the model found a double run for both. Change: three holders for each key among all endpoint processes, majority of votes whose holders are sure and agree on each other's lives; recovery after a restart; a process's first life is known by an object in the platform. The entry follows a key to the server that has it.

--- a/src/base/errors.cpp
+++ b/src/base/errors.cpp
@@ -31,6 +31,7 @@
     {ErrorKind::IdempotencyKeyNeeded, "idempotency_key_needed", 428, Ran::No,
      Never},
     {ErrorKind::KeyConflict, "key_conflict", 422, Ran::No, Never},
+    {ErrorKind::KeyHeld, "key_held", 409, Ran::Unknown, Soon},
     {ErrorKind::OutcomeUnknown, "outcome_unknown", 504, Ran::Unknown, Never},
     {ErrorKind::EndpointFailed, "endpoint_failed", 502, Ran::Unknown, Soon},
     {ErrorKind::LinkDown, "link_down", 502, Ran::Unknown, Soon},
--- a/src/call/call_state.cpp
+++ b/src/call/call_state.cpp
@@ -19,7 +19,7 @@
   if (state.Attempts >= MaxAttempts)
     return refuse(state, reason, Ran::No);
   state.Phase = CallPhase::Waiting;
-  return {Dispatch{state.Server, isRetry}};
+  return {Dispatch{state.Server, isRetry, {}}};
 }
 
 // Whether another server, or the same one later, may take a refused call.
@@ -83,9 +83,21 @@
   return {Complete{}, SendCancel{}};
 }
 
+// Another server has the call of the key: an earlier attempt of the caller.
+Actions followKey(CallState &state, const Refused &event) {
+  state.MayHaveRun = true;
+  if (state.Attempts >= MaxAttempts)
+    return refuse(state, {ErrorKind::OutcomeUnknown, event.Reason.Message},
+                  Ran::Unknown);
+  state.Phase = CallPhase::Waiting;
+  return {Dispatch{{}, false, event.Holder}};
+}
+
 Actions on(CallState &state, const Refused &event) {
   if (!isAtEndpoint(state))
     return {};
+  if (event.Reason.Kind == ErrorKind::KeyHeld)
+    return followKey(state, event);
   if (!event.DidNotRun)
     state.MayHaveRun = true;
   bool mayRunAgain = event.DidNotRun || state.Repeatable == Repeat::Allowed;
--- a/src/endpoint/endpoint.cpp
+++ b/src/endpoint/endpoint.cpp
@@ -52,6 +52,8 @@
                onMessage(peer, envelope);
              }),
       Settled(base, settings, Self.Life.Value, fenceHooks()),
+      Claims(base, context, Self, settings.Server, claimHooks()),
+      Lives(base, settings, Self.Life, [this] { Claims.setFirstLife(); }),
       Target(base, settings.Upstream, settings.MaxAnswerBytes),
       Ticker(event_new(base, -1, EV_PERSIST, onTick, this)) {}
 
@@ -61,6 +63,7 @@
   BOOST_LEAF_CHECK(Server.bind(Settings.Link));
   event_add(Ticker, &TickInterval);
   Settled.start();
+  Lives.start();
   logInfo(Part::Endpoint, "listening on " + Settings.Link.Value);
   return {};
 }
@@ -82,10 +85,15 @@
   for (const auto &[id, execution] : Table.ByCall)
     if (!isFinished(*execution) && hasPassed(execution->Expires, now))
       late.push_back(execution);
-  for (const ExecutionPtr &it : late)
-    if (!it->Key)
+  for (const ExecutionPtr &it : late) {
+    if (it->State == ExecutionState::Claiming)
+      giveUpClaim(*it);
+    else if (!it->Key)
       abandon(it);
+  }
+  Claims.tick(now);
   forgetOld(Table, now, CallWindow);
+  KeptBytes = keptBytes(Table);
   Settled.tick(now);
   std::erase_if(
       Revoked, [&](const auto &it) { return it.second + RevokedWindow < now; });
@@ -113,6 +121,7 @@
   hooks.OnContract = [this](std::shared_ptr<const Contract> contract) {
     InForce = std::move(contract);
     Self.Settings = InForce->At;
+    Claims.setContract(*InForce);
   };
   hooks.OnReleased = [this](const HeldRun &held) {
     onRun(held.Peer, held.Message);
@@ -125,7 +134,7 @@
 }
 
 void Endpoint::onMessage(const PeerId &peer, const wire::Envelope &envelope) {
-  if (Settled.take(peer, envelope))
+  if (Settled.take(peer, envelope) || Claims.take(peer, envelope))
     return;
   switch (envelope.body_case()) {
   case wire::Envelope::kProbe:
@@ -196,41 +205,24 @@
     setListener(*it->second, {id, peer, run.draft().offset()});
     return flush(*it->second);
   }
-  if (refusesNewWork())
-    return refuse(peer, run.call(), ErrorKind::Leaving,
-                  "this endpoint is leaving", true);
+  if (run.service().idempotency_key().empty() ||
+      !Table.ByKey.contains(keyOf(run))) {
+    if (refusesNewWork())
+      return refuse(peer, run.call(), ErrorKind::Leaving,
+                    "this endpoint is leaving", true);
+  }
   if (!passesFence(peer, envelope))
     return;
   wire::Envelope taken;
   *taken.mutable_acknowledge()->mutable_call() = run.call();
   Server.send(peer, taken);
-  if (run.has_service() && !run.service().idempotency_key().empty())
+  if (!run.service().idempotency_key().empty())
     return runKeyed(peer, run);
   ExecutionPtr execution = makeExecution(peer, run);
   Table.ByCall[id] = execution;
   begin(execution);
 }
 
-void Endpoint::runKeyed(const PeerId &peer, const wire::Run &run) {
-  CallId id = callOf(run.call());
-  ScopedKey key{run.service().key_scope(), run.service().idempotency_key()};
-  auto it = Table.ByKey.find(key);
-  if (it == Table.ByKey.end()) {
-    ExecutionPtr execution = makeExecution(peer, run);
-    execution->Key = key;
-    execution->Fingerprint = fingerprintOf(run.service());
-    Table.ByKey[key] = execution;
-    Table.ByCall[id] = execution;
-    return begin(execution);
-  }
-  if (it->second->Fingerprint != fingerprintOf(run.service()))
-    return refuse(peer, run.call(), ErrorKind::KeyConflict,
-                  "the idempotency key was used for another request", true);
-  Table.ByCall[id] = it->second;
-  setListener(*it->second, {id, peer, 0});
-  flush(*it->second);
-}
-
 ExecutionPtr Endpoint::makeExecution(const PeerId &peer, const wire::Run &run) {
   auto execution = std::make_shared<Execution>();
   execution->Request = run;
@@ -339,9 +331,12 @@
                              const UpstreamResult &result) {
   if (isFinished(*execution))
     return;
-  if (result.Outcome == UpstreamOutcome::NotSent)
+  if (result.Outcome == UpstreamOutcome::NotSent) {
+    if (execution->Key)
+      forgetKey(*execution);
     return failWith(*execution, ErrorKind::EndpointFailed,
                     "the service does not accept connections", true);
+  }
   if (result.Outcome == UpstreamOutcome::Cut)
     return failWith(*execution, ErrorKind::EndpointFailed,
                     "the service closed the connection before its answer",
@@ -361,16 +356,16 @@
 }
 
 void Endpoint::failWith(Execution &execution, ErrorKind kind,
-                        std::string message, bool didNotRun) {
+                        std::string message, bool didNotRun,
+                        const ServerId &holder) {
   execution.State = ExecutionState::Finished;
   execution.FinishedAt = Clock::now();
   wire::Refusal refusal;
   refusal.set_kind(static_cast<std::uint32_t>(kind));
   refusal.set_message(std::move(message));
   refusal.set_did_not_run(didNotRun);
+  refusal.set_holder(holder.Value);
   execution.Failure = std::move(refusal);
-  if (didNotRun && execution.Key)
-    Table.ByKey.erase(*execution.Key);
   flush(execution);
 }
 
@@ -412,6 +407,8 @@
   auto *answer = envelope.mutable_revoke_answer();
   *answer->mutable_call() = revoke.call();
   auto it = Table.ByCall.find(id);
+  if (it != Table.ByCall.end() && it->second->State == ExecutionState::Claiming)
+    giveUpClaim(*it->second);
   bool known = it != Table.ByCall.end();
   if (!known)
     Revoked[id] = Clock::now();
--- a/src/endpoint/endpoint.h
+++ b/src/endpoint/endpoint.h
@@ -6,10 +6,12 @@
 #define GREENGAGESPAR_ENDPOINT_ENDPOINT_H
 
 #include "execution.h"
+#include "first_life.h"
 #include "greengagespar/base/clock.h"
 #include "greengagespar/base/errors.h"
 #include "greengagespar/endpoint/endpoint_settings.h"
 #include "greengagespar/link/link.h"
+#include "key_claims.h"
 #include "settings_fence.h"
 #include "upstream.h"
 #include <unordered_map>
@@ -50,7 +52,15 @@
   void onSetPriority(const wire::SetPriority &change);
 
   bool refusesNewWork() const;
+  KeyClaimHooks claimHooks();
   void runKeyed(const PeerId &peer, const wire::Run &run);
+  void joinKeyed(const PeerId &peer, const wire::Run &run,
+                 const ExecutionPtr &execution);
+  ExecutionPtr findClaiming(const KeyClaim &claim);
+  void onClaimWon(const KeyClaim &claim);
+  void onClaimLost(const KeyClaim &claim, const KeyClaim &rival);
+  void giveUpClaim(Execution &execution);
+  void forgetKey(Execution &execution);
   ExecutionPtr makeExecution(const PeerId &peer, const wire::Run &run);
   void begin(const ExecutionPtr &execution);
   void beginDraft(const ExecutionPtr &execution);
@@ -63,7 +73,7 @@
                      const UpstreamResult &result);
   void finishWith(Execution &execution, wire::End end);
   void failWith(Execution &execution, ErrorKind kind, std::string message,
-                bool didNotRun);
+                bool didNotRun, const ServerId &holder = {});
   void flush(Execution &execution);
   void flushTo(const Execution &execution, Listener &listener);
   void refuse(const PeerId &peer, const wire::CallRef &call, ErrorKind kind,
@@ -78,9 +88,12 @@
   LinkServer Server;
   SettingsFence Settled;
   std::shared_ptr<const Contract> InForce;
+  KeyClaims Claims;
+  FirstLife Lives;
   Upstream Target;
   ExecutionTable Table;
   std::unordered_map<CallId, Clock::time_point> Revoked;
+  std::size_t KeptBytes = 0; ///< Of keyed calls; counted on each tick.
   std::optional<Clock::time_point> LeavingSince;
   event *Ticker;
 };
--- a/src/endpoint/execution.cpp
+++ b/src/endpoint/execution.cpp
@@ -18,6 +18,16 @@
   return n;
 }
 
+std::size_t keptBytes(const ExecutionTable &table) {
+  std::size_t n = 0;
+  for (const auto &[key, execution] : table.ByKey) {
+    n += key.Scope.size() + key.Key.size();
+    n += execution->Request.service().body().size();
+    n += execution->Answer ? execution->Answer->body().size() : 0;
+  }
+  return n;
+}
+
 void setListener(Execution &execution, const Listener &listener) {
   for (Listener &it : execution.Listeners) {
     if (it.Call == listener.Call) {
--- a/src/endpoint/execution.h
+++ b/src/endpoint/execution.h
@@ -6,6 +6,7 @@
 
 #include "greengagespar/base/clock.h"
 #include "greengagespar/base/ids.h"
+#include "greengagespar/call/key_votes.h"
 #include "greengagespar/link/link.h"
 #include "upstream.h"
 #include <map>
@@ -17,14 +18,6 @@
 
 namespace greengagespar {
 
-/// A key that a caller gave to a call that may not be repeated, with the scope
-/// inside which it is unique.
-struct ScopedKey {
-  std::string Scope;
-  std::string Key;
-  auto operator<=>(const ScopedKey &) const = default;
-};
-
 /// Where an execution stands.
 enum class ExecutionState {
   Claiming, ///< Waits for votes on its key; has not run.
@@ -54,7 +47,7 @@
   std::optional<wire::Refusal> Failure;
   std::vector<Listener> Listeners;
   Clock::time_point FinishedAt;
-  std::uint64_t ClaimAttempt = 0; ///< Names this claim among the process's own.
+  std::optional<KeyClaim> Claim; ///< On the key, while there is one.
 };
 
 using ExecutionPtr = std::shared_ptr<Execution>;
@@ -63,7 +56,6 @@
 struct ExecutionTable {
   std::unordered_map<CallId, ExecutionPtr> ByCall;
   std::map<ScopedKey, ExecutionPtr> ByKey;
-  std::size_t AnswerBytes = 0; ///< Bytes of kept answers of keyed calls.
 };
 
 /// Returns the hash that tells whether a key is used for the same request.
@@ -74,6 +66,14 @@
   return execution.State == ExecutionState::Finished;
 }
 
+/// Returns the key of a call that may not be repeated.
+inline ScopedKey keyOf(const wire::Run &run) {
+  return {run.service().key_scope(), run.service().idempotency_key()};
+}
+
+/// Bytes that the kept answers of keyed calls take, without the tables.
+std::size_t keptBytes(const ExecutionTable &table);
+
 /// Number of executions that have no outcome yet.
 std::size_t countUnfinished(const ExecutionTable &table);
 
@@ -81,7 +81,7 @@
 void setListener(Execution &execution, const Listener &listener);
 
 /// Forgets what finished longer ago than \p callWindow (by call) and than the
-/// key's own window (by key), and the oldest answers over \p maxBytes.
+/// key's own window (by key).
 void forgetOld(ExecutionTable &table, Clock::time_point now,
                Clock::duration callWindow);
 
--- a/src/entry/active_call.h
+++ b/src/entry/active_call.h
@@ -36,6 +36,7 @@
 
   bool IsWaiting = false; ///< For a server that can take it.
   ServerId Avoid;         ///< The server that failed it last.
+  ServerId Only;          ///< Not empty: the one server that has its key.
   /// Set when an endpoint process refused the call because its own settings
   /// are of this newer generation. The call waits for them, or for a while.
   std::optional<Generation> Needs;
--- a/src/entry/call_router.cpp
+++ b/src/entry/call_router.cpp
@@ -61,7 +61,8 @@
   case wire::Envelope::kRefusal:
     return Refused{
         {kindOf(envelope.refusal().kind()), envelope.refusal().message()},
-        envelope.refusal().did_not_run()};
+        envelope.refusal().did_not_run(),
+        {envelope.refusal().holder()}};
   case wire::Envelope::kRevokeAnswer:
     return RevokeAnswered{envelope.revoke_answer().revoked()};
   default:
@@ -197,6 +198,7 @@
   // Newer settings than this entry's are no fault of the server. The next tick
   // tries again, once they are in force here.
   call.Avoid = call.Needs ? ServerId{} : action.Avoid;
+  call.Only = action.Only;
   call.IsWaiting = call.Needs || !trySend(call);
 }
 
@@ -218,6 +220,8 @@
 }
 
 std::optional<ServerId> CallRouter::chooseServer(const ActiveCall &call) {
+  if (!call.Only.Value.empty())
+    return call.Only;
   return call.State.Repeatable == Repeat::Keyed ? chooseKeyedServer(call)
                                                 : chooseDraftServer(call);
 }
--- a/src/include/greengagespar/base/errors.h
+++ b/src/include/greengagespar/base/errors.h
@@ -30,6 +30,7 @@
   StaleSettings,    ///< The sender's settings are older than the receiver's.
   IdempotencyKeyNeeded, ///< The call may not be repeated and has no key.
   KeyConflict,          ///< The same key was used for another request.
+  KeyHeld,              ///< Another server has the call of the key.
   OutcomeUnknown,       ///< The call may or may not have run.
   EndpointFailed,      ///< The engine or plain service answered with a failure.
   LinkDown,            ///< A link to another process is down or silent.
--- a/src/include/greengagespar/call/call_state.h
+++ b/src/include/greengagespar/call/call_state.h
@@ -70,6 +70,7 @@
 struct Refused {
   Error Reason;
   bool DidNotRun = false;
+  ServerId Holder; ///< The server that has the call's key, with KeyHeld.
 };
 /// The answer to a revoke.
 struct RevokeAnswered {
@@ -96,6 +97,7 @@
 struct Dispatch {
   ServerId Avoid;
   bool IsRetry = false; ///< Counts against the retry budget.
+  ServerId Only;        ///< Not empty: send it to this server only.
 };
 /// Ask the endpoint process for the messages from Received on.
 struct AskResume {};
