--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -127,7 +127,10 @@
 }
 
 void Entry::setContract(std::shared_ptr<const Contract> contract) {
-  if (InForce && contract->At <= InForce->At)
+  // Before the first settings are accepted there is nothing to serve, and a
+  // caller must not hear that what it asks for is not declared.
+  bool isEmpty = contract->At.Value == 0;
+  if (isEmpty || (InForce && contract->At <= InForce->At))
     return;
   InForce = std::move(contract);
   Self.Settings = InForce->At;
--- a/testsuite/harness/cluster.cpp
+++ b/testsuite/harness/cluster.cpp
@@ -12,6 +12,7 @@
 
 constexpr milliseconds ReadyPatience{15000};
 constexpr std::size_t DiagnosisBytes = 1500;
+constexpr const char *EntryProgram = "greengagespar-entry";
 
 std::string local(int port) { return "127.0.0.1:" + std::to_string(port); }
 
@@ -57,7 +58,7 @@
 
 void Cluster::addEntry(const std::string &name, const std::string &dataCentre) {
   Node node;
-  node.Program = "greengagespar-entry";
+  node.Program = EntryProgram;
   node.DataCentre = dataCentre;
   node.Port = freePort();
   node.LinkPort = freePort();
@@ -99,12 +100,22 @@
   return it == RelayPorts.end() ? Nodes.at(name).Port : it->second;
 }
 
+boost::json::array Cluster::linksWithout(const std::string &name) const {
+  boost::json::array links;
+  for (const std::string &it : named(EntryProgram))
+    if (it != name)
+      links.emplace_back(link(it).Value);
+  return links;
+}
+
 void Cluster::rewriteSettings() {
   for (const auto &[name, settings] : Settings) {
     boost::json::object out = settings;
     out["platform"] = local(reachedPort("platform"));
     if (const auto *it = settings.if_contains("upstream"))
       out["upstream"] = local(reachedPort(std::string(it->as_string())));
+    if (Plan.EntriesKnowPeers && Nodes.at(name).Program == EntryProgram)
+      out["peers"] = linksWithout(name);
     writeFile(Dir.path() / (name + ".json"), boost::json::serialize(out));
   }
 }
@@ -124,9 +135,10 @@
       start(name);
   writeTeamSettings();
   for (const auto &[name, settings] : Settings)
-    start(name);
-  for (const std::string &name : named("greengagespar-entry"))
-    require(waitReady(name, ReadyPatience),
+    if (!Plan.StartLater.contains(name))
+      start(name);
+  for (const std::string &name : named(EntryProgram))
+    require(Plan.StartLater.contains(name) || waitReady(name, ReadyPatience),
             name + " is not ready\n" + diagnosis());
 }
 
@@ -181,6 +193,23 @@
       patience);
 }
 
+std::uint64_t Cluster::generation(const std::string &name) {
+  std::string text = get(address(name), "/metrics").Body;
+  std::string key = "greengagespar_settings_generation ";
+  auto at = text.find(key);
+  return at == std::string::npos ? 0
+                                 : std::stoull(text.substr(at + key.size()));
+}
+
+std::set<std::string> Cluster::listedBy(const std::string &name) {
+  std::set<std::string> out;
+  boost::json::value value = jsonOf(get(address(name), "/v1/entries"));
+  if (value.is_object())
+    for (const auto &it : value.at("entries").as_array())
+      out.emplace(it.at("address").as_string());
+  return out;
+}
+
 boost::json::array Cluster::servers(const std::string &kind) const {
   boost::json::array out;
   for (const auto &[name, settings] : Settings) {
--- a/testsuite/harness/cluster.h
+++ b/testsuite/harness/cluster.h
@@ -9,7 +9,9 @@
 #include "process.h"
 
 #include <boost/json.hpp>
+#include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -29,7 +31,9 @@
   std::vector<std::string> PlatformArgs;
   std::vector<std::string> EngineArgs = {"--step-ms", "2"};
   std::vector<std::string> LedgerArgs;
-  boost::json::object EntrySettings;    ///< Added to each entry's settings.
+  std::set<std::string> StartLater;  ///< Processes that start() leaves out.
+  bool EntriesKnowPeers = false;     ///< Each entry's settings name the others.
+  boost::json::object EntrySettings; ///< Added to each entry's settings.
   boost::json::object EndpointSettings; ///< Added to each endpoint's settings.
 };
 
@@ -72,6 +76,13 @@
   bool waitReady(const std::string &name,
                  std::chrono::milliseconds patience = Patience);
 
+  /// Returns the generation of the settings in force at entry \p name; 0 when
+  /// there are none or it does not answer.
+  std::uint64_t generation(const std::string &name);
+
+  /// Returns the addresses that entry \p name tells callers.
+  std::set<std::string> listedBy(const std::string &name);
+
   /// Writes the team's settings, as the plan says, into the platform.
   void writeTeamSettings();
 
@@ -119,6 +130,7 @@
                    const std::string &upstream, const std::string &kind);
   void addProgram(const std::string &name, Node node,
                   boost::json::object settings);
+  boost::json::array linksWithout(const std::string &name) const;
   void rewriteSettings();
   boost::json::array servers(const std::string &kind) const;
   int reachedPort(const std::string &name) const;
