--- a/src/include/greengagespar/route/endpoint_view.h
+++ b/src/include/greengagespar/route/endpoint_view.h
@@ -9,6 +9,8 @@
 #include "greengagespar/base/clock.h"
 #include "greengagespar/base/errors.h"
 #include "greengagespar/contract/contract.h"
+#include "greengagespar/route/concurrency.h"
+#include "greengagespar/route/priority.h"
 #include <chrono>
 #include <optional>
 #include <vector>
@@ -39,12 +41,15 @@
   std::chrono::microseconds OneWay{0}; ///< One-way network latency to it.
   int Slots = 16;                      ///< Slots that the contract declares.
   int InFlight = 0;                    ///< This entry's calls on it.
-  std::optional<LoadReport> Report;    ///< The newest load report.
-  int InFlightAtReport = 0;    ///< This entry's calls when the report came.
-  double LatencyMs = 0;        ///< Decayed mean of answer latency; see Samples.
-  int Samples = 0;             ///< Answers in LatencyMs, capped.
-  double FailureShare = 0;     ///< Decayed share of calls that failed, 0 to 1.
-  int Outcomes = 0;            ///< Outcomes in FailureShare, capped.
+  int LongInFlight = 0;                ///< Those of them that are long.
+  bool Preempts = false; ///< Its engine gives slots by priority at once.
+  ConcurrencyLimit Limit{16, 16};   ///< How many it may have there.
+  std::optional<LoadReport> Report; ///< The newest load report.
+  double Others = 0;       ///< Decayed mean of the other entries' calls on it.
+  double LatencyMs = 0;    ///< Decayed mean of answer latency; see Samples.
+  int Samples = 0;         ///< Answers in LatencyMs, capped.
+  double FailureShare = 0; ///< Decayed share of calls that failed, 0 to 1.
+  int Outcomes = 0;        ///< Outcomes in FailureShare, capped.
   int ConsecutiveFailures = 0; ///< Failures since the last answer.
   bool Silent = false;         ///< Its link is down or misses heartbeats.
   Standing State = Standing::Good;
@@ -69,8 +74,10 @@
 /// Notes that a call ended without evidence, as when its caller went away.
 void noteAbandoned(EndpointView &view);
 
-/// Notes a load report. A report older than the one held is dropped.
-void noteReport(EndpointView &view, const LoadReport &report);
+/// Notes a load report and adjusts the entry's limit to it. A report older than
+/// the one held is dropped.
+void noteReport(EndpointView &view, const LoadReport &report,
+                Clock::time_point now);
 
 /// Notes that the link to the server is silent, or speaks again. Calls in
 /// flight are settled by their own noteFailure.
@@ -84,6 +91,13 @@
 /// choice or on a timer. \p views are the servers of one group or service.
 void reviewStanding(std::vector<EndpointView> &views, Clock::time_point now);
 
+/// Notes that \p change streams of this entry on \p view became long, or that
+/// long ones ended when it is negative.
+void noteLong(EndpointView &view, int change);
+
+/// Returns the slots of \p view as this entry counts them.
+ServerSlots slotsOf(const EndpointView &view);
+
 /// Whether \p kind is evidence that the server or its link is faulty.
 bool isServerFault(ErrorKind kind);
 
