Add the planner of expert placement and its measurement

Cause: expert popularity drifts, and the slowest rank sets the pace of a step. Change: decayed loads with their sampling noise, placement with replicas, the skew model, an incremental planner, a full re-pack by longest processing time for comparison, and measure-map over a seeded drift. Ruled out: acting on the estimated skew alone.

--- /dev/null
+++ b/src/include/greengagespar/group/loads.h
@@ -0,0 +1,58 @@
+/// \file
+/// Expert loads: decayed token counts of each expert and the sampling noise of
+/// these counts.
+#ifndef GREENGAGESPAR_GROUP_LOADS_H
+#define GREENGAGESPAR_GROUP_LOADS_H
+
+#include "greengagespar/group/shape.h"
+#include <array>
+#include <chrono>
+#include <vector>
+
+namespace greengagespar {
+
+/// Tokens sent to one expert of one layer.
+struct ExpertLoad {
+  double Tokens = 0;   ///< Decayed sum of the counts of all periods.
+  double Variance = 0; ///< Variance of Tokens if counts were Poisson.
+  double Last = 0;     ///< Count of the latest period.
+};
+
+/// Periods whose dispersions are remembered.
+inline constexpr std::size_t DispersionWindow = 5;
+
+/// Loads of all experts of a group. Not thread safe while being updated.
+struct LoadTable {
+  GroupShape Shape;
+  std::chrono::seconds HalfLife{300}; ///< A count weighs half after this time.
+  std::vector<ExpertLoad> Loads;      ///< By layer, then by expert.
+  std::size_t Periods = 0;            ///< Periods added so far.
+  /// Variance over mean of period counts, by period modulo the window.
+  std::array<double, DispersionWindow> Dispersions{};
+};
+
+/// Makes a table without counts. \p halfLife is over 0.
+LoadTable makeLoadTable(const GroupShape &shape, std::chrono::seconds halfLife);
+
+/// Adds the token counts of one period of length \p period, by layer then by
+/// expert. Older counts are multiplied by 2^(-period/HalfLife).
+/// Precondition: as many counts as the shape has experts in all layers.
+void addPeriod(LoadTable &table, const std::vector<double> &counts,
+               std::chrono::milliseconds period);
+
+/// Returns the load of \p expert in \p layer.
+inline const ExpertLoad &loadOf(const LoadTable &table, Layer layer,
+                                Expert expert) {
+  return table.Loads[indexOf(layer) * table.Shape.Experts + indexOf(expert)];
+}
+
+/// Returns variance over mean of the counts of a period, at least 1 (Poisson).
+/// It is the median over the last DispersionWindow periods of the median over
+/// experts of (n1-n0)^2/(n1+n0), divided by the median of the chi-squared
+/// distribution with one degree of freedom. Differences of neighbouring
+/// periods cancel slow drift; the outer median ignores one sudden jump.
+double dispersionOf(const LoadTable &table);
+
+} // namespace greengagespar
+
+#endif // GREENGAGESPAR_GROUP_LOADS_H
--- /dev/null
+++ b/testsuite/map/measure_map.cpp
@@ -0,0 +1,212 @@
+/// \file
+/// Measures the planner: step-time skew and bytes moved under seeded drift, for
+/// each way of rebalancing, and the time of one plan. All ways see the same
+/// counts and take effect at the start of the next period, which favours the
+/// full re-pack, whose fetches take longest. The last line is one JSON object.
+/// Pause of a switch and recovery need real processes and are null here.
+#include "drift.h"
+#include "greengagespar/group/planner.h"
+#include <CLI/CLI.hpp>
+#include <algorithm>
+#include <array>
+#include <boost/json.hpp>
+#include <chrono>
+#include <cmath>
+#include <iostream>
+#include <numeric>
+#include <vector>
+
+using namespace greengagespar;
+using namespace greengagespar::testing;
+
+namespace {
+
+constexpr std::chrono::seconds HalfLife{300};
+// Periods that set the first placement and are not measured.
+constexpr std::size_t WarmUpPeriods = 4;
+constexpr std::size_t StepsPerPeriod = 8;
+constexpr std::size_t PlanRepeats = 5;
+
+enum Way : std::size_t { Never, FullRepack, Ours, LowerBound, WayCount };
+
+constexpr std::array<const char *, WayCount> WayNames = {"never", "full_repack",
+                                                         "ours", "lower_bound"};
+
+// What one way did under one drift.
+struct WayRecord {
+  Placement Current;
+  std::vector<double> Skews;
+  std::uint64_t Bytes = 0;
+  std::size_t Switches = 0;
+};
+
+using WayRecords = std::array<WayRecord, WayCount>;
+
+struct PlanTimes {
+  double WorstMs = 0;
+};
+
+double elapsedMs(std::chrono::steady_clock::time_point since) {
+  return std::chrono::duration<double, std::milli>(
+             std::chrono::steady_clock::now() - since)
+      .count();
+}
+
+Plan timedPlan(const LoadTable &loads, const Placement &placement,
+               const PlanLimits &limits, PlanTimes &times) {
+  auto start = std::chrono::steady_clock::now();
+  Plan plan = planIncremental(loads, placement, limits);
+  times.WorstMs = std::max(times.WorstMs, elapsedMs(start));
+  return plan;
+}
+
+void switchTo(WayRecord &record, Placement next, const PlanLimits &limits) {
+  std::size_t fetches = countFetches(record.Current, next);
+  record.Bytes += fetches * limits.ExpertBytes;
+  record.Switches += fetches > 0 ? 1 : 0;
+  record.Current = std::move(next);
+}
+
+void rebalance(WayRecords &records, const LoadTable &loads,
+               const PlanLimits &limits, PlanTimes &times) {
+  switchTo(records[FullRepack], packLongestFirst(loads), limits);
+  Plan plan = timedPlan(loads, records[Ours].Current, limits, times);
+  if (plan.Moves.empty())
+    return;
+  Placement next =
+      recoverFrom([&] { return applyMoves(records[Ours].Current, plan.Moves); },
+                  [&](const Error &e) {
+                    std::cerr << "plan does not fit: " << e.Message << "\n";
+                    return records[Ours].Current;
+                  });
+  switchTo(records[Ours], std::move(next), limits);
+}
+
+void measureSteps(WayRecords &records, Drift &drift) {
+  for (std::size_t s = 0; s < StepsPerPeriod; ++s) {
+    std::vector<double> tokens = drawStep(drift);
+    for (std::size_t w = 0; w < LowerBound; ++w)
+      records[w].Skews.push_back(stepSkew(records[w].Current, tokens));
+    // Perfectly divisible load: the slowest rank is the mean rank.
+    records[LowerBound].Skews.push_back(1);
+  }
+}
+
+WayRecords runDrift(const GroupShape &shape, const DriftOptions &options,
+                    const PlanLimits &limits, PlanTimes &times) {
+  Drift drift = makeDrift(shape, options);
+  LoadTable loads = makeLoadTable(shape, HalfLife);
+  std::chrono::milliseconds length(
+      static_cast<long>(options.PeriodSeconds * 1000));
+  WayRecords records;
+  for (std::size_t p = 0; p < options.Periods; ++p) {
+    startPeriod(drift, p);
+    if (p >= WarmUpPeriods)
+      measureSteps(records, drift);
+    addPeriod(loads, drawPeriod(drift), length);
+    if (p + 1 < WarmUpPeriods)
+      continue;
+    if (p + 1 == WarmUpPeriods)
+      for (WayRecord &it : records)
+        it.Current = packLongestFirst(loads);
+    rebalance(records, loads, limits, times);
+  }
+  return records;
+}
+
+double meanOf(const std::vector<double> &values) {
+  return std::accumulate(values.begin(), values.end(), 0.0) /
+         static_cast<double>(values.size());
+}
+
+double percentile99(std::vector<double> values) {
+  std::sort(values.begin(), values.end());
+  return values[values.size() * 99 / 100];
+}
+
+double rounded(double value) { return std::round(value * 1e4) / 1e4; }
+
+// Worst time of a plan at the target size after all popularities changed.
+double measurePlan256(std::uint64_t seed, const PlanLimits &limits) {
+  GroupShape shape{256, 64, 60, 2};
+  PlanTimes times;
+  for (std::size_t i = 0; i < PlanRepeats; ++i) {
+    LoadTable loads = makeLoadTable(shape, HalfLife);
+    DriftOptions options;
+    options.Seed = seed + 2 * i;
+    Drift before = makeDrift(shape, options);
+    startPeriod(before, 0);
+    addPeriod(loads, drawPeriod(before), std::chrono::seconds(300));
+    Placement placement = packLongestFirst(loads);
+    options.Seed = seed + 2 * i + 1;
+    Drift after = makeDrift(shape, options);
+    loads = makeLoadTable(shape, HalfLife);
+    for (std::size_t p = 0; p < limits.MinPeriods; ++p) {
+      startPeriod(after, 0);
+      addPeriod(loads, drawPeriod(after), std::chrono::seconds(300));
+    }
+    Plan plan = timedPlan(loads, placement, limits, times);
+    std::cout << "plan after all changed: " << planReasonName(plan.Reason)
+              << ", " << plan.Moves.size() << " moves, skew " << plan.SkewBefore
+              << " to " << plan.SkewAfter << "\n";
+  }
+  return times.WorstMs;
+}
+
+} // namespace
+
+int main(int argc, char **argv) {
+  CLI::App app{"Measures the expert-map planner under seeded drift."};
+  std::uint64_t seed = 1;
+  GroupShape shape{256, 64, 60, 2};
+  DriftOptions options;
+  PlanLimits limits;
+  app.add_option("--seed", seed, "Seed of the drift");
+  app.add_option("--ranks", shape.Ranks, "Ranks of the group");
+  app.add_option("--experts", shape.Experts, "Experts of a layer");
+  app.add_option("--layers", shape.Layers, "Layers with experts");
+  app.add_option("--slots", shape.SlotsPerLayer, "Slots per rank and layer");
+  app.add_option("--periods", options.Periods, "Periods of each drift");
+  app.add_option("--fluctuation", options.PeriodFluctuation,
+                 "Deviation of log popularity between periods");
+  app.add_option("--trigger", limits.TriggerSkew, "Skew that starts a plan");
+  app.add_option("--target", limits.TargetSkew, "Skew that a plan aims at");
+  CLI11_PARSE(app, argc, argv);
+  options.Seed = seed;
+
+  boost::json::object means;
+  boost::json::object tails;
+  boost::json::object moved;
+  PlanTimes times;
+  for (DriftKind kind :
+       {DriftKind::SlowRotation, DriftKind::SuddenJump, DriftKind::NoiseOnly}) {
+    options.Kind = kind;
+    WayRecords records = runDrift(shape, options, limits, times);
+    boost::json::object mean;
+    boost::json::object tail;
+    boost::json::object bytes;
+    for (std::size_t w = 0; w < WayCount; ++w) {
+      const WayRecord &it = records[w];
+      mean[WayNames[w]] = rounded(meanOf(it.Skews));
+      tail[WayNames[w]] = rounded(percentile99(it.Skews));
+      bytes[WayNames[w]] = it.Bytes;
+      std::cout << driftName(kind) << " " << WayNames[w] << ": skew mean "
+                << meanOf(it.Skews) << ", p99 " << percentile99(it.Skews)
+                << ", bytes " << it.Bytes << ", switches " << it.Switches
+                << "\n";
+    }
+    means[driftName(kind)] = mean;
+    tails[driftName(kind)] = tail;
+    moved[driftName(kind)] = bytes;
+  }
+  double planMs = measurePlan256(seed, limits);
+  std::cout << "worst plan under drift: " << times.WorstMs << " ms\n"
+            << "switch_pause_p99_ms, recover_ms: need real processes, null\n";
+  boost::json::object all{
+      {"mixed_steps", nullptr}, {"switch_pause_p99_ms", nullptr},
+      {"skew_mean", means},     {"skew_p99", tails},
+      {"bytes_moved", moved},   {"plan_ms_256", rounded(planMs)},
+      {"recover_ms", nullptr},  {"seed", seed}};
+  std::cout << boost::json::serialize(all) << std::endl;
+  return 0;
+}
