Speed up the search of a layer

Cause: each step of a layer's search weighed all experts and ranks anew, and layers were searched far beyond what the staging slots can take. Change: six experts that may give up a replica and eight cool ranks, chosen anew every eight steps; a layer's search ends at twice its share of the staging slots.

--- a/src/group/layer_search.cpp
+++ b/src/group/layer_search.cpp
@@ -1,11 +1,20 @@
 #include "greengagespar/group/layer_search.h"
 
 #include <algorithm>
+#include <numeric>
+#include <utility>
 
 namespace greengagespar::detail {
 
 namespace {
 
+// Steps after which the candidates are chosen anew.
+constexpr std::size_t RefreshSteps = 8;
+// Experts that are considered for giving up a replica.
+constexpr std::size_t DropChoices = 6;
+// Ranks that are considered as partners of an exchange.
+constexpr std::size_t PartnerChoices = 8;
+
 double replicaTokens(const LayerSearch &search, std::size_t expert,
                      std::size_t replicas) {
   return replicas == 0 ? 0
@@ -37,21 +46,62 @@
   return sum;
 }
 
-// Tries one more replica of expert in place of any replica that can go.
+// The rise of the load of each other replica when one of expert goes.
+double riseWithoutOne(const LayerSearch &search, std::size_t expert) {
+  std::size_t n = search.Holders[expert].size();
+  return replicaTokens(search, expert, n - 1) -
+         replicaTokens(search, expert, n);
+}
+
+// Experts, the empty one included, of which a replica can go, those that cost
+// the least excess first; at most DropChoices.
+std::vector<std::size_t> cheapestDrops(const LayerSearch &search) {
+  struct Choice {
+    double Excess = 0;
+    double Rise = 0;
+    std::size_t ExpertIndex = 0;
+    bool operator<(const Choice &other) const {
+      return std::pair(Excess, Rise) < std::pair(other.Excess, other.Rise);
+    }
+  };
+  std::vector<Choice> choices;
+  choices.reserve(search.Experts + 1);
+  for (std::size_t e = 0; e < search.Experts; ++e) {
+    if (search.Holders[e].size() < 2)
+      continue;
+    double rise = riseWithoutOne(search, e);
+    double sum = 0;
+    for (std::size_t r : search.Holders[e])
+      sum += excess(search, search.Load[r] + rise) -
+             excess(search, search.Load[r]);
+    choices.push_back({sum, rise, e});
+  }
+  if (!search.Holders[search.Experts].empty())
+    choices.push_back({0, 0, search.Experts});
+  std::size_t n = std::min(choices.size(), DropChoices);
+  std::partial_sort(choices.begin(), choices.begin() + static_cast<long>(n),
+                    choices.end());
+  std::vector<std::size_t> drops;
+  drops.reserve(n);
+  for (std::size_t i = 0; i < n; ++i)
+    drops.push_back(choices[i].ExpertIndex);
+  return drops;
+}
+
+// Tries one more replica of expert in place of a replica that can go.
 void tryReplacements(const LayerSearch &search, std::size_t expert,
                      LayerStep &best) {
   std::vector<double> load = search.Load;
   double spreadChange = spread(search, expert, load);
   double added =
       replicaTokens(search, expert, search.Holders[expert].size() + 1);
-  for (std::size_t drop = 0; drop <= search.Experts; ++drop) {
+  for (std::size_t drop : search.Drops) {
     const std::vector<std::size_t> &ranks = search.Holders[drop];
-    bool empty = drop == search.Experts;
-    if (drop == expert || (!empty && ranks.size() < 2))
+    bool last = drop != search.Experts && ranks.size() < 2;
+    if (drop == expert || last)
       continue;
     double now = replicaTokens(search, drop, ranks.size());
-    double rise =
-        empty ? 0 : replicaTokens(search, drop, ranks.size() - 1) - now;
+    double rise = riseWithoutOne(search, drop);
     double all = spreadChange;
     for (std::size_t r : ranks)
       all += excess(search, load[r] + rise) - excess(search, load[r]);
@@ -66,21 +116,33 @@
   }
 }
 
-// Tries to exchange the replica of expert on the slowest rank.
+// The least loaded ranks, at most PartnerChoices.
+std::vector<std::size_t> coolestRanks(const LayerSearch &search) {
+  std::vector<std::size_t> ranks(search.Ranks);
+  std::iota(ranks.begin(), ranks.end(), 0U);
+  std::size_t n = std::min(ranks.size(), PartnerChoices);
+  std::partial_sort(ranks.begin(), ranks.begin() + static_cast<long>(n),
+                    ranks.end(), [&](std::size_t a, std::size_t b) {
+                      return search.Load[a] < search.Load[b];
+                    });
+  ranks.resize(n);
+  return ranks;
+}
+
+// Tries to exchange a replica of expert on rank hot with one of a cool rank.
 void tryExchanges(const LayerSearch &search, std::size_t hot,
                   std::size_t expert, LayerStep &best) {
   double tokens = replicaTokens(search, expert, search.Holders[expert].size());
   double before = excess(search, search.Load[hot]);
-  for (std::size_t other = 0; other < search.Experts; ++other) {
-    if (holds(search, hot, other))
-      continue;
-    double fall =
-        tokens - replicaTokens(search, other, search.Holders[other].size());
-    if (fall <= 0)
+  for (std::size_t r : search.Partners) {
+    if (holds(search, r, expert))
       continue;
-    for (std::size_t r : search.Holders[other]) {
-      if (holds(search, r, expert))
+    for (std::size_t s = 0; s < search.Width; ++s) {
+      std::size_t other = search.Slots[r * search.Width + s];
+      if (other == search.Experts || holds(search, hot, other))
         continue;
+      double fall =
+          tokens - replicaTokens(search, other, search.Holders[other].size());
       double gain = before + excess(search, search.Load[r]) -
                     excess(search, search.Load[hot] - fall) -
                     excess(search, search.Load[r] + fall);
@@ -112,14 +174,37 @@
     search.Load[r] += factor * tokens;
 }
 
+void refresh(LayerSearch &search) {
+  search.Drops = cheapestDrops(search);
+  search.Partners = coolestRanks(search);
+  search.StepsSinceRefresh = 0;
+}
+
+// Finds the best step at the slowest rank with the candidates of the state.
+LayerStep tryAll(const LayerSearch &search) {
+  auto slowest = std::max_element(search.Load.begin(), search.Load.end());
+  auto hot = static_cast<std::size_t>(slowest - search.Load.begin());
+  LayerStep best;
+  for (std::size_t s = 0; s < search.Width; ++s) {
+    std::size_t expert = search.Slots[hot * search.Width + s];
+    if (expert == search.Experts)
+      continue;
+    tryReplacements(search, expert, best);
+    tryExchanges(search, hot, expert, best);
+  }
+  return best;
+}
+
 } // namespace
 
 LayerSearch makeLayerSearch(const GroupShape &shape,
                             std::span<const Expert> slots,
                             std::span<const double> tokens, double limit) {
-  LayerSearch search{
-      shape.Ranks, shape.Experts, shape.SlotsPerLayer, {}, {}, {}, {},
-      {},          limit};
+  LayerSearch search;
+  search.Ranks = shape.Ranks;
+  search.Experts = shape.Experts;
+  search.Width = shape.SlotsPerLayer;
+  search.Limit = limit;
   search.Tokens.assign(tokens.begin(), tokens.end());
   search.Tokens.push_back(0);
   search.Holders.resize(shape.Experts + 1);
@@ -135,21 +220,19 @@
   }
   for (std::size_t e = 0; e < shape.Experts; ++e)
     addReplicas(search, e, 1);
+  refresh(search);
   return search;
 }
 
-LayerStep findStep(const LayerSearch &search) {
-  auto slowest = std::max_element(search.Load.begin(), search.Load.end());
-  auto hot = static_cast<std::size_t>(slowest - search.Load.begin());
-  LayerStep best;
-  for (std::size_t s = 0; s < search.Width; ++s) {
-    std::size_t expert = search.Slots[hot * search.Width + s];
-    if (expert == search.Experts)
-      continue;
-    tryReplacements(search, expert, best);
-    tryExchanges(search, hot, expert, best);
-  }
-  return best;
+LayerStep findStep(LayerSearch &search) {
+  if (search.StepsSinceRefresh >= RefreshSteps)
+    refresh(search);
+  ++search.StepsSinceRefresh;
+  LayerStep step = tryAll(search);
+  if (step.Gain > 0 || search.StepsSinceRefresh == 1)
+    return step;
+  refresh(search);
+  return tryAll(search);
 }
 
 void applyStep(LayerSearch &search, const LayerStep &step) {
--- a/src/group/planner.cpp
+++ b/src/group/planner.cpp
@@ -260,7 +260,11 @@
   // Layers are searched to half of the target's excess, so that layers which
   // can be relieved at little cost make up for those that can't.
   double layerTarget = 1 + (limits.TargetSkew - 1) / 2;
-  std::size_t maxFetches = slotsOfLayer(placement.Shape);
+  // A layer gets no more than twice its share of the staging slots, which
+  // bounds the search when all layers need many fetches.
+  const GroupShape &shape = placement.Shape;
+  std::size_t maxFetches =
+      1 + 2 * limits.StagingSlots * shape.Ranks / shape.Layers;
   for (std::size_t l = 0; l < layers.size(); ++l) {
     slowest += layers[l].Slowest;
     mean += layers[l].Mean;
--- a/src/include/greengagespar/group/layer_search.h
+++ b/src/include/greengagespar/group/layer_search.h
@@ -21,7 +21,10 @@
   std::vector<std::vector<std::size_t>> Holders; ///< Ranks, by expert.
   std::vector<std::uint8_t> Holds;               ///< By rank then expert.
   std::vector<double> Load;                      ///< By rank.
-  double Limit = 0; ///< Load up to which there is no excess.
+  double Limit = 0;                  ///< Load up to which there is no excess.
+  std::vector<std::size_t> Drops;    ///< Experts that may give up a replica.
+  std::vector<std::size_t> Partners; ///< Ranks that may exchange a replica.
+  std::size_t StepsSinceRefresh = 0; ///< Steps since both were chosen.
 };
 
 /// Makes the state. \p limit is the load of a rank that needs no relief.
@@ -46,8 +49,8 @@
 }
 
 /// Finds the step with the largest gain that relieves the slowest rank. Gain
-/// is 0 when none helps.
-LayerStep findStep(const LayerSearch &search);
+/// is 0 when none helps. Candidates are chosen anew every few steps.
+LayerStep findStep(LayerSearch &search);
 
 /// Applies a step returned by findStep for the same state.
 void applyStep(LayerSearch &search, const LayerStep &step);
