--- a/src/group/planner.cpp
+++ b/src/group/planner.cpp
@@ -279,7 +279,7 @@
     slowest += layers[l].Slowest;
     mean += layers[l].Mean;
     double limit = layers[l].Mean * layerTarget;
-    if (layers[l].Slowest > limit)
+    if (layers[l].SlowestLow > limit)
       paths.push_back(searchLayer(loads, placement, l, limit, maxFetches));
   }
   choose(paths, slowest, limits.TargetSkew * mean, placement.Shape.Ranks,
