Bound the planner's wide searches

Cause: a layer that is stuck searched all experts and ranks at every step; the worst plan under drift took 100 ms, more than plan_ms_256 showed, which timed only groups whose popularities had all changed. Change: at most eight wide searches a layer; plan_ms_256 is the worst of all plans at the target size.

--- a/src/group/layer_search.cpp
+++ b/src/group/layer_search.cpp
@@ -10,6 +10,8 @@
 
 // Steps after which the candidates are chosen anew.
 constexpr std::size_t RefreshSteps = 8;
+// Searches over all experts and ranks, in one layer's search.
+constexpr std::size_t MostWideSearches = 8;
 // Experts that are considered for giving up a replica.
 constexpr std::size_t DropChoices = 6;
 // Ranks that are considered as partners of an exchange.
@@ -231,8 +233,9 @@
     refresh(search, DropChoices, PartnerChoices);
   ++search.StepsSinceRefresh;
   LayerStep step = tryAll(search);
-  if (step.Gain > 0)
+  if (step.Gain > 0 || search.WideSearches >= MostWideSearches)
     return step;
+  ++search.WideSearches;
   refresh(search, search.Experts + 1, search.Ranks);
   step = tryAll(search);
   refresh(search, DropChoices, PartnerChoices);
--- a/src/include/greengagespar/group/layer_search.h
+++ b/src/include/greengagespar/group/layer_search.h
@@ -25,6 +25,7 @@
   std::vector<std::size_t> Drops;    ///< Experts that may give up a replica.
   std::vector<std::size_t> Partners; ///< Ranks that may exchange a replica.
   std::size_t StepsSinceRefresh = 0; ///< Steps since both were chosen.
+  std::size_t WideSearches = 0;      ///< Searches over all candidates so far.
 };
 
 /// Makes the state. \p limit is the load of a rank that needs no relief.
--- a/testsuite/map/measure_map.cpp
+++ b/testsuite/map/measure_map.cpp
@@ -24,6 +24,7 @@
 
 // Periods that set the first placement and are not measured.
 constexpr std::size_t WarmUpPeriods = 4;
+constexpr GroupShape TargetShape{256, 64, 60, 2};
 constexpr std::size_t StepsPerPeriod = 8;
 // Groups with all popularities changed, for the time of a plan.
 constexpr std::size_t PlanGroups = 5;
@@ -139,7 +140,7 @@
 // Worst time of a plan at the target size after all popularities changed.
 double measurePlan256(std::uint64_t seed, const PlanLimits &limits,
                       std::chrono::seconds halfLife) {
-  GroupShape shape{256, 64, 60, 2};
+  GroupShape shape = TargetShape;
   PlanTimes times;
   for (std::size_t i = 0; i < PlanGroups; ++i) {
     LoadTable loads = makeLoadTable(shape, halfLife);
@@ -169,7 +170,7 @@
 int main(int argc, char **argv) {
   CLI::App app{"Measures the expert-map planner under seeded drift."};
   std::uint64_t seed = 1;
-  GroupShape shape{256, 64, 60, 2};
+  GroupShape shape = TargetShape;
   DriftOptions options;
   PlanLimits limits;
   long halfLifeSeconds = 200;
@@ -214,6 +215,8 @@
     moved[driftName(kind)] = bytes;
   }
   double planMs = measurePlan256(seed, limits, halfLife);
+  if (shape == TargetShape)
+    planMs = std::max(planMs, times.WorstMs);
   std::cout << "worst plan under drift: " << times.WorstMs << " ms\n"
             << "switch_pause_p99_ms, recover_ms: need real processes, null\n";
   boost::json::object all{
