--- a/src/route/choose_test.cpp
+++ b/src/route/choose_test.cpp
@@ -124,6 +124,22 @@
   BOOST_TEST((Views[1].State == Standing::Aside));
 }
 
+BOOST_AUTO_TEST_CASE(choose_oneStraggler_putsNobodyAside) {
+  for (std::size_t i = 0; i < Views.size(); ++i)
+    answer(i, 50ms, 20);
+  answer(1, 30s, 2);
+  choose();
+  BOOST_TEST((Views[1].State == Standing::Good));
+}
+
+BOOST_AUTO_TEST_CASE(choose_slowHolderOfPrefix_isPassedOver) {
+  for (std::size_t i = 0; i < Views.size(); ++i)
+    answer(i, i == 1 ? 150ms : 50ms, 20);
+  ChoiceRequest request{.PrefixKey = "p",
+                        .PrefixHolders = {Views[1].Target.Id}};
+  BOOST_TEST(choose(request)->Index != 1);
+}
+
 BOOST_AUTO_TEST_CASE(choose_allLookSick_noneIsPutAside) {
   for (std::size_t i = 0; i < Views.size(); ++i)
     failTimes(i, 3);
@@ -153,15 +169,18 @@
 
 BOOST_AUTO_TEST_CASE(choose_reportGrowsOld_movesToTheMeanOfOthers) {
   for (EndpointView &it : Views)
-    noteReport(it, {8, 0, 16, Now});
-  Views[0].Report = LoadReport{0, 0, 16, Now - 10s};
+    noteReport(it, {8, 0, 16, Now}, Now);
+  noteReport(Views[0], {0, 0, 16, Now}, Now);
+  double fresh = estimateLoads(Views, Options, Now)[0];
+  Views[0].Report->AsOf = Now - 20s;
   double stale = estimateLoads(Views, Options, Now)[0];
+  BOOST_TEST(fresh < 7.9);
   BOOST_TEST(stale > 7.9);
 }
 
 BOOST_AUTO_TEST_CASE(choose_olderReport_isDropped) {
-  noteReport(Views[0], {5, 0, 16, Now});
-  noteReport(Views[0], {9, 9, 16, Now - 1s});
+  noteReport(Views[0], {5, 0, 16, Now}, Now);
+  noteReport(Views[0], {9, 9, 16, Now - 1s}, Now);
   BOOST_TEST(Views[0].Report->Running == 5);
 }
 
@@ -234,7 +253,8 @@
       for (Servers &entry : Views)
         for (std::size_t i = 0; i < ServerCount; ++i)
           noteReport(entry.Views[i],
-                     {Reports.front().second[i], 0, 16, Reports.front().first});
+                     {Reports.front().second[i], 0, 16, Reports.front().first},
+                     Now);
   }
 
   // Returns the mean over time of the greatest load over the mean load.
--- a/src/route/endpoint_view.cpp
+++ b/src/route/endpoint_view.cpp
@@ -11,6 +11,7 @@
 // Weight of a new sample in the decayed means.
 constexpr double LatencyWeight = 0.1;
 constexpr double OutcomeWeight = 0.1;
+constexpr double ReportWeight = 0.2;
 constexpr int SampleCap = 1000;
 
 constexpr int FailuresInARow = 3;
@@ -18,6 +19,7 @@
 constexpr int MinOutcomes = 10;
 
 constexpr double SlowFactor = 4.0;
+constexpr double OutlierFactor = 4.0;
 constexpr int MinLatencySamples = 10;
 constexpr std::size_t MinPeers = 2;
 
@@ -40,6 +42,9 @@
 void noteLatency(EndpointView &view, double ms) {
   view.Samples = std::min(view.Samples + 1, SampleCap);
   double weight = std::max(LatencyWeight, 1.0 / view.Samples);
+  // One straggler says little about the server.
+  if (view.Samples > MinLatencySamples)
+    ms = std::min(ms, OutlierFactor * view.LatencyMs);
   view.LatencyMs += weight * (ms - view.LatencyMs);
 }
 
@@ -59,6 +64,15 @@
   view.ProbesInFlight = 0;
 }
 
+// Keeps a report. A single one is stale by the time it comes, so the calls of
+// other entries are averaged over several.
+void keepReport(EndpointView &view, const LoadReport &report, double weight) {
+  int total = report.Running + report.Waiting;
+  double others = std::max(0, total - view.InFlight);
+  view.Others += (view.Report ? weight : 1.0) * (others - view.Others);
+  view.Report = report;
+}
+
 bool looksSick(const EndpointView &view) {
   if (view.ConsecutiveFailures >= FailuresInARow)
     return true;
@@ -124,7 +138,8 @@
   endCall(view);
   if (kind == ErrorKind::Overloaded) {
     int slots = view.Report ? view.Report->Slots : view.Slots;
-    noteReport(view, LoadReport{slots, 1, slots, now});
+    lowerLimit(view.Limit, view.InFlight);
+    keepReport(view, LoadReport{slots, 1, slots, now}, 1.0);
     return;
   }
   if (!isServerFault(kind))
@@ -138,11 +153,24 @@
 
 void noteAbandoned(EndpointView &view) { endCall(view); }
 
-void noteReport(EndpointView &view, const LoadReport &report) {
+void noteReport(EndpointView &view, const LoadReport &report,
+                Clock::time_point now) {
   if (view.Report && report.AsOf < view.Report->AsOf)
     return;
-  view.Report = report;
-  view.InFlightAtReport = view.InFlight;
+  keepReport(view, report, ReportWeight);
+  adjustLimit(view.Limit,
+              {report.Running, report.Waiting, report.Slots, view.InFlight,
+               report.AsOf},
+              now);
+}
+
+void noteLong(EndpointView &view, int change) {
+  view.LongInFlight = std::max(0, view.LongInFlight + change);
+}
+
+ServerSlots slotsOf(const EndpointView &view) {
+  return {allowedCalls(view.Limit), view.InFlight, view.LongInFlight,
+          view.Preempts};
 }
 
 void noteSilent(EndpointView &view, bool silent) { view.Silent = silent; }
