--- a/src/entry/call_router.cpp
+++ b/src/entry/call_router.cpp
@@ -14,6 +14,9 @@
 // How often the callers' connections are looked at.
 constexpr std::chrono::milliseconds CallerCheckInterval{100};
 
+// How long a call waits for newer settings before it is sent without them.
+constexpr std::chrono::milliseconds SettingsPatience{500};
+
 // Bytes that a caller may leave untaken before its call is given up.
 constexpr std::size_t MaxWaitingBytes = 4 << 20;
 
@@ -58,7 +61,8 @@
   case wire::Envelope::kRefusal:
     return Refused{
         {kindOf(envelope.refusal().kind()), envelope.refusal().message()},
-        envelope.refusal().did_not_run()};
+        envelope.refusal().did_not_run(),
+        {envelope.refusal().holder()}};
   case wire::Envelope::kRevokeAnswer:
     return RevokeAnswered{envelope.revoke_answer().revoked()};
   default:
@@ -68,13 +72,14 @@
 
 } // namespace
 
-void sendError(CallerReply &reply, const Error &error, Ran ran) {
+void sendError(CallerReply &reply, const Error &error, Ran ran,
+               const std::vector<Address> &entries) {
   const AnswerRow &row = answerRow(error.Kind);
   std::vector<HttpHeader> headers;
   if (row.RetryAfter.count() > 0)
     headers.push_back({"Retry-After", "1"});
-  reply.sendWhole(row.HttpStatus, "application/json", renderError(error, ran),
-                  headers);
+  reply.sendWhole(row.HttpStatus, "application/json",
+                  renderError(error, ran, entries), headers);
 }
 
 CallRouter::CallRouter(event_base *base, zmq::context_t &context,
@@ -190,8 +195,11 @@
 }
 
 void CallRouter::performDispatch(ActiveCall &call, const Dispatch &action) {
-  call.Avoid = action.Avoid;
-  call.IsWaiting = !trySend(call);
+  // Newer settings than this entry's are no fault of the server. The next tick
+  // tries again, once they are in force here.
+  call.Avoid = call.Needs ? ServerId{} : action.Avoid;
+  call.Only = action.Only;
+  call.IsWaiting = call.Needs || !trySend(call);
 }
 
 bool CallRouter::trySend(ActiveCall &call) {
@@ -212,6 +220,8 @@
 }
 
 std::optional<ServerId> CallRouter::chooseServer(const ActiveCall &call) {
+  if (!call.Only.Value.empty())
+    return call.Only;
   return call.State.Repeatable == Repeat::Keyed ? chooseKeyedServer(call)
                                                 : chooseDraftServer(call);
 }
@@ -353,8 +363,13 @@
     ++Counters.Strays;
     return;
   }
-  if (const auto *refused = std::get_if<Refused>(&*event))
+  if (const auto *refused = std::get_if<Refused>(&*event)) {
     countEnd(*call, refused->Reason.Kind);
+    if (refused->Reason.Kind == ErrorKind::StaleSettings) {
+      call->Needs = Generation{envelope.generation()};
+      call->NeedsUntil = Clock::now() + SettingsPatience;
+    }
+  }
   call->Arriving = envelope.has_chunk() ? &envelope.chunk() : nullptr;
   call->Ending = envelope.has_end() ? &envelope.end() : nullptr;
   apply(*call, *event);
@@ -396,8 +411,11 @@
   auto now = Clock::now();
   Links.tick();
   for (auto &[id, call] : Calls)
-    if (call->IsWaiting && call->State.Phase == CallPhase::Waiting)
+    if (call->IsWaiting && call->State.Phase == CallPhase::Waiting &&
+        !waitsForSettings(*call, Self.Settings, now)) {
+      call->Needs.reset();
       call->IsWaiting = !trySend(*call);
+    }
   checkDeadlines(now);
   checkCallers(now);
   removeDone();
