Notice a silent watch within seconds, also beside a slow platform

Cause: a watch of 10 s with 6 s of grace left a process 16 s behind when all its connections went silent at one moment; 5 s are allowed. Ruled out: a fixed short grace (a platform that answers in 5 s would never serve a watch); reading the index beside the watch (as many calls again). Change: the index is watched for 2 s at a time, teams' settings for 4 s; the grace after that begins at 1.5 s, doubles with each loss up to 8 s, and falls back with answers that come in time. A watcher costs 1 / 2.2 + 1 / 4.2 = 0.69 calls a second when nothing changes, before 0.2; worked out, not measured.

--- a/src/config/config_follower.cpp
+++ b/src/config/config_follower.cpp
@@ -10,10 +10,11 @@
 constexpr std::chrono::milliseconds TickInterval{250};
 
 PrefixWatchOptions watchOptions(const ConfigFollowerOptions &options,
-                                const char *prefix) {
+                                const char *prefix,
+                                std::chrono::milliseconds wait) {
   PrefixWatchOptions watch;
   watch.Prefix = prefix;
-  watch.Wait = options.WatchWait;
+  watch.Wait = wait;
   watch.Retry = options.Retry;
   return watch;
 }
@@ -26,11 +27,13 @@
     : Loop(loop), Client(client), Options(options), Hooks(std::move(hooks)),
       Rng(options.Seed), ReadDelay{options.Retry}, Reader(client),
       IndexWatch(
-          loop, client, watchOptions(options, IndexPath), options.Seed + 1,
+          loop, client, watchOptions(options, IndexPath, options.IndexWait),
+          options.Seed + 1,
           [this](const PrefixChange &change) { indexChanged(change); },
           nullptr),
       TeamsWatch(
-          loop, client, watchOptions(options, TeamsPrefix), options.Seed + 2,
+          loop, client, watchOptions(options, TeamsPrefix, options.TeamsWait),
+          options.Seed + 2,
           [this](const PrefixChange &change) {
             if (Acceptor)
               Acceptor->teamsChanged(change);
--- a/src/host/partners.cpp
+++ b/src/host/partners.cpp
@@ -10,15 +10,13 @@
 /// Appends \p count of \p candidates to \p chosen: those of \p current first,
 /// of which one at random is left out with \p renew.
 void pick(std::vector<Address> candidates, std::size_t count,
-          const std::vector<Address> &current, bool renew,
-          std::mt19937_64 &rng, std::vector<Address> &chosen) {
+          const std::vector<Address> &current, bool renew, std::mt19937_64 &rng,
+          std::vector<Address> &chosen) {
   if (candidates.size() > count) {
     std::shuffle(candidates.begin(), candidates.end(), rng);
-    auto rest =
-        std::stable_partition(candidates.begin(), candidates.end(),
-                              [&](const Address &it) {
-                                return std::ranges::count(current, it) > 0;
-                              });
+    auto rest = std::stable_partition(
+        candidates.begin(), candidates.end(),
+        [&](const Address &it) { return std::ranges::count(current, it) > 0; });
     auto kept = std::distance(candidates.begin(), rest);
     bool full = kept >= static_cast<std::ptrdiff_t>(count);
     // The first of the others takes the place of the first of those kept.
--- a/src/include/greengagespar/config/config_follower.h
+++ b/src/include/greengagespar/config/config_follower.h
@@ -30,7 +30,11 @@
 struct ConfigFollowerOptions {
   ConfigRole Role = ConfigRole::Watches;
   ConfigLimits Limits;
-  std::chrono::milliseconds WatchWait{10000}; ///< Longest wait of one watch.
+  /// Longest wait of a watch of the index. Short, because a watch that has gone
+  /// silent is noticed only after it.
+  std::chrono::milliseconds IndexWait{2000};
+  /// Longest wait of a watch of what teams write.
+  std::chrono::milliseconds TeamsWait{4000};
   BackoffOptions Retry; ///< Between reads of the platform that fail.
   /// After a failed pull, the platform is read within this time unless another
   /// peer had the settings before.
--- a/src/include/greengagespar/platform/object_client.h
+++ b/src/include/greengagespar/platform/object_client.h
@@ -36,8 +36,6 @@
   Address Platform; ///< IP address and port.
   /// How long an answer may take. Over 5 s, so that a slow platform serves.
   std::chrono::milliseconds RequestTimeout{8000};
-  /// How much longer than asked for a watch may take.
-  std::chrono::milliseconds WatchGrace{6000};
   int MaxConcurrent = 4; ///< Calls in progress, watches apart.
   int MaxWatches = 4;    ///< Watches in progress.
 };
@@ -71,9 +69,11 @@
   void list(const std::string &prefix, Callback<Listing> done);
 
   /// Waits at most \p wait until something under \p prefix changed after
-  /// \p after. Nothing changed: no objects and a revision.
+  /// \p after. Nothing changed: no objects and a revision. Without an answer
+  /// within \p grace after that, the watch counts as lost.
   void watch(const std::string &prefix, ObjectVersion after,
-             std::chrono::milliseconds wait, Callback<WatchAnswer> done);
+             std::chrono::milliseconds wait, std::chrono::milliseconds grace,
+             Callback<WatchAnswer> done);
 
   /// Reads the host list.
   void hosts(Callback<std::vector<HostRecord>> done);
--- a/src/include/greengagespar/platform/prefix_watch.h
+++ b/src/include/greengagespar/platform/prefix_watch.h
@@ -4,6 +4,7 @@
 #ifndef GREENGAGESPAR_PLATFORM_PREFIX_WATCH_H
 #define GREENGAGESPAR_PLATFORM_PREFIX_WATCH_H
 
+#include "greengagespar/base/clock.h"
 #include "greengagespar/platform/backoff.h"
 #include "greengagespar/platform/guard.h"
 #include "greengagespar/platform/object_client.h"
@@ -22,12 +23,31 @@
   std::vector<std::string> Deleted; ///< Paths removed since the last report.
 };
 
+/// Bounds of the time that an answer may take after its poll's wait.
+struct GraceOptions {
+  std::chrono::milliseconds Min{1500};
+  std::chrono::milliseconds Max{8000};
+};
+
+/// Returns the time to allow after a poll got no answer within \p grace: twice
+/// as much, so that a slow platform is not taken for a silent connection for
+/// ever. Pure; thread safe.
+std::chrono::milliseconds graceAfterLoss(std::chrono::milliseconds grace,
+                                         const GraceOptions &options);
+
+/// Returns the time to allow after an answer that took \p late longer than its
+/// poll's wait, less than zero when it came earlier: twice as much, so that a
+/// silent connection is soon noticed. Pure; thread safe.
+std::chrono::milliseconds graceAfterAnswer(std::chrono::milliseconds late,
+                                           const GraceOptions &options);
+
 /// How a prefix is watched.
 struct PrefixWatchOptions {
   std::string Prefix;
-  std::chrono::milliseconds Wait{10000}; ///< Longest wait of one poll.
+  std::chrono::milliseconds Wait{2000}; ///< Longest wait of one poll.
   /// Shortest time between two polls; bounds the calls under many changes.
   std::chrono::milliseconds Pause{200};
+  GraceOptions Grace;
   BackoffOptions Retry; ///< Between tries while the platform is away.
 };
 
@@ -60,6 +80,7 @@
   void poll();
   void list();
   void watch();
+  void take(WatchAnswer answer);
   void report(const PrefixChange &change);
   void retry(const Error &error);
   template <class T, class Use> void handle(Result<T> result, Use use);
@@ -70,6 +91,7 @@
   OnFailure Failure;
   Timer Next;
   Backoff Delay;
+  std::chrono::milliseconds Grace; ///< What the next poll's answer may take.
   std::mt19937_64 Rng;
   ObjectVersion Revision;
   bool Listed = false;
--- a/src/link/member_message_test.cpp
+++ b/src/link/member_message_test.cpp
@@ -7,9 +7,15 @@
 BOOST_AUTO_TEST_SUITE(MemberMessageSuite)
 
 BOOST_AUTO_TEST_CASE(readMember_writtenRow_isEqual) {
-  MemberRow row{{"entry-1"},  MemberRole::Endpoint, {"10.0.0.1:7001"},
-                {"1.2.3.4:1"}, {"kigali-1"},         {77},
-                8,             true,                 {9}};
+  MemberRow row{{"entry-1"},
+                MemberRole::Endpoint,
+                {"10.0.0.1:7001"},
+                {"1.2.3.4:1"},
+                {"kigali-1"},
+                {77},
+                8,
+                true,
+                {9}};
   wire::Member message;
   writeMember(row, message);
   auto back = readMember(message);
--- a/src/platform/object_client.cpp
+++ b/src/platform/object_client.cpp
@@ -168,12 +168,13 @@
 
 void ObjectClient::watch(const std::string &prefix, ObjectVersion after,
                          std::chrono::milliseconds wait,
+                         std::chrono::milliseconds grace,
                          Callback<WatchAnswer> done) {
   HttpRequest request{.Target = "/v1/watch?prefix=" + encodeQueryValue(prefix) +
                                 "&after=" + std::to_string(after.Value) +
                                 "&timeout_ms=" + std::to_string(wait.count()),
                       .Body = {},
-                      .Timeout = wait + Options.WatchGrace,
+                      .Timeout = wait + grace,
                       .Lane = HttpLane::Waiting};
   send(CallKind::Watch, std::move(request),
        [done = std::move(done)](const HttpAnswer &answer) {
--- a/src/platform/object_client_test.cpp
+++ b/src/platform/object_client_test.cpp
@@ -12,8 +12,7 @@
 /// A client before a scripted server.
 struct ClientFixture {
   ScriptedServer Server;
-  ObjectClientOptions Options{
-      .Platform = Server.At, .RequestTimeout = 200ms, .WatchGrace = 200ms};
+  ObjectClientOptions Options{.Platform = Server.At, .RequestTimeout = 200ms};
   ObjectClient Client{Server.Loop.get(), Options};
 
   /// Returns the kind of failure of what \p start hands to its callback.
@@ -109,7 +108,7 @@
 BOOST_AUTO_TEST_CASE(watch_goneRevision_isTooOld) {
   Server.Answer = [](auto &) { return ScriptedAnswer{410, ""}; };
   std::optional<WatchAnswer> answer;
-  Client.watch("/teams/", ObjectVersion{5}, 1000ms,
+  Client.watch("/teams/", ObjectVersion{5}, 1000ms, 200ms,
                [&](Result<WatchAnswer> result) { answer = result.value(); });
   Server.runUntil([&] { return answer.has_value(); });
   BOOST_TEST(answer->TooOld);
--- a/src/platform/prefix_watch.cpp
+++ b/src/platform/prefix_watch.cpp
@@ -1,9 +1,20 @@
 #include "greengagespar/platform/prefix_watch.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace greengagespar {
 
+std::chrono::milliseconds graceAfterLoss(std::chrono::milliseconds grace,
+                                         const GraceOptions &options) {
+  return std::min(grace * 2, options.Max);
+}
+
+std::chrono::milliseconds graceAfterAnswer(std::chrono::milliseconds late,
+                                           const GraceOptions &options) {
+  return std::clamp(late * 2, options.Min, options.Max);
+}
+
 PrefixWatch::PrefixWatch(event_base *loop, ObjectClient &client,
                          PrefixWatchOptions options, std::uint64_t seed,
                          OnChange change, OnFailure failure)
@@ -68,22 +79,30 @@
 }
 
 void PrefixWatch::watch() {
-  auto done = [this, round = Round](Result<WatchAnswer> result) {
+  auto done = [this, round = Round,
+               sent = Clock::now()](Result<WatchAnswer> result) {
     if (round != Round)
       return;
-    handle(std::move(result), [this](WatchAnswer answer) {
-      if (answer.TooOld) {
-        Listed = false;
-        poll();
-        return;
-      }
-      report({.Whole = false,
-              .Revision = answer.Revision,
-              .Objects = std::move(answer.Objects),
-              .Deleted = std::move(answer.Deleted)});
-    });
+    auto took = std::chrono::duration_cast<std::chrono::milliseconds>(
+        Clock::now() - sent);
+    Grace = result ? graceAfterAnswer(took - Options.Wait, Options.Grace)
+                   : graceAfterLoss(Grace, Options.Grace);
+    handle(std::move(result),
+           [this](WatchAnswer answer) { take(std::move(answer)); });
   };
-  Client.watch(Options.Prefix, Revision, Options.Wait, Life.wrap(done));
+  Client.watch(Options.Prefix, Revision, Options.Wait, Grace, Life.wrap(done));
+}
+
+void PrefixWatch::take(WatchAnswer answer) {
+  if (answer.TooOld) {
+    Listed = false;
+    poll();
+    return;
+  }
+  report({.Whole = false,
+          .Revision = answer.Revision,
+          .Objects = std::move(answer.Objects),
+          .Deleted = std::move(answer.Deleted)});
 }
 
 void PrefixWatch::report(const PrefixChange &change) {
--- a/src/platform/prefix_watch_test.cpp
+++ b/src/platform/prefix_watch_test.cpp
@@ -23,9 +23,8 @@
 /// Answers requests one by one from a script, then repeats the last answer.
 struct WatchFixture {
   ScriptedServer Server;
-  ObjectClient Client{
-      Server.Loop.get(),
-      {.Platform = Server.At, .RequestTimeout = 100ms, .WatchGrace = 50ms}};
+  ObjectClient Client{Server.Loop.get(),
+                      {.Platform = Server.At, .RequestTimeout = 100ms}};
   std::vector<ScriptedAnswer> Script;
   std::vector<PrefixChange> Changes;
   int Failures = 0;
@@ -34,6 +33,7 @@
                     {.Prefix = "/p/",
                      .Wait = 50ms,
                      .Pause = 1ms,
+                     .Grace = {.Min = 50ms, .Max = 200ms},
                      .Retry = {.Base = 1ms, .Cap = 4ms}},
                     1,
                     [this](const PrefixChange &c) { Changes.push_back(c); },
@@ -82,6 +82,23 @@
   BOOST_TEST(Changes.back().Revision.Value == 7);
 }
 
+// Answers become slow by turns of 5 s and quick again: the time that an answer
+// may take follows, so that a silent connection is soon noticed again.
+BOOST_AUTO_TEST_CASE(graceAfter_lostAndLateAnswers_staysInBounds) {
+  const GraceOptions options{.Min = 1500ms, .Max = 8000ms};
+  auto grace = options.Min;
+  int lost = 0;
+  while (grace < 5000ms) {
+    grace = graceAfterLoss(grace, options);
+    ++lost;
+  }
+  BOOST_TEST(lost == 2);
+  BOOST_TEST((graceAfterAnswer(5000ms, options) == options.Max));
+  BOOST_TEST((graceAfterAnswer(10ms, options) == options.Min));
+  BOOST_TEST((graceAfterAnswer(-900ms, options) == options.Min));
+  BOOST_TEST((graceAfterLoss(options.Max, options) == options.Max));
+}
+
 BOOST_AUTO_TEST_CASE(watch_revisionTooOld_listsAgain) {
   Script = {listing(5), {410, ""}, listing(30)};
   Watch.start();
