--- a/src/entry/call_router.cpp
+++ b/src/entry/call_router.cpp
@@ -386,7 +386,9 @@
   LoadReport report;
   report.Running = static_cast<int>(load.running());
   report.Waiting = static_cast<int>(load.waiting());
-  report.Slots = static_cast<int>(load.slots());
+  // An endpoint process that names no slots has those of the settings.
+  report.Slots =
+      load.slots() > 0 ? static_cast<int>(load.slots()) : view->Slots;
   report.AsOf = Clock::now() - std::chrono::milliseconds(load.age_ms());
   noteReport(*view, report, Clock::now());
   view->Target.Leaving = load.leaving() || Drained.contains(server);
--- a/src/entry/http_server.cpp
+++ b/src/entry/http_server.cpp
@@ -4,6 +4,8 @@
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <utility>
 
@@ -56,8 +58,13 @@
   std::string host = address.Value.substr(0, colon);
   auto port =
       static_cast<ev_uint16_t>(std::stoi(address.Value.substr(colon + 1)));
-  if (evhttp_bind_socket(Http, host.c_str(), port) != 0)
+  auto *bound = evhttp_bind_socket_with_handle(Http, host.c_str(), port);
+  if (!bound)
     return fail(ErrorKind::BadRequest, "cannot listen on " + address.Value);
+  // Accepted sockets inherit it: each part of a stream leaves at once.
+  int on = 1;
+  setsockopt(evhttp_bound_socket_get_fd(bound), IPPROTO_TCP, TCP_NODELAY, &on,
+             sizeof on);
   return {};
 }
 
