--- a/src/endpoint/endpoint.cpp
+++ b/src/endpoint/endpoint.cpp
@@ -122,6 +122,7 @@
     InForce = std::move(contract);
     Self.Settings = InForce->At;
     Claims.setContract(*InForce);
+    Slots = slotsOf(*InForce, Settings.Server);
   };
   hooks.OnReleased = [this](const HeldRun &held) {
     onRun(held.Peer, held.Message);
@@ -165,6 +166,7 @@
 
 void Endpoint::fillLoad(wire::Load &load) const {
   load.set_running(static_cast<std::uint32_t>(countUnfinished(Table)));
+  load.set_slots(static_cast<std::uint32_t>(Slots));
   load.set_leaving(LeavingSince.has_value());
 }
 
--- a/src/endpoint/endpoint.h
+++ b/src/endpoint/endpoint.h
@@ -93,6 +93,7 @@
   Upstream Target;
   ExecutionTable Table;
   std::unordered_map<CallId, Clock::time_point> Revoked;
+  int Slots = 0; ///< Calls that the server takes at a time; 0: not declared.
   std::size_t KeptBytes = 0; ///< Of keyed calls; counted on each tick.
   std::optional<Clock::time_point> LeavingSince;
   event *Ticker;
--- a/src/include/greengagespar/contract/contract.h
+++ b/src/include/greengagespar/contract/contract.h
@@ -85,6 +85,10 @@
   std::map<WorkspaceId, Workspace> Workspaces;
 };
 
+/// Returns how many calls \p server takes at a time; 0 when \p contract does
+/// not declare it.
+int slotsOf(const Contract &contract, const ServerId &server);
+
 } // namespace greengagespar
 
 #endif // GREENGAGESPAR_CONTRACT_CONTRACT_H
