Initialise the grace of a watch

Cause: the constructor left PrefixWatch::Grace undefined; the undefined behaviour sanitizer showed an overflow when it was doubled. Ruled out: a fault of the doubling itself, which is clamped. Result: platform_tests 17 cases and config_tests 16 cases pass, plain and under the sanitizers.

--- a/src/platform/prefix_watch.cpp
+++ b/src/platform/prefix_watch.cpp
@@ -20,7 +20,8 @@
                          OnChange change, OnFailure failure)
     : Client(client), Options(std::move(options)), Change(std::move(change)),
       Failure(std::move(failure)),
-      Next(loop, [this] { poll(); }), Delay{Options.Retry}, Rng(seed) {}
+      Next(loop, [this] { poll(); }), Delay{Options.Retry},
+      Grace(Options.Grace.Min), Rng(seed) {}
 
 void PrefixWatch::start() {
   if (Running)
