Send a call again when its link was opened afresh before it was acknowledged

Ruled out: longer silence limits (nothing comes back on a silent connection); treating an unknown call as not run (it may still arrive late).

--- a/src/call/call_state.cpp
+++ b/src/call/call_state.cpp
@@ -39,6 +39,11 @@
   }
 }
 
+// Whether an attempt that ended like this took work of a server.
+bool tookWork(ErrorKind kind) {
+  return kind == ErrorKind::EndpointFailed || kind == ErrorKind::Overloaded;
+}
+
 bool isAtEndpoint(const CallState &state) {
   return state.Phase == CallPhase::Sent || state.Phase == CallPhase::Running ||
          state.Phase == CallPhase::Revoking;
@@ -102,7 +107,7 @@
     state.MayHaveRun = true;
   bool mayRunAgain = event.DidNotRun || state.Repeatable == Repeat::Allowed;
   if (mayRunAgain && mayTryElsewhere(event.Reason.Kind))
-    return dispatchAgain(state, event.Reason, true);
+    return dispatchAgain(state, event.Reason, tookWork(event.Reason.Kind));
   if (event.DidNotRun)
     return refuse(state, event.Reason, Ran::No);
   if (state.Repeatable == Repeat::Allowed)
@@ -123,6 +128,9 @@
 Actions on(CallState &state, const LinkReopened &) {
   if (state.Phase == CallPhase::Revoking)
     return {SendRevoke{}};
+  // A call without acknowledgement may never have arrived.
+  if (state.Phase == CallPhase::Sent && state.Repeatable != Repeat::Never)
+    return {SendAgain{}};
   if (isAtEndpoint(state))
     return {AskResume{}};
   return {};
--- a/src/call/call_state_test.cpp
+++ b/src/call/call_state_test.cpp
@@ -93,6 +93,15 @@
   BOOST_TEST(State.MayHaveRun);
 }
 
+BOOST_AUTO_TEST_CASE(booking_linkReopenedBeforeAcknowledgement_isSentAgain) {
+  CallState state;
+  state.Repeatable = Repeat::Keyed;
+  decideCall(state, Dispatched{{"s1"}, {7}});
+  BOOST_TEST(only<SendAgain>(decideCall(state, LinkReopened{})));
+  decideCall(state, Acknowledged{});
+  BOOST_TEST(only<AskResume>(decideCall(state, LinkReopened{})));
+}
+
 BOOST_FIXTURE_TEST_CASE(booking_nearDeadline_isRevoked, SentBooking) {
   BOOST_TEST(only<SendRevoke>(decide(DeadlineNear{})));
   auto actions = decide(RevokeAnswered{true});
--- a/src/entry/active_call.h
+++ b/src/entry/active_call.h
@@ -41,6 +41,7 @@
   /// are of this newer generation. The call waits for them, or for a while.
   std::optional<Generation> Needs;
   Clock::time_point NeedsUntil;
+  bool OwesRetry = false; ///< The retry budget has to pay for its next send.
   bool IsCounted = false; ///< Counted as in flight on State.Server.
   Clock::time_point SentAt;
   const wire::Chunk *Arriving = nullptr; ///< The chunk being handled.
--- a/src/entry/call_router.cpp
+++ b/src/entry/call_router.cpp
@@ -157,6 +157,8 @@
   wire::Envelope envelope;
   if (const auto *dispatch = std::get_if<Dispatch>(&action)) {
     performDispatch(call, *dispatch);
+  } else if (std::holds_alternative<SendAgain>(action)) {
+    sendRun(call, call.State.Server, call.State.Endpoint);
   } else if (std::holds_alternative<AskResume>(action)) {
     envelope.mutable_resume()->set_offset(call.State.Received);
     sendAbout(call, envelope);
@@ -199,6 +201,7 @@
   // tries again, once they are in force here.
   call.Avoid = call.Needs ? ServerId{} : action.Avoid;
   call.Only = action.Only;
+  call.OwesRetry = action.IsRetry;
   call.IsWaiting = call.Needs || !trySend(call);
 }
 
@@ -209,16 +212,28 @@
   std::optional<Incarnation> life = Links.lifeOf(*server);
   if (!life)
     return false;
-  wire::Envelope envelope;
-  fillRun(call, Clock::now(), *envelope.mutable_run());
-  envelope.mutable_run()->set_endpoint_incarnation(life->Value);
-  if (!Links.send(*server, envelope))
+  // A retry that is not paid for waits, so that it may still be answered.
+  RetryBudget &budget = Budgets[call.Pool];
+  if (call.OwesRetry && !payForRetry(budget, call.State.Received > 0))
+    return false;
+  call.OwesRetry = false;
+  if (call.State.Attempts == 0)
+    noteFirstAttempt(budget);
+  if (!sendRun(call, *server, *life))
     return false;
   apply(call, Dispatched{*server, *life});
   countSent(call);
   return true;
 }
 
+bool CallRouter::sendRun(const ActiveCall &call, const ServerId &server,
+                         Incarnation life) {
+  wire::Envelope envelope;
+  fillRun(call, Clock::now(), *envelope.mutable_run());
+  envelope.mutable_run()->set_endpoint_incarnation(life.Value);
+  return Links.send(server, envelope);
+}
+
 std::optional<ServerId> CallRouter::chooseServer(const ActiveCall &call) {
   if (!call.Only.Value.empty())
     return call.Only;
--- a/src/entry/call_router.h
+++ b/src/entry/call_router.h
@@ -10,6 +10,7 @@
 #include "greengagespar/contract/contract.h"
 #include "greengagespar/link/link.h"
 #include "greengagespar/route/choose.h"
+#include "greengagespar/route/retry_budget.h"
 #include <array>
 #include <map>
 #include <memory>
@@ -61,6 +62,8 @@
   void perform(ActiveCall &call, const CallAction &action);
   void performDispatch(ActiveCall &call, const Dispatch &action);
   bool trySend(ActiveCall &call);
+  bool sendRun(const ActiveCall &call, const ServerId &server,
+               Incarnation life);
   std::optional<ServerId> chooseServer(const ActiveCall &call);
   std::optional<ServerId> chooseDraftServer(const ActiveCall &call);
   std::optional<ServerId> chooseKeyedServer(const ActiveCall &call);
@@ -85,6 +88,7 @@
   DataCentreId DataCentre;
   EndpointLinks Links;
   std::map<PoolId, std::vector<EndpointView>> Pools;
+  std::map<PoolId, RetryBudget> Budgets;
   std::unordered_map<ServerId, PoolId> PoolOf;
   std::set<ServerId> Drained; ///< Declared as leaving by their team.
   std::unordered_map<CallId, std::unique_ptr<ActiveCall>> Calls;
--- a/src/include/greengagespar/call/call_state.h
+++ b/src/include/greengagespar/call/call_state.h
@@ -99,6 +99,9 @@
   bool IsRetry = false; ///< Counts against the retry budget.
   ServerId Only;        ///< Not empty: send it to this server only.
 };
+/// Send the call to the same life of the same endpoint process again, which
+/// knows it by its identity if it has it already.
+struct SendAgain {};
 /// Ask the endpoint process for the messages from Received on.
 struct AskResume {};
 /// Ask the endpoint process to make sure that the call never runs.
@@ -117,8 +120,9 @@
   Ran DidRun = Ran::Unknown;
 };
 
-using CallAction = std::variant<Dispatch, AskResume, SendRevoke, SendCancel,
-                                DeliverTokens, Complete, RefuseCaller>;
+using CallAction =
+    std::variant<Dispatch, SendAgain, AskResume, SendRevoke, SendCancel,
+                 DeliverTokens, Complete, RefuseCaller>;
 
 /// How often a call is sent at the most.
 inline constexpr int MaxAttempts = 5;
--- a/src/include/greengagespar/route/retry_budget.h
+++ b/src/include/greengagespar/route/retry_budget.h
@@ -67,6 +67,10 @@
 RetryDecision decideRetry(RetryBudget &budget, const FailedAttempt &failed,
                           double draw);
 
+/// Pays for one retry that was decided on elsewhere. Returns false, and takes
+/// nothing, when recent first attempts pay for no more retries now.
+bool payForRetry(RetryBudget &budget, bool resumes);
+
 /// A call in flight that might be sent to a second server.
 struct HedgeCandidate {
   bool Repeatable = false;
--- a/src/route/retry_budget.cpp
+++ b/src/route/retry_budget.cpp
@@ -66,12 +66,18 @@
   milliseconds backoff = backoffFor(failed, draw);
   if (failed.TimeLeft <= failed.Needed + backoff)
     return {RetryReason::NoTime};
-  if (!spend(budget, failed.Resumes ? -budget.Overdraft : 0))
+  if (!payForRetry(budget, failed.Resumes))
     return {RetryReason::BudgetSpent};
-  ++budget.Retries;
   return {RetryReason::Allowed, backoff};
 }
 
+bool payForRetry(RetryBudget &budget, bool resumes) {
+  if (!spend(budget, resumes ? -budget.Overdraft : 0))
+    return false;
+  ++budget.Retries;
+  return true;
+}
+
 bool decideHedge(RetryBudget &budget, const HedgeCandidate &call) {
   if (!call.Repeatable || call.Hedged || call.Waited < call.UsualFirst)
     return false;
