--- a/src/entry/control_plane.cpp
+++ b/src/entry/control_plane.cpp
@@ -138,6 +138,12 @@
   return out;
 }
 
+std::size_t ControlPlane::liveEntries() const {
+  const auto &members = Peers.view().Members;
+  return static_cast<std::size_t>(std::ranges::count_if(
+      members, [](const auto &it) { return takesWork(it.second); }));
+}
+
 void ControlPlane::peerMentioned(const Address &peer, Generation at) {
   if (at.Value > 0)
     Follower.peerMentioned(peer, at);
--- a/src/entry/control_plane.h
+++ b/src/entry/control_plane.h
@@ -64,6 +64,9 @@
   /// Whether the settings are good enough to serve.
   bool ready() const { return Follower.ready(); }
 
+  /// Entries that take work, this one included.
+  std::size_t liveEntries() const;
+
   const PeerCounts &peerCounts() const { return Peers.counts(); }
   const CallCounts &platformCounts() const { return Platform.counts(); }
 
--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -312,6 +312,7 @@
   add("stray_messages_total", counters.Strays);
   add("connections", Http.connections());
   add("settings_generation", Self.Settings.Value);
+  add("entries_live", Control.liveEntries());
   add("peer_messages_total", Control.peerCounts().Messages);
   add("peer_bytes_total", Control.peerCounts().Bytes);
   add("platform_calls_total", totalSent(Control.platformCounts()));
--- a/src/entry/peer_links.cpp
+++ b/src/entry/peer_links.cpp
@@ -37,7 +37,11 @@
              [this](const PeerId &from, const wire::Envelope &envelope) {
                onRequest(from, envelope);
              }),
-      Rng(self.Life.Value), Tick(base, [this] { tick(); }) {}
+      Rng(self.Life.Value), Tick(base, [this] { tick(); }) {
+  View.Limits.DigestRows = DigestRows;
+  // Two rounds of all rows.
+  View.Limits.PerMember = HeartbeatInterval * 2 / DigestRows;
+}
 
 Result<void> PeerLinks::start() {
   BOOST_LEAF_CHECK(Server.bind(View.Self));
--- a/src/entry/peer_links.h
+++ b/src/entry/peer_links.h
@@ -27,7 +27,7 @@
 /// Time between two rounds of heartbeats.
 inline constexpr std::chrono::milliseconds HeartbeatInterval{500};
 /// Most rows of others in one message.
-inline constexpr std::size_t DigestRows = 12;
+inline constexpr std::size_t DigestRows = 6;
 /// Most processes that an entry keeps in mind, and most seeds.
 inline constexpr std::size_t MaxMembers = 4096;
 inline constexpr std::size_t MaxSeeds = 1024;
--- a/src/host/member.cpp
+++ b/src/host/member.cpp
@@ -30,8 +30,12 @@
 
 std::chrono::milliseconds quietLimit(const MemberView &view,
                                      const Member &member) {
-  return member.Row.DataCentre == view.DataCentre ? view.Limits.SilentNear
-                                                  : view.Limits.SilentFar;
+  const MemberLimits &limits = view.Limits;
+  std::size_t more = view.Members.size() -
+                     std::min(view.Members.size(), limits.DigestRows + 1);
+  bool isNear = member.Row.DataCentre == view.DataCentre;
+  return (isNear ? limits.SilentNear : limits.SilentFar) +
+         limits.PerMember * static_cast<int>(more);
 }
 
 std::vector<Address> liveEntriesOf(const DataCentreId &dataCentre,
--- a/src/host/member_test.cpp
+++ b/src/host/member_test.cpp
@@ -182,4 +182,20 @@
   BOOST_TEST(count.LaggingTotal == 9U);
 }
 
+BOOST_AUTO_TEST_CASE(sweepMembers_manyMembers_waitsForTheirRowsToComeRound) {
+  MemberView view;
+  view.Self = {"self"};
+  view.Limits.DigestRows = 6;
+  view.Limits.PerMember = std::chrono::milliseconds(100);
+  for (int i = 0; i < 17; ++i) {
+    MemberRow row;
+    row.Link.Value.assign(static_cast<std::size_t>(i) + 1, 'm');
+    mergeMember(view, row, {});
+  }
+  Clock::time_point limit(std::chrono::milliseconds(3000 + 10 * 100));
+  BOOST_TEST(sweepMembers(view, limit).Silent.empty());
+  limit += std::chrono::milliseconds(1);
+  BOOST_TEST(sweepMembers(view, limit).Silent.size() == 17u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/include/greengagespar/host/member.h
+++ b/src/include/greengagespar/host/member.h
@@ -53,6 +53,10 @@
   std::chrono::milliseconds SilentNear{3000};
   /// In other data centres, whose rows are passed on.
   std::chrono::milliseconds SilentFar{15000};
+  /// Added to both for each process beyond DigestRows: the rows of more
+  /// processes come round less often.
+  std::chrono::milliseconds PerMember{0};
+  std::size_t DigestRows = 0;
   /// A silent process is forgotten after this.
   std::chrono::milliseconds ForgetAfter{120000};
   /// How far the platform's host list may lag.
--- a/testsuite/harness/cluster.h
+++ b/testsuite/harness/cluster.h
@@ -69,6 +69,11 @@
   /// Returns the link address of an entry or endpoint.
   Address link(const std::string &name) const;
 
+  /// Returns the data centre of an entry or endpoint.
+  std::string dataCentre(const std::string &name) const {
+    return Nodes.at(name).DataCentre;
+  }
+
   /// Returns the names of all processes that run \p program.
   std::vector<std::string> named(const std::string &program) const;
 
