Mend what the linter found; one function runs both processes

Ruled out: leaving findings out of the linter. Change: the findings; runProcess; messages are received part by part in one place for both socket kinds.

--- a/src/call/key_votes_test.cpp
+++ b/src/call/key_votes_test.cpp
@@ -40,7 +40,8 @@
                   Now);
   }
 
-  TallyOutcome tally(const KeyClaim &claim, std::vector<CastVote> votes) {
+  TallyOutcome tally(const KeyClaim &claim,
+                     const std::vector<CastVote> &votes) {
     ClaimTally open;
     open.Claim = claim;
     for (const CastVote &it : votes)
--- a/src/endpoint/key_claims.cpp
+++ b/src/endpoint/key_claims.cpp
@@ -47,6 +47,7 @@
            found->second != it.second.Client->address();
   });
   std::vector<ServerId> servers;
+  servers.reserve(addresses.size());
   for (const auto &[id, address] : addresses)
     servers.push_back(id);
   if (!Servers.empty() && servers != Servers)
--- a/src/endpoint/main.cpp
+++ b/src/endpoint/main.cpp
@@ -3,8 +3,6 @@
 
 #include "endpoint.h"
 
-#include "greengagespar/base/event_loop.h"
-#include "greengagespar/base/log.h"
 #include "greengagespar/base/program.h"
 #include "greengagespar/endpoint/endpoint_settings.h"
 #include <iostream>
@@ -17,20 +15,7 @@
   EventLoop loop;
   zmq::context_t context(1);
   Endpoint endpoint(loop.base(), context, settings);
-  bool isStarted = recoverFrom(
-      [&]() -> Result<bool> {
-        BOOST_LEAF_CHECK(endpoint.start());
-        return true;
-      },
-      [](const Error &e) {
-        logError(Part::Endpoint, e.Message);
-        return false;
-      });
-  if (!isStarted)
-    return ExitCode::CannotStart;
-  loop.onTermination([&] { endpoint.leave(); });
-  loop.run();
-  return ExitCode::Ok;
+  return runProcess(endpoint, loop, Part::Endpoint);
 }
 
 } // namespace
--- a/src/endpoint/upstream.cpp
+++ b/src/endpoint/upstream.cpp
@@ -168,10 +168,10 @@
     result.ContentType = header(request, "Content-Type");
     result.Body = text(evhttp_request_get_input_buffer(request));
   }
-  exchange.Owner->finish(exchange, std::move(result));
+  exchange.Owner->finish(exchange, result);
 }
 
-void Upstream::finish(Exchange &exchange, UpstreamResult result) {
+void Upstream::finish(const Exchange &exchange, const UpstreamResult &result) {
   auto it = Exchanges.find(exchange.Id);
   std::unique_ptr<Exchange> done = std::move(it->second);
   Exchanges.erase(it);
--- a/src/endpoint/upstream.h
+++ b/src/endpoint/upstream.h
@@ -82,7 +82,7 @@
   static void onReap(int, short, void *self);
   evhttp_connection *takeConnection(bool mayReuse);
   void giveBack(evhttp_connection *connection, bool reusable);
-  void finish(Exchange &exchange, UpstreamResult result);
+  void finish(const Exchange &exchange, const UpstreamResult &result);
 
   event_base *Base;
   std::string Host;
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -3,8 +3,6 @@
 
 #include "entry.h"
 
-#include "greengagespar/base/event_loop.h"
-#include "greengagespar/base/log.h"
 #include "greengagespar/base/program.h"
 #include "greengagespar/entry/entry_settings.h"
 #include <iostream>
@@ -17,20 +15,7 @@
   EventLoop loop;
   zmq::context_t context(1);
   Entry entry(loop.base(), context, settings);
-  bool isStarted = recoverFrom(
-      [&]() -> Result<bool> {
-        BOOST_LEAF_CHECK(entry.start());
-        return true;
-      },
-      [](const Error &e) {
-        logError(Part::Entry, e.Message);
-        return false;
-      });
-  if (!isStarted)
-    return ExitCode::CannotStart;
-  loop.onTermination([&] { entry.leave(); });
-  loop.run();
-  return ExitCode::Ok;
+  return runProcess(entry, loop, Part::Entry);
 }
 
 } // namespace
--- a/src/include/greengagespar/base/program.h
+++ b/src/include/greengagespar/base/program.h
@@ -3,6 +3,7 @@
 #ifndef GREENGAGESPAR_BASE_PROGRAM_H
 #define GREENGAGESPAR_BASE_PROGRAM_H
 
+#include "greengagespar/base/event_loop.h"
 #include "greengagespar/base/log.h"
 #include "greengagespar/base/schema.h"
 #include <functional>
@@ -85,6 +86,26 @@
 
 } // namespace detail
 
+/// Starts \p process, which has start() and leave(), and runs \p loop until
+/// the process has left after a signal. Call once, from a program's Run.
+template <class Process>
+ExitCode runProcess(Process &process, EventLoop &loop, Part part) {
+  bool isStarted = recoverFrom(
+      [&]() -> Result<bool> {
+        BOOST_LEAF_CHECK(process.start());
+        return true;
+      },
+      [&](const Error &e) {
+        logError(part, e.Message);
+        return false;
+      });
+  if (!isStarted)
+    return ExitCode::CannotStart;
+  loop.onTermination([&] { process.leave(); });
+  loop.run();
+  return ExitCode::Ok;
+}
+
 /// Does what the command line asks and returns the exit code of the process.
 /// Call once, from main.
 template <class S>
--- a/src/link/link.cpp
+++ b/src/link/link.cpp
@@ -2,6 +2,7 @@
 
 #include <event2/event.h>
 #include <utility>
+#include <vector>
 
 namespace greengagespar {
 
@@ -13,6 +14,9 @@
 // Messages that wait in one socket's queue for one peer.
 constexpr int QueueLength = 4096;
 
+// One part more than any valid message has.
+constexpr std::size_t MaxParts = 3;
+
 // How often ZeroMQ tries to connect again.
 constexpr int ReconnectMs = 20;
 constexpr int MaxReconnectMs = 200;
@@ -37,6 +41,22 @@
   return msg;
 }
 
+// Takes all parts of the next message; empty when there is none. The parts of
+// a message arrive together. Parts beyond MaxParts are dropped.
+std::vector<zmq::message_t> receiveParts(zmq::socket_t &socket) {
+  std::vector<zmq::message_t> parts;
+  zmq::message_t part;
+  while (socket.recv(part, zmq::recv_flags::dontwait)) {
+    bool isLast = !part.more();
+    if (parts.size() < MaxParts)
+      parts.push_back(std::move(part));
+    if (isLast)
+      break;
+    part.rebuild();
+  }
+  return parts;
+}
+
 bool parse(const zmq::message_t &msg, wire::Envelope &envelope) {
   return envelope.ParseFromArray(msg.data(), static_cast<int>(msg.size())) &&
          envelope.version() == LinkVersion &&
@@ -114,22 +134,17 @@
 }
 
 bool LinkServer::receiveOne() {
-  zmq::message_t from;
-  if (!Socket.recv(from, zmq::recv_flags::dontwait))
+  std::vector<zmq::message_t> parts = receiveParts(Socket);
+  if (parts.empty())
     return false;
-  zmq::message_t msg;
-  bool whole = from.more();
-  while (whole && Socket.recv(msg, zmq::recv_flags::dontwait) && msg.more())
-    whole = false;
-  while (msg.more() && Socket.recv(msg, zmq::recv_flags::dontwait))
-    ;
   wire::Envelope envelope;
-  if (!whole || !parse(msg, envelope)) {
+  // The routing id, then the envelope.
+  if (parts.size() != 2 || !parse(parts[1], envelope)) {
     ++Counts.Malformed;
     return true;
   }
   ++Counts.Received;
-  Handle(PeerId{from.to_string()}, envelope);
+  Handle(PeerId{parts[0].to_string()}, envelope);
   return true;
 }
 
@@ -169,13 +184,11 @@
 }
 
 bool LinkClient::receiveOne() {
-  zmq::message_t msg;
-  if (!Socket.recv(msg, zmq::recv_flags::dontwait))
+  std::vector<zmq::message_t> parts = receiveParts(Socket);
+  if (parts.empty())
     return false;
   wire::Envelope envelope;
-  if (msg.more() || !parse(msg, envelope)) {
-    while (msg.more() && Socket.recv(msg, zmq::recv_flags::dontwait))
-      ;
+  if (parts.size() != 1 || !parse(parts[0], envelope)) {
     ++Counts.Malformed;
     return true;
   }
