--- a/src/call/call_state.cpp
+++ b/src/call/call_state.cpp
@@ -19,7 +19,7 @@
   if (state.Attempts >= MaxAttempts)
     return refuse(state, reason, Ran::No);
   state.Phase = CallPhase::Waiting;
-  return {Dispatch{state.Server, isRetry}};
+  return {Dispatch{state.Server, isRetry, {}}};
 }
 
 // Whether another server, or the same one later, may take a refused call.
@@ -39,6 +39,11 @@
   }
 }
 
+// Whether an attempt that ended like this took work of a server.
+bool tookWork(ErrorKind kind) {
+  return kind == ErrorKind::EndpointFailed || kind == ErrorKind::Overloaded;
+}
+
 bool isAtEndpoint(const CallState &state) {
   return state.Phase == CallPhase::Sent || state.Phase == CallPhase::Running ||
          state.Phase == CallPhase::Revoking;
@@ -83,14 +88,26 @@
   return {Complete{}, SendCancel{}};
 }
 
+// Another server has the call of the key: an earlier attempt of the caller.
+Actions followKey(CallState &state, const Refused &event) {
+  state.MayHaveRun = true;
+  if (state.Attempts >= MaxAttempts)
+    return refuse(state, {ErrorKind::OutcomeUnknown, event.Reason.Message},
+                  Ran::Unknown);
+  state.Phase = CallPhase::Waiting;
+  return {Dispatch{{}, false, event.Holder}};
+}
+
 Actions on(CallState &state, const Refused &event) {
   if (!isAtEndpoint(state))
     return {};
+  if (event.Reason.Kind == ErrorKind::KeyHeld)
+    return followKey(state, event);
   if (!event.DidNotRun)
     state.MayHaveRun = true;
   bool mayRunAgain = event.DidNotRun || state.Repeatable == Repeat::Allowed;
   if (mayRunAgain && mayTryElsewhere(event.Reason.Kind))
-    return dispatchAgain(state, event.Reason, true);
+    return dispatchAgain(state, event.Reason, tookWork(event.Reason.Kind));
   if (event.DidNotRun)
     return refuse(state, event.Reason, Ran::No);
   if (state.Repeatable == Repeat::Allowed)
@@ -111,6 +128,9 @@
 Actions on(CallState &state, const LinkReopened &) {
   if (state.Phase == CallPhase::Revoking)
     return {SendRevoke{}};
+  // A call without acknowledgement may never have arrived.
+  if (state.Phase == CallPhase::Sent && state.Repeatable != Repeat::Never)
+    return {SendAgain{}};
   if (isAtEndpoint(state))
     return {AskResume{}};
   return {};
--- a/src/entry/active_call.h
+++ b/src/entry/active_call.h
@@ -36,10 +36,12 @@
 
   bool IsWaiting = false; ///< For a server that can take it.
   ServerId Avoid;         ///< The server that failed it last.
+  ServerId Only;          ///< Not empty: the one server that has its key.
   /// Set when an endpoint process refused the call because its own settings
   /// are of this newer generation. The call waits for them, or for a while.
   std::optional<Generation> Needs;
   Clock::time_point NeedsUntil;
+  bool OwesRetry = false; ///< The retry budget has to pay for its next send.
   bool IsCounted = false; ///< Counted as in flight on State.Server.
   Clock::time_point SentAt;
   const wire::Chunk *Arriving = nullptr; ///< The chunk being handled.
--- a/src/entry/call_router.cpp
+++ b/src/entry/call_router.cpp
@@ -61,7 +61,8 @@
   case wire::Envelope::kRefusal:
     return Refused{
         {kindOf(envelope.refusal().kind()), envelope.refusal().message()},
-        envelope.refusal().did_not_run()};
+        envelope.refusal().did_not_run(),
+        {envelope.refusal().holder()}};
   case wire::Envelope::kRevokeAnswer:
     return RevokeAnswered{envelope.revoke_answer().revoked()};
   default:
@@ -156,6 +157,8 @@
   wire::Envelope envelope;
   if (const auto *dispatch = std::get_if<Dispatch>(&action)) {
     performDispatch(call, *dispatch);
+  } else if (std::holds_alternative<SendAgain>(action)) {
+    sendRun(call, call.State.Server, call.State.Endpoint);
   } else if (std::holds_alternative<AskResume>(action)) {
     envelope.mutable_resume()->set_offset(call.State.Received);
     sendAbout(call, envelope);
@@ -197,6 +200,8 @@
   // Newer settings than this entry's are no fault of the server. The next tick
   // tries again, once they are in force here.
   call.Avoid = call.Needs ? ServerId{} : action.Avoid;
+  call.Only = action.Only;
+  call.OwesRetry = action.IsRetry;
   call.IsWaiting = call.Needs || !trySend(call);
 }
 
@@ -207,17 +212,31 @@
   std::optional<Incarnation> life = Links.lifeOf(*server);
   if (!life)
     return false;
-  wire::Envelope envelope;
-  fillRun(call, Clock::now(), *envelope.mutable_run());
-  envelope.mutable_run()->set_endpoint_incarnation(life->Value);
-  if (!Links.send(*server, envelope))
+  // A retry that is not paid for waits, so that it may still be answered.
+  RetryBudget &budget = Budgets[call.Pool];
+  if (call.OwesRetry && !payForRetry(budget, call.State.Received > 0))
+    return false;
+  call.OwesRetry = false;
+  if (call.State.Attempts == 0)
+    noteFirstAttempt(budget);
+  if (!sendRun(call, *server, *life))
     return false;
   apply(call, Dispatched{*server, *life});
   countSent(call);
   return true;
 }
 
+bool CallRouter::sendRun(const ActiveCall &call, const ServerId &server,
+                         Incarnation life) {
+  wire::Envelope envelope;
+  fillRun(call, Clock::now(), *envelope.mutable_run());
+  envelope.mutable_run()->set_endpoint_incarnation(life.Value);
+  return Links.send(server, envelope);
+}
+
 std::optional<ServerId> CallRouter::chooseServer(const ActiveCall &call) {
+  if (!call.Only.Value.empty())
+    return call.Only;
   return call.State.Repeatable == Repeat::Keyed ? chooseKeyedServer(call)
                                                 : chooseDraftServer(call);
 }
@@ -382,7 +401,9 @@
   LoadReport report;
   report.Running = static_cast<int>(load.running());
   report.Waiting = static_cast<int>(load.waiting());
-  report.Slots = static_cast<int>(load.slots());
+  // An endpoint process that names no slots has those of the settings.
+  report.Slots =
+      load.slots() > 0 ? static_cast<int>(load.slots()) : view->Slots;
   report.AsOf = Clock::now() - std::chrono::milliseconds(load.age_ms());
   noteReport(*view, report, Clock::now());
   view->Target.Leaving = load.leaving() || Drained.contains(server);
--- /dev/null
+++ b/src/link/liveness_test.cpp
@@ -0,0 +1,59 @@
+#include "greengagespar/link/liveness.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace greengagespar;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct UpLink {
+  LivenessLimits Limits;
+  Liveness Link;
+  Clock::time_point Now{1h};
+
+  UpLink() { noteHeard(Link, Now); }
+
+  LinkStep after(Clock::duration wait, bool isBusy = true) {
+    Now += wait;
+    return decideLink(Link, Limits, isBusy, Now);
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(LinkLiveness, UpLink)
+
+BOOST_AUTO_TEST_CASE(idleLink_quietAsLongAsBusyLimit_isNotProbed) {
+  BOOST_TEST((after(Limits.ProbeBusy, false) == LinkStep::Nothing));
+  BOOST_TEST((after(0ms, true) == LinkStep::Probe));
+}
+
+BOOST_AUTO_TEST_CASE(silentLink_isReopenedThenLostWithinASecond) {
+  Clock::time_point began = Now;
+  bool wasReopened = false;
+  while (after(10ms) != LinkStep::DeclareLost)
+    wasReopened = wasReopened || Link.Phase == LinkPhase::Reopened;
+  BOOST_TEST(wasReopened);
+  BOOST_TEST((Now - began <= 1s));
+}
+
+BOOST_AUTO_TEST_CASE(reopenedLink_heardAgain_tellsToResume) {
+  while (after(10ms) != LinkStep::Reopen)
+    ;
+  BOOST_TEST(noteHeard(Link, Now));
+  BOOST_TEST(!noteHeard(Link, Now));
+  BOOST_TEST((Link.Phase == LinkPhase::Up));
+}
+
+BOOST_AUTO_TEST_CASE(lostLink_isOpenedAfreshFromTimeToTime) {
+  while (after(10ms) != LinkStep::DeclareLost)
+    ;
+  int reopened = 0;
+  for (int i = 0; i < 300; ++i)
+    reopened += after(10ms) == LinkStep::Reopen ? 1 : 0;
+  BOOST_TEST(reopened >= 2);
+  BOOST_TEST(reopened <= 3);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/testsuite/harness/cluster.h
+++ b/testsuite/harness/cluster.h
@@ -9,7 +9,9 @@
 #include "process.h"
 
 #include <boost/json.hpp>
+#include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -29,7 +31,9 @@
   std::vector<std::string> PlatformArgs;
   std::vector<std::string> EngineArgs = {"--step-ms", "2"};
   std::vector<std::string> LedgerArgs;
-  boost::json::object EntrySettings;    ///< Added to each entry's settings.
+  std::set<std::string> StartLater;  ///< Processes that start() leaves out.
+  bool EntriesKnowPeers = false;     ///< Each entry's settings name the others.
+  boost::json::object EntrySettings; ///< Added to each entry's settings.
   boost::json::object EndpointSettings; ///< Added to each endpoint's settings.
 };
 
@@ -42,7 +46,8 @@
   explicit Cluster(ClusterPlan plan);
 
   /// Starts everything, writes the team's settings into the platform, and waits
-  /// until each entry is ready. Throws std::runtime_error when one is not.
+  /// until each entry is ready and serves calls under these settings. Throws
+  /// std::runtime_error when one does not.
   void start();
 
   /// Starts one process. Precondition: it is not running.
@@ -65,6 +70,11 @@
   /// Returns the link address of an entry or endpoint.
   Address link(const std::string &name) const;
 
+  /// Returns the data centre of an entry or endpoint.
+  std::string dataCentre(const std::string &name) const {
+    return Nodes.at(name).DataCentre;
+  }
+
   /// Returns the names of all processes that run \p program.
   std::vector<std::string> named(const std::string &program) const;
 
@@ -72,6 +82,18 @@
   bool waitReady(const std::string &name,
                  std::chrono::milliseconds patience = Patience);
 
+  /// Returns the generation of the settings in force at entry \p name; 0 when
+  /// there are none or it does not answer.
+  std::uint64_t generation(const std::string &name);
+
+  /// Returns the addresses that entry \p name tells callers.
+  std::set<std::string> listedBy(const std::string &name);
+
+  /// Waits until entry \p name serves a call under the team's settings: a
+  /// status check, or a draft of one token when there is no ledger.
+  bool waitServing(const std::string &name,
+                   std::chrono::milliseconds patience = Patience);
+
   /// Writes the team's settings, as the plan says, into the platform.
   void writeTeamSettings();
 
@@ -120,6 +142,7 @@
                    const std::string &upstream, const std::string &kind);
   void addProgram(const std::string &name, Node node,
                   boost::json::object settings);
+  boost::json::array linksWithout(const std::string &name) const;
   void rewriteSettings();
   boost::json::array servers(const std::string &kind) const;
   int reachedPort(const std::string &name) const;
