--- a/testsuite/membership/measure_membership.cpp
+++ b/testsuite/membership/measure_membership.cpp
@@ -91,7 +91,7 @@
 
 // The last entry is killed; the others of its data centre are looked at.
 double killedMs(Cluster &cluster, const std::vector<std::string> &entries) {
-  std::string killed = entries.back();
+  const std::string &killed = entries.back();
   auto expected = static_cast<double>(entries.size() - 1);
   cluster.kill(killed);
   auto start = SteadyClock::now();
