Receive each part of a link message into a message of its own

Cause: the linter's use after move in receiveParts. Ruled out: nothing else; the moved part was rebuilt before its next use. Change: one message object for each part.

--- a/src/link/link.cpp
+++ b/src/link/link.cpp
@@ -45,14 +45,14 @@
 // a message arrive together. Parts beyond MaxParts are dropped.
 std::vector<zmq::message_t> receiveParts(zmq::socket_t &socket) {
   std::vector<zmq::message_t> parts;
-  zmq::message_t part;
-  while (socket.recv(part, zmq::recv_flags::dontwait)) {
-    bool isLast = !part.more();
+  bool isLast = false;
+  while (!isLast) {
+    zmq::message_t part;
+    if (!socket.recv(part, zmq::recv_flags::dontwait))
+      break;
+    isLast = !part.more();
     if (parts.size() < MaxParts)
       parts.push_back(std::move(part));
-    if (isLast)
-      break;
-    part.rebuild();
   }
   return parts;
 }
