Failed pulls no longer put off the read of the platform

Cause: each pull that failed moved the next read of the platform on by up to 10 s, and a peer that went on mentioning newer settings was asked again and again: a process could stay behind without end. Ruled out: a cap on the delay (the peer is still preferred on every turn). Change: the first failure sets the time of the read; later ones do not move it, and from then on the platform is read even while peers are ahead. Measured: pulls_failingForever_doNotPutOffThePlatform failed before, passes now.

--- a/src/config/decide.cpp
+++ b/src/config/decide.cpp
@@ -23,9 +23,25 @@
   state.NextRead = std::max(state.NextRead, until);
 }
 
-/// Asks one peer that is ahead; the platform when there is none.
+/// Lets a peer's failure lead to a read of the platform. Only the first one
+/// sets the time: more failures must not put it off.
+void promiseRead(ConfigState &state, Clock::time_point due) {
+  if (state.ReadDue)
+    return;
+  state.ReadDue = due;
+  leavePlatform(state, due);
+}
+
+/// Asks one peer that is ahead; the platform when there is none, or when peers
+/// have failed for long enough.
 void chase(ConfigState &state, Clock::time_point now, Actions &actions) {
-  if (!isBehind(state) || !state.Asked.empty())
+  if (!isBehind(state)) {
+    state.ReadDue.reset();
+    return;
+  }
+  if (state.ReadDue && *state.ReadDue <= now)
+    readPlatform(state, now, actions);
+  if (!state.Asked.empty())
     return;
   if (state.Ahead.empty()) {
     readPlatform(state, now, actions);
@@ -76,6 +92,8 @@
   }
   if (!isBehind(state))
     state.Ahead.clear();
+  else if (event.Peer)
+    promiseRead(state, now + event.Delay);
   else
     leavePlatform(state, now + event.Delay);
   chase(state, now, actions);
@@ -85,7 +103,7 @@
             Actions &actions) {
   state.Asked.erase(event.Peer);
   state.Ahead.erase(event.Peer);
-  leavePlatform(state, now + event.Delay);
+  promiseRead(state, now + event.Delay);
   chase(state, now, actions);
 }
 
--- a/src/config/decide_test.cpp
+++ b/src/config/decide_test.cpp
@@ -64,6 +64,19 @@
   BOOST_TEST(isReady(State, Now));
 }
 
+BOOST_AUTO_TEST_CASE(pulls_failingForever_doNotPutOffThePlatform) {
+  on(ConfigTick{});
+  platformGives(7);
+  bool hasRead = false;
+  for (int i = 0; i < 60 && !hasRead; ++i) {
+    mentions(PeerA, 9);
+    Now += 1s;
+    hasRead = on(PullFailed{PeerA, 10s}).starts_with("read ") ||
+              on(ConfigTick{}).starts_with("read ");
+  }
+  BOOST_TEST(hasRead);
+}
+
 BOOST_AUTO_TEST_CASE(read_staleAnswer_lowersNothingAndIsNotRepeatedAtOnce) {
   on(ConfigTick{});
   platformGives(7);
--- a/src/include/greengagespar/config/decide.h
+++ b/src/include/greengagespar/config/decide.h
@@ -29,11 +29,13 @@
   bool Watches = false; ///< This process watches the platform.
   Clock::time_point StartedAt;
   std::optional<Generation> Installed; ///< In force here; only goes up.
-  Generation Known;              ///< Highest that this process has heard of.
-  std::set<Address> Ahead;       ///< Peers that mentioned Known.
-  std::set<Address> Asked;       ///< Peers with a pull in progress.
-  bool Reading = false;          ///< A read of the platform is in progress.
-  Clock::time_point NextRead;    ///< No read of the platform before this.
+  Generation Known;           ///< Highest that this process has heard of.
+  std::set<Address> Ahead;    ///< Peers that mentioned Known.
+  std::set<Address> Asked;    ///< Peers with a pull in progress.
+  bool Reading = false;       ///< A read of the platform is in progress.
+  Clock::time_point NextRead; ///< No read of the platform before this.
+  /// Peers have failed it since it fell behind: the platform is read then.
+  std::optional<Clock::time_point> ReadDue;
   Clock::time_point LastWord;    ///< Last message from a peer or the platform.
   bool PlatformAnswered = false; ///< Since the start.
 };
