A leaving entry waits until callers have taken their answers

Cause: the loop ended as soon as no call was open, while the end of an answer was still in the connection's output buffer: 4 of 11 stops with a long stream lost the last events and [DONE]. Ruled out: evhttp ending the connection early (the endpoint processes' streams were whole, and the bytes missing are the last ones). Change: a stop waits while answers wait to be sent, at most 30 s after the grace period; a lost keyed call is said to be of unknown outcome, not late.

--- a/src/call/call_state.cpp
+++ b/src/call/call_state.cpp
@@ -158,6 +158,11 @@
 }
 
 Actions on(CallState &state, const DeadlineReached &) {
+  if (!isAtEndpoint(state) && state.MayHaveRun)
+    return refuse(state,
+                  {ErrorKind::OutcomeUnknown,
+                   "the endpoint that had the call did not come back in time"},
+                  Ran::Unknown);
   if (!isAtEndpoint(state))
     return refuse(state,
                   {ErrorKind::DeadlineExceeded, "no endpoint was free in time"},
--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -17,6 +17,9 @@
 // How often links, deadlines and waiting calls are looked at.
 constexpr timeval TickInterval{0, 10000};
 
+// How long a leaving entry waits for callers to take their answers.
+constexpr std::chrono::seconds MaxCallerWait{30};
+
 constexpr std::size_t MaxHeaderValueBytes = 256;
 constexpr std::string_view Json = "application/json";
 
@@ -155,12 +158,18 @@
 
 void Entry::tick() {
   Router.tick();
-  if (!refusesNewWork() || Router.open() > 0)
+  if (!refusesNewWork() || Router.open() > 0 || awaitsCallers())
     return;
   logInfo(Part::Entry, "left: no calls in progress");
   event_base_loopbreak(Base);
 }
 
+bool Entry::awaitsCallers() const {
+  // A caller that never reads must not keep the process for ever.
+  return Http.hasOutput() &&
+         Clock::now() < *LeavingSince + Settings.DrainGrace + MaxCallerWait;
+}
+
 void Entry::onRequest(evhttp_request *request) {
   auto call = std::make_unique<ActiveCall>();
   call->Arrived = Clock::now();
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -55,6 +55,7 @@
                           DraftShape shape) const;
   Result<void> admitService(ActiveCall &call, evhttp_request *request) const;
   bool refusesNewWork() const;
+  bool awaitsCallers() const;
 
   event_base *Base;
   EntrySettings Settings;
--- a/src/entry/http_server.cpp
+++ b/src/entry/http_server.cpp
@@ -1,5 +1,6 @@
 #include "http_server.h"
 
+#include <algorithm>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -96,6 +97,13 @@
   server->Handle(request);
 }
 
+bool HttpServer::hasOutput() const {
+  return std::ranges::any_of(Guards, [](const auto &it) {
+    return !isFreed(it.first) &&
+           evbuffer_get_length(bufferevent_get_output(it.first)) > 0;
+  });
+}
+
 void HttpServer::onSweep(int, short, void *self) {
   static_cast<HttpServer *>(self)->sweep();
 }
--- a/src/entry/http_server.h
+++ b/src/entry/http_server.h
@@ -48,6 +48,8 @@
 
   /// Connections open now.
   std::size_t connections() const { return Guards.size(); }
+  /// Whether an answer waits to be sent on some connection.
+  bool hasOutput() const;
   /// Connections closed because their request took too long to arrive, or
   /// because there were too many.
   std::uint64_t closed() const { return Closed; }
--- a/testsuite/calls/calls_test.cpp
+++ b/testsuite/calls/calls_test.cpp
@@ -1,6 +1,7 @@
 #include "call_bench.h"
 
 #include <boost/test/unit_test.hpp>
+#include <thread>
 
 using namespace greengagespar::harness;
 using std::chrono::milliseconds;
@@ -11,6 +12,7 @@
   ClusterPlan plan;
   plan.Helpers = 3;
   plan.Ledgers = 3;
+  plan.EntrySettings["max_body_bytes"] = 4000000;
   plan.LedgerArgs = {"--service-us", "5000"};
   return plan;
 }
@@ -102,4 +104,22 @@
   BOOST_TEST(Report.Answered == Report.Calls);
 }
 
+BOOST_AUTO_TEST_CASE(answer_entryStoppedBeforeItIsRead_isWhole) {
+  // More than the kernel takes for a caller that does not read.
+  constexpr std::size_t bodyBytes = 3500000;
+  RawConnection caller(address("entry-1"), 4096);
+  caller.send("POST /v1/services/ledger/echo HTTP/1.1\r\nHost: entry\r\n"
+              "X-Workspace: members\r\nConnection: close\r\n"
+              "Content-Length: " +
+              std::to_string(bodyBytes) + "\r\n\r\n" +
+              std::string(bodyBytes, 'x'));
+  std::this_thread::sleep_for(milliseconds(500));
+  process("entry-1").signal(SIGTERM);
+  std::this_thread::sleep_for(milliseconds(4500));
+  std::string answer = caller.readUntil("no such text");
+  BOOST_TEST(answer.starts_with("HTTP/1.1 200"));
+  BOOST_TEST(answer.size() > bodyBytes);
+  BOOST_TEST(process("entry-1").wait().value_or(-1) == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/testsuite/harness/client.cpp
+++ b/testsuite/harness/client.cpp
@@ -90,8 +90,10 @@
   return ec ? boost::json::value() : value;
 }
 
-RawConnection::RawConnection(const Address &server)
+RawConnection::RawConnection(const Address &server, int receiveBytes)
     : Fd(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+  if (receiveBytes > 0)
+    setsockopt(Fd, SOL_SOCKET, SO_RCVBUF, &receiveBytes, sizeof receiveBytes);
   sockaddr_in name = socketName(server);
   if (connect(Fd, reinterpret_cast<sockaddr *>(&name), sizeof name) != 0) {
     ::close(Fd);
--- a/testsuite/harness/client.h
+++ b/testsuite/harness/client.h
@@ -55,8 +55,9 @@
 /// A TCP connection without any protocol.
 class RawConnection {
 public:
-  /// Connects. Throws std::runtime_error when it can't.
-  explicit RawConnection(const Address &server);
+  /// Connects, with a receive buffer of \p receiveBytes unless it is 0. Throws
+  /// std::runtime_error when it can't.
+  explicit RawConnection(const Address &server, int receiveBytes = 0);
   ~RawConnection();
   RawConnection(const RawConnection &) = delete;
   RawConnection &operator=(const RawConnection &) = delete;
