Leave members without proper addresses out

Cause: an entry took any text as a member's link address and connected to it; ZeroMQ throws on "nowhere", and the process ended. Change: readMember takes only identifiers and IP addresses with ports, as settings do; the sender's address is believed only when its row is taken. The rows of readMembers_malformedAndTooMany got the fields that a row now needs.

--- a/src/entry/peer_links.cpp
+++ b/src/entry/peer_links.cpp
@@ -159,11 +159,12 @@
 
 void PeerLinks::take(const wire::Envelope &envelope) {
   bool changed = false;
-  for (const MemberRow &it : readMembers(envelope.members()))
+  std::vector<MemberRow> rows = readMembers(envelope.members());
+  for (const MemberRow &it : rows)
     changed = merge(it) || changed;
-  if (envelope.members().members_size() > 0)
-    Hooks.OnMentioned({envelope.members().members(0).link()},
-                      {envelope.generation()});
+  if (!rows.empty() &&
+      rows.front().Link.Value == envelope.members().members(0).link())
+    Hooks.OnMentioned(rows.front().Link, {envelope.generation()});
   if (changed)
     Hooks.OnChange();
 }
--- a/src/include/greengagespar/link/member_message.h
+++ b/src/include/greengagespar/link/member_message.h
@@ -17,7 +17,8 @@
 /// Writes \p row into \p message.
 void writeMember(const MemberRow &row, wire::Member &message);
 
-/// Reads a row; empty when it names no link address or no host.
+/// Reads a row; empty when its names are no identifiers, its link address is no
+/// IP address with a port, or it is an entry whose address for callers is none.
 std::optional<MemberRow> readMember(const wire::Member &message);
 
 /// Reads at most MaxRowsTaken rows and leaves out malformed ones.
--- a/src/link/member_message.cpp
+++ b/src/link/member_message.cpp
@@ -1,5 +1,7 @@
 #include "greengagespar/link/member_message.h"
 
+#include "greengagespar/base/address.h"
+#include "greengagespar/base/schema.h"
 #include <algorithm>
 
 namespace greengagespar {
@@ -17,7 +19,10 @@
 }
 
 std::optional<MemberRow> readMember(const wire::Member &message) {
-  if (message.link().empty() || message.name().empty())
+  // Others' words end up in sockets and answers: only what settings allow.
+  bool isCallable = message.is_endpoint() || parseIpPort(message.callers());
+  if (!isIdText(message.name()) || !isIdText(message.data_centre()) ||
+      !parseIpPort(message.link()) || !isCallable)
     return std::nullopt;
   MemberRow row;
   row.Host = {message.name()};
--- a/src/link/member_message_test.cpp
+++ b/src/link/member_message_test.cpp
@@ -27,6 +27,35 @@
   BOOST_TEST((back->Settings == row.Settings));
 }
 
+BOOST_AUTO_TEST_CASE(readMember_oneBadField_isLeftOut) {
+  struct Case {
+    void (*Spoil)(wire::Member &);
+  };
+  const Case cases[] = {
+      {[](wire::Member &it) { it.set_name("a b"); }},
+      {[](wire::Member &it) { it.set_name(std::string(1000, 'a')); }},
+      {[](wire::Member &it) { it.set_link("nowhere"); }},
+      {[](wire::Member &it) { it.set_callers("1.2.3.4:99999"); }},
+      {[](wire::Member &it) { it.set_data_centre(""); }},
+  };
+  for (const Case &it : cases) {
+    wire::Member message;
+    writeMember({{"a"},
+                 MemberRole::Entry,
+                 {"10.0.0.1:1"},
+                 {"10.0.0.1:2"},
+                 {"kigali-1"},
+                 {1},
+                 1,
+                 false,
+                 {}},
+                message);
+    BOOST_TEST(readMember(message).has_value());
+    it.Spoil(message);
+    BOOST_TEST(!readMember(message).has_value());
+  }
+}
+
 BOOST_AUTO_TEST_CASE(readMembers_malformedAndTooMany_areLeftOut) {
   wire::Members message;
   message.add_members()->set_name("no-link");
@@ -34,6 +63,8 @@
     wire::Member *it = message.add_members();
     it->set_name("a");
     it->set_link("10.0.0.1:1");
+    it->set_callers("10.0.0.1:2");
+    it->set_data_centre("kigali-1");
   }
   BOOST_TEST(readMembers(message).size() == std::size_t{MaxRowsTaken} - 1);
 }
