Refuse service paths that can't stand in a request line

Cause: a path with bytes over 127 made a message that no receiver parses, so the call waited for its deadline; the endpoint process passed on any path of a link message, line ends included, and a run without work. Seen first: bad_input_tests target_malformed_isRefused (504 after the deadline instead of 400, a control byte reached the service) and run_malformed_isRefused (not refused). Change: isRequestTarget, asked by the entry and by the endpoint process. After: both pass.

--- a/src/contract/repeat_rule.cpp
+++ b/src/contract/repeat_rule.cpp
@@ -59,4 +59,9 @@
   return idempotent ? RepeatRule::Repeatable : RepeatRule::NotRetried;
 }
 
+bool isRequestTarget(std::string_view text) {
+  auto isVisible = [](char c) { return c > 0x20 && c < 0x7f; };
+  return text.starts_with('/') && std::ranges::all_of(text, isVisible);
+}
+
 } // namespace greengagespar
--- a/src/endpoint/endpoint.cpp
+++ b/src/endpoint/endpoint.cpp
@@ -1,6 +1,7 @@
 #include "endpoint.h"
 
 #include "greengagespar/base/log.h"
+#include "greengagespar/contract/repeat_rule.h"
 #include <boost/json.hpp>
 #include <event2/event.h>
 #include <utility>
@@ -41,6 +42,11 @@
   return json::serialize(body);
 }
 
+bool isWellFormed(const wire::Run &run) {
+  return run.has_draft() ||
+         (run.has_service() && isRequestTarget(run.service().path()));
+}
+
 } // namespace
 
 Endpoint::Endpoint(event_base *base, zmq::context_t &context,
@@ -200,6 +206,9 @@
   if (run.endpoint_incarnation() != Self.Life.Value)
     return refuse(peer, run.call(), ErrorKind::LinkDown,
                   "meant for an earlier life of this process", true);
+  if (!isWellFormed(run))
+    return refuse(peer, run.call(), ErrorKind::BadRequest,
+                  "neither a draft nor a service's request", true);
   if (Revoked.contains(id))
     return refuse(peer, run.call(), ErrorKind::DeadlineExceeded, "revoked",
                   true);
--- a/src/entry/api.cpp
+++ b/src/entry/api.cpp
@@ -1,5 +1,7 @@
 #include "api.h"
 
+#include "greengagespar/contract/repeat_rule.h"
+
 #include <algorithm>
 #include <boost/json.hpp>
 #include <charconv>
@@ -179,6 +181,8 @@
 Result<ServiceTarget> parseServiceTarget(std::string_view uri) {
   if (!uri.starts_with(ServicePrefix))
     return fail(ErrorKind::NotFound, "not a service path");
+  if (!isRequestTarget(uri))
+    return bad("the path is not printable ASCII without spaces");
   std::string_view rest = uri.substr(ServicePrefix.size());
   auto end = rest.find_first_of("/?");
   if (end == std::string_view::npos)
--- a/src/include/greengagespar/contract/repeat_rule.h
+++ b/src/include/greengagespar/contract/repeat_rule.h
@@ -31,6 +31,10 @@
   return repeatRule(service, method, path) == RepeatRule::Repeatable;
 }
 
+/// Whether \p text can stand as path and query in a request line: it begins
+/// with "/" and is printable ASCII without spaces. Thread safe.
+bool isRequestTarget(std::string_view text);
+
 } // namespace greengagespar
 
 #endif // GREENGAGESPAR_CONTRACT_REPEAT_RULE_H
