Bound what a connection takes and keep its answer from being cut

Cause, each seen failing in bad_input_tests first: - evhttp reads on while it answers: 128 MB sent during a stream grew the entry by 133 MB. The read buffer now has a high mark. - A request pipelined during a stream was counted as slow to arrive and its connection was closed, the stream with it. Arrival counts after the answer. - A caller that takes nothing was not given up: the kernel and 4 MB took a whole stream of 32768 tokens. Now 256 kB in the kernel and 1 MB in the entry. - Two Content-Length, or a body with GET or DELETE: evhttp read the rest as the next request. Refused with bad_request and closed. After: these cases pass.

--- a/src/entry/call_router.cpp
+++ b/src/entry/call_router.cpp
@@ -18,7 +18,7 @@
 constexpr std::chrono::milliseconds SettingsPatience{500};
 
 // Bytes that a caller may leave untaken before its call is given up.
-constexpr std::size_t MaxWaitingBytes = 4 << 20;
+constexpr std::size_t MaxWaitingBytes = 1 << 20;
 
 CallId callOf(const wire::CallRef &ref) {
   return {{ref.entry()}, ref.number()};
--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -60,6 +60,33 @@
   return text;
 }
 
+bool takesBody(evhttp_request *request) {
+  evhttp_cmd_type type = evhttp_request_get_command(request);
+  return type == EVHTTP_REQ_POST || type == EVHTTP_REQ_PUT ||
+         type == EVHTTP_REQ_PATCH;
+}
+
+// Whether the end of the request's body can be read in two ways. evhttp takes
+// the first length, prefers chunks to a length, and leaves the body of methods
+// that usually have none to be read as the next request.
+bool hasUnclearEnd(evhttp_request *request) {
+  int lengths = 0;
+  int encodings = 0;
+  bool isEmpty = true;
+  const auto *headers = evhttp_request_get_input_headers(request);
+  for (const auto *it = headers->tqh_first; it; it = it->next.tqe_next) {
+    if (evutil_ascii_strcasecmp(it->key, "Transfer-Encoding") == 0)
+      ++encodings;
+    if (evutil_ascii_strcasecmp(it->key, "Content-Length") != 0)
+      continue;
+    ++lengths;
+    isEmpty = isEmpty && std::string_view(it->value) == "0";
+  }
+  if (lengths + encodings > 1)
+    return true;
+  return !takesBody(request) && (encodings > 0 || !isEmpty);
+}
+
 std::string bodyOf(evhttp_request *request) {
   evbuffer *buf = evhttp_request_get_input_buffer(request);
   std::string body(evbuffer_get_length(buf), '\0');
@@ -166,6 +193,16 @@
   call->Arrived = Clock::now();
   call->Id = Router.nextId();
   call->Reply = std::make_unique<CallerReply>(request);
+  if (hasUnclearEnd(request)) {
+    evhttp_add_header(evhttp_request_get_output_headers(request), "Connection",
+                      "close");
+    return sendError(*call->Reply,
+                     {ErrorKind::BadRequest,
+                      "the end of the body is not clear: send one "
+                      "Content-Length or Transfer-Encoding, and a body only "
+                      "with POST, PUT and PATCH"},
+                     Ran::No);
+  }
   const char *rawPath =
       evhttp_uri_get_path(evhttp_request_get_evhttp_uri(request));
   std::string_view path = rawPath ? rawPath : "/";
--- a/src/entry/http_server.cpp
+++ b/src/entry/http_server.cpp
@@ -16,6 +16,12 @@
 // How often slow and closed connections are looked for.
 constexpr timeval SweepInterval{0, 100000};
 
+// Bytes that the kernel keeps of answers that a caller does not take.
+constexpr int SendBuffer = 256 << 10;
+
+// Room for line ends and chunk sizes beside headers and body.
+constexpr std::size_t FramingBytes = 64 << 10;
+
 // Every method that evhttp knows.
 constexpr ev_uint16_t AllMethods =
     EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD | EVHTTP_REQ_PUT |
@@ -61,10 +67,12 @@
   auto *bound = evhttp_bind_socket_with_handle(Http, host.c_str(), port);
   if (!bound)
     return fail(ErrorKind::BadRequest, "cannot listen on " + address.Value);
-  // Accepted sockets inherit it: each part of a stream leaves at once.
+  // Accepted sockets inherit both: each part of a stream leaves at once, and
+  // the kernel's buffer does not grow with a caller that reads slowly.
+  int fd = evhttp_bound_socket_get_fd(bound);
   int on = 1;
-  setsockopt(evhttp_bound_socket_get_fd(bound), IPPROTO_TCP, TCP_NODELAY, &on,
-             sizeof on);
+  setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &SendBuffer, sizeof SendBuffer);
   return {};
 }
 
@@ -78,12 +86,17 @@
   guard.IsRefused = server->Guards.size() >
                     static_cast<std::size_t>(server->Limits.MaxConnections);
   evbuffer_add_cb(bufferevent_get_input(connection), onInput, &guard);
+  // evhttp goes on reading while it answers; what a caller sends then waits in
+  // the kernel once one request's worth has been read.
+  bufferevent_setwatermark(connection, EV_READ, 0,
+                           server->Limits.MaxHeaderBytes +
+                               server->Limits.MaxBodyBytes + FramingBytes);
   return connection;
 }
 
 void HttpServer::onInput(evbuffer *, const evbuffer_cb_info *info, void *arg) {
   auto *guard = static_cast<Guard *>(arg);
-  if (info->n_added > 0 && !guard->RequestBegan)
+  if (info->n_added > 0 && !guard->RequestBegan && !guard->IsAnswering)
     guard->RequestBegan = Clock::now();
 }
 
@@ -91,11 +104,23 @@
   auto *server = static_cast<HttpServer *>(self);
   auto *connection =
       evhttp_connection_get_bufferevent(evhttp_request_get_connection(request));
-  if (auto it = server->Guards.find(connection); it != server->Guards.end())
+  if (auto it = server->Guards.find(connection); it != server->Guards.end()) {
     it->second.RequestBegan.reset();
+    it->second.IsAnswering = true;
+    evhttp_request_set_on_complete_cb(request, onAnswered, &it->second);
+  }
   server->Handle(request);
 }
 
+void HttpServer::onAnswered(evhttp_request *request, void *arg) {
+  auto *guard = static_cast<Guard *>(arg);
+  guard->IsAnswering = false;
+  auto *connection =
+      evhttp_connection_get_bufferevent(evhttp_request_get_connection(request));
+  if (evbuffer_get_length(bufferevent_get_input(connection)) > 0)
+    guard->RequestBegan = Clock::now();
+}
+
 void HttpServer::onSweep(int, short, void *self) {
   static_cast<HttpServer *>(self)->sweep();
 }
--- a/src/entry/http_server.h
+++ b/src/entry/http_server.h
@@ -57,12 +57,14 @@
   struct Guard {
     HttpServer *Owner = nullptr;
     std::optional<Clock::time_point> RequestBegan;
+    bool IsAnswering = false; ///< A request has arrived and is not answered.
     bool IsRefused = false;
   };
 
   static bufferevent *onConnection(event_base *base, void *self);
   static void onInput(evbuffer *buf, const evbuffer_cb_info *info, void *guard);
   static void onRequest(evhttp_request *request, void *self);
+  static void onAnswered(evhttp_request *request, void *guard);
   static void onSweep(int, short, void *self);
   void sweep();
 
