--- /dev/null
+++ b/testsuite/bad_input/connection_test.cpp
@@ -0,0 +1,184 @@
+#include "bad_input.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace greengagespar::harness;
+using std::chrono::milliseconds;
+
+namespace {
+
+// More tokens than any test waits for.
+constexpr std::uint64_t EndlessTokens = 32768;
+
+// What an attack sends: well over the growth that a test allows.
+constexpr std::size_t FloodBytes = 128UL << 20;
+
+const std::string Head = "POST /v1/completions HTTP/1.1\r\n"
+                         "X-Workspace: members\r\n"
+                         "X-Deadline-Ms: 100000\r\n";
+
+struct ImpatientFixture : BadInputFixture {
+  ImpatientFixture() : BadInputFixture(impatientPlan()) {}
+
+  static ClusterPlan impatientPlan() {
+    ClusterPlan plan = smallPlan();
+    plan.EntrySettings["header_timeout_ms"] = 100; // The least that is allowed.
+    return plan;
+  }
+};
+
+// The engine is fast, so that an answer soon outgrows the kernel's buffers.
+struct FastFixture : BadInputFixture {
+  FastFixture() : BadInputFixture(fastPlan()) {}
+
+  static ClusterPlan fastPlan() {
+    ClusterPlan plan = smallPlan();
+    plan.EngineArgs = {"--step-ms", "0.05"};
+    return plan;
+  }
+};
+
+std::string streamRequest(std::uint64_t tokens) {
+  return bytesOf({.Headers = "X-Workspace: members\r\n"
+                             "X-Deadline-Ms: 100000\r\n",
+                  .Body = draftBody(tokens, true)});
+}
+
+std::size_t countOf(const std::string &text, std::string_view what) {
+  std::size_t n = 0;
+  for (auto at = text.find(what); at != std::string::npos;
+       at = text.find(what, at + what.size()))
+    ++n;
+  return n;
+}
+
+// Sends pieces until the other end closes or FloodBytes are sent. Returns
+// whether the other end closed or stopped taking them.
+bool floodEnds(RawConnection &connection, const std::string &piece) {
+  for (std::size_t sent = 0; sent < FloodBytes; sent += piece.size())
+    if (!connection.send(piece))
+      return true;
+  return false;
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(SlowArrival, ImpatientFixture)
+
+BOOST_AUTO_TEST_CASE(request_oneByteAtATime_isClosed) {
+  const std::string cases[] = {
+      "", "GET / HTTP/1.1\r\nX: ", Head + "Content-Length: 1000\r\n\r\n"};
+  for (const std::string &begin : cases) {
+    RawConnection connection(entry());
+    connection.send(begin);
+    BOOST_TEST(waitUntil([&] { return !connection.send("a"); }));
+  }
+  BOOST_TEST(waitUntil([&] { return metric("connections") <= 2; }));
+}
+
+BOOST_AUTO_TEST_CASE(request_pipelinedDuringStream_waitsItsTurn) {
+  RawConnection connection(entry());
+  connection.send(streamRequest(300));
+  std::string text = connection.readUntil("data: ");
+  // Arrives during the stream, which goes on for longer than a request may.
+  connection.send("GET /healthz HTTP/1.1\r\nConnection: close\r\n\r\n");
+  text += connection.readUntil("");
+  BOOST_TEST(countOf(text, "data: [DONE]") == 1u);
+  BOOST_TEST(text.ends_with("ok\n"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(Connections, BadInputFixture)
+
+BOOST_AUTO_TEST_CASE(headers_endless_areClosed) {
+  for (const std::string &piece :
+       {"X-" + std::string(60000, 'a'), std::string("X-More: a\r\n")}) {
+    RawConnection connection(entry());
+    connection.send(Head);
+    BOOST_TEST(floodEnds(connection, piece));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(body_endless_isClosed) {
+  for (const std::string &head :
+       {Head + "Content-Length: 1000000000\r\n\r\n",
+        Head + "Transfer-Encoding: chunked\r\n\r\n"}) {
+    RawConnection connection(entry());
+    connection.send(head);
+    BOOST_TEST(
+        floodEnds(connection, "10000\r\n" + std::string(65536, 'a') + "\r\n"));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(pipelined_many_areAnsweredInOrder) {
+  constexpr int count = 200;
+  std::string all;
+  for (int i = 0; i < count; ++i)
+    all += i % 2 == 0 ? "GET /healthz HTTP/1.1\r\n\r\n"
+                      : bytesOf({.Body = draftBody(2)});
+  all += bytesOf({.Method = "GET",
+                  .Target = "/nothing",
+                  .Headers = "Connection: close\r\n"});
+  RawConnection connection(entry());
+  connection.send(all);
+  std::string text = connection.readUntil("");
+  BOOST_TEST(countOf(text, "HTTP/1.1 200 OK") == std::size_t{count});
+  BOOST_TEST(countOf(text, "HTTP/1.1 404 ") == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(pipelined_endlessDuringStream_areNotTaken) {
+  RawConnection connection(entry());
+  connection.send(streamRequest(EndlessTokens));
+  connection.readUntil("data: ");
+  BOOST_TEST(floodEnds(connection, std::string(65536, 'a')));
+  checkUnharmed();
+}
+
+BOOST_AUTO_TEST_CASE(connection_droppedInBody_isForgotten) {
+  for (int i = 0; i < 100; ++i) {
+    RawConnection connection(entry());
+    connection.send(Head + "Content-Length: 1000\r\n\r\n{\"model\"");
+    connection.close(i % 2 == 0);
+  }
+  BOOST_TEST(waitUntil([&] { return metric("connections") <= 2; }));
+}
+
+BOOST_AUTO_TEST_CASE(connection_droppedInAnswer_cancelsItsStream) {
+  std::uint64_t before = metric("callers_gone_total");
+  for (bool reset : {true, false}) {
+    RawConnection connection(entry());
+    connection.send(streamRequest(EndlessTokens));
+    BOOST_TEST(!connection.readUntil("data: ").empty());
+    connection.close(reset);
+  }
+  // Uncut, each stream would run for over a minute.
+  BOOST_TEST(waitUntil([&] { return runningStreams() == 0; }));
+  BOOST_TEST(metric("callers_gone_total") == before + 2);
+}
+
+BOOST_AUTO_TEST_CASE(connection_droppedBeforeAnswer_cancelsItsStream) {
+  RawConnection connection(entry());
+  connection.send(bytesOf({.Body = draftBody(EndlessTokens)}));
+  BOOST_TEST(waitUntil([&] { return runningStreams() == 2; }));
+  connection.close();
+  BOOST_TEST(waitUntil([&] { return runningStreams() == 0; }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(SlowReader, FastFixture)
+
+BOOST_AUTO_TEST_CASE(reader_takesNothing_isGivenUp) {
+  constexpr milliseconds wholeAnswer{60000};
+  std::uint64_t before = metric("callers_gone_total");
+  RawConnection connection(entry(), RawConnection::SmallWindow);
+  connection.send(streamRequest(EndlessTokens));
+  BOOST_TEST(waitUntil(
+      [&] { return metric("callers_gone_total") == before + 1; }, wholeAnswer));
+  BOOST_TEST(waitUntil([&] { return runningStreams() == 0; }));
+  BOOST_TEST(connection.readUntil("[DONE]").find("[DONE]") ==
+             std::string::npos);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/testsuite/harness/client.cpp
+++ b/testsuite/harness/client.cpp
@@ -20,6 +20,9 @@
 // Above the request's own time: the client itself ends each call.
 constexpr milliseconds Margin{2000};
 
+// How long a raw connection waits for the other end to take more bytes.
+constexpr timeval SendPatience{2, 0};
+
 sockaddr_in socketName(const Address &server) {
   auto colon = server.Value.rfind(':');
   sockaddr_in name{};
@@ -90,8 +93,11 @@
   return ec ? boost::json::value() : value;
 }
 
-RawConnection::RawConnection(const Address &server)
+RawConnection::RawConnection(const Address &server, int receiveBuffer)
     : Fd(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+  if (receiveBuffer > 0)
+    setsockopt(Fd, SOL_SOCKET, SO_RCVBUF, &receiveBuffer, sizeof receiveBuffer);
+  setsockopt(Fd, SOL_SOCKET, SO_SNDTIMEO, &SendPatience, sizeof SendPatience);
   sockaddr_in name = socketName(server);
   if (connect(Fd, reinterpret_cast<sockaddr *>(&name), sizeof name) != 0) {
     ::close(Fd);
--- a/testsuite/harness/client.h
+++ b/testsuite/harness/client.h
@@ -55,13 +55,18 @@
 /// A TCP connection without any protocol.
 class RawConnection {
 public:
-  /// Connects. Throws std::runtime_error when it can't.
-  explicit RawConnection(const Address &server);
+  /// The smallest receive buffer that the kernel gives, in bytes.
+  static constexpr int SmallWindow = 1;
+
+  /// Connects; with \p receiveBuffer over 0 the kernel keeps about so many
+  /// bytes that nobody reads. Throws std::runtime_error when it can't.
+  explicit RawConnection(const Address &server, int receiveBuffer = 0);
   ~RawConnection();
   RawConnection(const RawConnection &) = delete;
   RawConnection &operator=(const RawConnection &) = delete;
 
-  /// Sends all bytes. Returns false when the other end has closed.
+  /// Sends all bytes. Returns false when the other end has closed or has taken
+  /// nothing for two seconds.
   bool send(std::string_view bytes);
 
   /// Reads until the other end closes, \p enough is in the text, or
