--- a/src/call/call_state.cpp
+++ b/src/call/call_state.cpp
@@ -158,7 +158,8 @@
 }
 
 Actions on(CallState &state, const DeadlineReached &) {
-  if (!isAtEndpoint(state) && state.MayHaveRun)
+  bool isKeyed = state.Repeatable == Repeat::Keyed;
+  if (!isAtEndpoint(state) && isKeyed && state.MayHaveRun)
     return refuse(state,
                   {ErrorKind::OutcomeUnknown,
                    "the endpoint that had the call did not come back in time"},
--- a/testsuite/harness/client.h
+++ b/testsuite/harness/client.h
@@ -55,14 +55,18 @@
 /// A TCP connection without any protocol.
 class RawConnection {
 public:
-  /// Connects, with a receive buffer of \p receiveBytes unless it is 0. Throws
-  /// std::runtime_error when it can't.
-  explicit RawConnection(const Address &server, int receiveBytes = 0);
+  /// The smallest receive buffer that the kernel gives, in bytes.
+  static constexpr int SmallWindow = 1;
+
+  /// Connects; with \p receiveBuffer over 0 the kernel keeps about so many
+  /// bytes that nobody reads. Throws std::runtime_error when it can't.
+  explicit RawConnection(const Address &server, int receiveBuffer = 0);
   ~RawConnection();
   RawConnection(const RawConnection &) = delete;
   RawConnection &operator=(const RawConnection &) = delete;
 
-  /// Sends all bytes. Returns false when the other end has closed.
+  /// Sends all bytes. Returns false when the other end has closed or has taken
+  /// nothing for two seconds.
   bool send(std::string_view bytes);
 
   /// Reads until the other end closes, \p enough is in the text, or
