Mend a linter finding in the bench of calls

Cause: a copy of a name that is only read. Ruled out: nothing. Change: a reference; the steps keep their own copies.

--- a/testsuite/calls/call_bench.cpp
+++ b/testsuite/calls/call_bench.cpp
@@ -186,7 +186,7 @@
   std::mt19937_64 random(seed);
   std::vector<FaultStep> steps;
   for (milliseconds at = every; at + downtime < duration; at += every) {
-    std::string name = names[random() % names.size()];
+    const std::string &name = names[random() % names.size()];
     steps.push_back({at, [name](Cluster &it) { it.kill(name); }});
     steps.push_back({at + downtime, [name](Cluster &it) { it.start(name); }});
   }
