Count refusals made on arrival; plainer words in findings and logs

Cause: calls_refused_total left out what was refused while a request was checked; a finding read 'a endpoint address'; a start with an empty platform logged that settings of generation 0 are in force. Ruled out: a table of articles for claims.

--- a/src/config/config_follower.cpp
+++ b/src/config/config_follower.cpp
@@ -124,9 +124,11 @@
 
 void ConfigFollower::act(const InstallSettings &action) {
   Held = std::move(Candidate);
-  logInfo(Part::Contract, "settings of generation " +
-                              std::to_string(action.At.Value) +
-                              " are in force");
+  // Generation 0 means that nothing was accepted yet.
+  if (action.At.Value > 0)
+    logInfo(Part::Contract, "settings of generation " +
+                                std::to_string(action.At.Value) +
+                                " are in force");
   Hooks.OnContract(contractOf(Held));
 }
 
--- a/src/contract/accept.cpp
+++ b/src/contract/accept.cpp
@@ -85,7 +85,7 @@
     addFinding(faults, it.Path,
                words + " " + quoted(it.What.Name) + ", which team " +
                    quoted(holder->second.Value) + " has",
-               "a " + words + " that no other team has");
+               "one that no other team has");
   }
   return faults;
 }
--- a/src/entry/call_router.cpp
+++ b/src/entry/call_router.cpp
@@ -238,10 +238,10 @@
   if (!call.Only.Value.empty())
     return call.Only;
   return call.State.Repeatable == Repeat::Keyed ? chooseKeyedServer(call)
-                                                : chooseDraftServer(call);
+                                                : chooseAnyServer(call);
 }
 
-std::optional<ServerId> CallRouter::chooseDraftServer(const ActiveCall &call) {
+std::optional<ServerId> CallRouter::chooseAnyServer(const ActiveCall &call) {
   auto pool = Pools.find(call.Pool);
   if (pool == Pools.end())
     return std::nullopt;
--- a/src/entry/call_router.h
+++ b/src/entry/call_router.h
@@ -53,6 +53,11 @@
   /// The links to endpoint processes.
   EndpointLinks &links() { return Links; }
 
+  /// Counts a call that was refused before it was started.
+  void noteRefused(ErrorKind kind) {
+    ++Counters.Refused[static_cast<std::size_t>(kind)];
+  }
+
   /// Calls in progress.
   std::size_t open() const { return Calls.size(); }
   const CallCounters &counters() const { return Counters; }
@@ -65,7 +70,7 @@
   bool sendRun(const ActiveCall &call, const ServerId &server,
                Incarnation life);
   std::optional<ServerId> chooseServer(const ActiveCall &call);
-  std::optional<ServerId> chooseDraftServer(const ActiveCall &call);
+  std::optional<ServerId> chooseAnyServer(const ActiveCall &call);
   std::optional<ServerId> chooseKeyedServer(const ActiveCall &call);
   void countSent(ActiveCall &call);
   void countEnd(ActiveCall &call, std::optional<ErrorKind> failure);
--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -329,7 +329,8 @@
 }
 
 void Entry::refuse(CallerReply &reply, const Error &error,
-                   const std::string &caller) const {
+                   const std::string &caller) {
+  Router.noteRefused(error.Kind);
   std::vector<Address> others;
   if (error.Kind == ErrorKind::Leaving)
     for (const EntryAddress &it : Control.entriesFor(caller))
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -45,7 +45,7 @@
   ControlPlaneHooks controlHooks();
   void onEntries(CallerReply &reply, const std::string &caller) const;
   void refuse(CallerReply &reply, const Error &error,
-              const std::string &caller) const;
+              const std::string &caller);
   void onReady(CallerReply &reply) const;
   void onMetrics(CallerReply &reply) const;
   Result<void> admit(ActiveCall &call, evhttp_request *request,
