One function for the usual options of a platform client

Cause: three files made the same options from their settings. Ruled out: passing settings of either program to the platform package, which knows nothing of programs. Change: clientOptionsFor(address).

--- a/src/endpoint/first_life.cpp
+++ b/src/endpoint/first_life.cpp
@@ -5,19 +5,9 @@
 
 namespace greengagespar {
 
-namespace {
-
-ObjectClientOptions clientOptions(const EndpointSettings &settings) {
-  ObjectClientOptions options;
-  options.Platform = settings.Platform;
-  return options;
-}
-
-} // namespace
-
 FirstLife::FirstLife(event_base *base, const EndpointSettings &settings,
                      Incarnation life, std::function<void()> onFirst)
-    : Platform(base, clientOptions(settings)),
+    : Platform(base, clientOptionsFor(settings.Platform)),
       Path("/system/lives/" + settings.Server.Value), Life(life),
       OnFirst(std::move(onFirst)) {}
 
--- a/src/endpoint/settings_fence.cpp
+++ b/src/endpoint/settings_fence.cpp
@@ -13,12 +13,6 @@
 // it at one moment.
 constexpr std::chrono::milliseconds StartSpread{5000};
 
-ObjectClientOptions clientOptions(const EndpointSettings &settings) {
-  ObjectClientOptions options;
-  options.Platform = settings.Platform;
-  return options;
-}
-
 ConfigFollowerOptions followerOptions(std::uint64_t seed) {
   ConfigFollowerOptions options;
   options.Role = ConfigRole::Follows;
@@ -34,7 +28,8 @@
 
 SettingsFence::SettingsFence(event_base *base, const EndpointSettings &settings,
                              std::uint64_t seed, SettingsFenceHooks hooks)
-    : Hooks(std::move(hooks)), Platform(base, clientOptions(settings)),
+    : Hooks(std::move(hooks)),
+      Platform(base, clientOptionsFor(settings.Platform)),
       Pulls(base,
             [this](const Address &peer, wire::Envelope &envelope) {
               return Hooks.Send(PeerId{peer.Value}, envelope);
--- a/src/entry/control_plane.cpp
+++ b/src/entry/control_plane.cpp
@@ -22,12 +22,6 @@
 // An entry that knows no other one lists the entries again after this.
 constexpr std::chrono::seconds ListAgain{30};
 
-ObjectClientOptions clientOptions(const EntrySettings &settings) {
-  ObjectClientOptions options;
-  options.Platform = settings.Platform;
-  return options;
-}
-
 ConfigFollowerOptions followerOptions(std::uint64_t seed) {
   ConfigFollowerOptions options;
   options.Role = ConfigRole::Follows;
@@ -58,7 +52,7 @@
                            const EntrySettings &settings, LinkIdentity &self,
                            ControlPlaneHooks hooks)
     : Settings(settings), Self(self), Hooks(std::move(hooks)),
-      Platform(base, clientOptions(settings)),
+      Platform(base, clientOptionsFor(settings.Platform)),
       Peers(base, context, self, emptyView(settings), peerHooks()),
       Pulls(base,
             [this](const Address &peer, wire::Envelope &envelope) {
--- a/src/include/greengagespar/platform/object_client.h
+++ b/src/include/greengagespar/platform/object_client.h
@@ -40,6 +40,13 @@
   int MaxWatches = 4;    ///< Watches in progress.
 };
 
+/// Returns the usual options of a client of \p platform. Thread safe.
+inline ObjectClientOptions clientOptionsFor(const Address &platform) {
+  ObjectClientOptions options;
+  options.Platform = platform;
+  return options;
+}
+
 /// Sends calls to the platform. It never retries: a call whose answer was lost
 /// fails as PlatformUnavailable, a write gives WriteState::Unknown. A call that
 /// could not even be sent fails as Overloaded. Callbacks run from the loop,
