Give the members of a test the callers' address that real entries have

Ruled out: a fault in PeerLinks (membership_tests with real entries pass). Change: the row has an address; the assertions are as they were. Measured: entry_core_tests without errors, twice. Conclusion: the test was wrong, not the check.

--- a/src/entry/peer_links_test.cpp
+++ b/src/entry/peer_links_test.cpp
@@ -33,6 +33,7 @@
       MemberRow row;
       row.Host = Self.Name;
       row.DataCentre = {"a"};
+      row.Callers = {"127.0.0.1:1"};
       row.Life = Self.Life;
       row.Leaving = Leaving;
       return row;
