--- a/spec/settings_accept.pml
+++ b/spec/settings_accept.pml
@@ -3,7 +3,7 @@
  * Acceptance of one team's settings by two racing acceptors.
  * Stands for: acceptTeam and acceptedPath (src/contract/accept.cpp),
  * TeamAcceptor (src/config/team_acceptor.cpp), decideAfterLostAnswer
- * (src/platform/settle_put.cpp), PlatformReader
+ * (src/store/settle_put.cpp), PlatformReader
  * (src/config/platform_reader.cpp).
  *
  * The operator's settings have revisions 1, 2, ...; a revision stands for its
--- a/src/config/platform_reader.cpp
+++ b/src/config/platform_reader.cpp
@@ -1,6 +1,6 @@
 #include "greengagespar/config/platform_reader.h"
 
-#include "greengagespar/platform/captured.h"
+#include "greengagespar/store/captured.h"
 #include <utility>
 
 namespace greengagespar {
@@ -109,7 +109,7 @@
         },
         [&](const Error &e) { finish(&e); });
   };
-  Client.list(AcceptedPrefix, Life.wrap(done));
+  Client.list(AcceptedPrefix, "", Life.wrap(done));
 }
 
 void PlatformReader::take(const TeamId &team, const AcceptedTeam &accepted,
--- /dev/null
+++ b/src/direct/direct_entry.cpp
@@ -0,0 +1,373 @@
+#include "greengagespar/direct/direct_entry.h"
+
+#include "greengagespar/base/log.h"
+#include "greengagespar/base/log_output.h"
+#include <algorithm>
+#include <event2/event.h>
+
+namespace greengagespar {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// How often waiting calls and old connections are looked at.
+constexpr milliseconds BusyTick{20};
+constexpr milliseconds IdleTick{200};
+
+// A leaving entry goes on taking connections for this long: peers and look-ups
+// need it to hear of the stop.
+constexpr milliseconds LeaveLinger{1200};
+// Idle connections of a leaving entry are closed after this long.
+constexpr milliseconds IdleLinger{300};
+// Ended so long before the grace time is over.
+constexpr milliseconds GraceMargin{400};
+
+// Most addresses in one answer, from the platform's pages.
+constexpr std::size_t MaxAddresses = 64;
+
+constexpr int StatusOk = 200;
+constexpr int StatusBadRequest = 400;
+constexpr int StatusUnauthorized = 401;
+constexpr int StatusNotFound = 404;
+constexpr int StatusUnavailable = 503;
+
+// What a request that says nothing of its time is allowed.
+constexpr milliseconds DefaultTimeLeft{30000};
+
+constexpr const char *RetryNotReady = "0.5";
+
+LinkIdentity identityOf(const DirectSettings &settings) {
+  return {settings.Name, newIncarnation(), Generation{}};
+}
+
+MemberView viewOf(const DirectSettings &settings) {
+  MemberView view;
+  view.Self = settings.Link;
+  view.DataCentre = settings.DataCentre;
+  return view;
+}
+
+HttpFields jsonFields() { return {{"Content-Type", "application/json"}}; }
+
+} // namespace
+
+DirectEntry::DirectEntry(event_base *loop, zmq::context_t &context,
+                         const DirectSettings &settings,
+                         const SiteDialect &dialect)
+    : Loop(loop), Settings(settings), Dialect(dialect),
+      Self(identityOf(settings)),
+      Site(loop, settings.Store, dialect, Self.Life.Value,
+           {[this](const std::shared_ptr<const RouteTable> &it) {
+              onConfiguration(it);
+            },
+            [this](const ServerChanges &it) { onServers(it); }}),
+      Peers(loop, context, Self, viewOf(settings), peerHooks()),
+      Pulls(loop,
+            [this](const Address &peer, wire::Envelope &envelope) {
+              return Peers.send(peer, envelope);
+            }),
+      Requests(
+          loop, {},
+          [this](HttpRequestMessage request, std::shared_ptr<HttpReply> reply) {
+            onRequest(std::move(request), std::move(reply));
+          }),
+      ReadyEdge(loop, {},
+                [this](const HttpRequestMessage &request,
+                       const std::shared_ptr<HttpReply> &reply) {
+                  if (request.Head.Target == "/metrics")
+                    return answerMetrics(reply);
+                  answerEdge(Dialect.ClassifyCall(request.Head), reply);
+                }),
+      DirectoryEdge(loop, {},
+                    [this](const HttpRequestMessage &request,
+                           const std::shared_ptr<HttpReply> &reply) {
+                      answerEdge(Dialect.ClassifyCall(request.Head), reply);
+                    }),
+      Random(Self.Life.Value), Ticker(loop, [this] { tick(); }),
+      Cleaner(loop, [this] { Ended.clear(); }) {
+  Context.Loop = loop;
+  Context.Dialect = &Dialect;
+  Context.Numbers = &Numbers;
+  Context.OnEnded = [this](CallId id) { bury(id); };
+}
+
+PeerLinksHooks DirectEntry::peerHooks() {
+  PeerLinksHooks hooks;
+  hooks.OwnRow = [this] { return ownRow(); };
+  hooks.OnMentioned = [this](const Address &peer, Generation at) {
+    pullFrom(peer, at);
+  };
+  hooks.Serve = [this](Generation since) { return Site.snapshotSince(since); };
+  hooks.OnSettings = [this](const Address &peer, const wire::Settings &it) {
+    Pulls.answered(peer, it);
+  };
+  hooks.OnChange = [this] { shareRetries(); };
+  hooks.OnOutlived = [this](Incarnation life) { Self.Life = {life.Value + 1}; };
+  return hooks;
+}
+
+MemberRow DirectEntry::ownRow() const {
+  MemberRow row;
+  row.Host = Settings.Name;
+  row.Link = Settings.Link;
+  row.Callers = Settings.Listen;
+  row.DataCentre = Settings.DataCentre;
+  row.Life = Self.Life;
+  row.Leaving = LeavingSince.has_value();
+  row.Settings = Self.Settings;
+  return row;
+}
+
+Result<void> DirectEntry::start() {
+  BOOST_LEAF_CHECK(Requests.listen(Settings.Listen));
+  BOOST_LEAF_CHECK(ReadyEdge.listen(Settings.Ready));
+  BOOST_LEAF_CHECK(DirectoryEdge.listen(Settings.Directory));
+  Peers.addSeeds(Settings.Peers);
+  BOOST_LEAF_CHECK(Peers.start());
+  Site.start();
+  tick();
+  logInfo(Part::Entry, LogLine("start")
+                           .add("name", Settings.Name.Value)
+                           .add("listen", Settings.Listen.Value)
+                           .add("store", Settings.Store.Value)
+                           .text());
+  return {};
+}
+
+void DirectEntry::reload(const DirectSettings &settings) {
+  Settings.Grace = settings.Grace;
+  Settings.AddressKeep = settings.AddressKeep;
+  Settings.RetryShare = settings.RetryShare;
+  Settings.ExtraRetries = settings.ExtraRetries;
+  Settings.RetryWindow = settings.RetryWindow;
+  Peers.addSeeds(settings.Peers);
+  shareRetries();
+  logInfo(Part::Entry, "reload");
+}
+
+void DirectEntry::leave() {
+  if (LeavingSince)
+    return;
+  LeavingSince = Clock::now();
+  logInfo(Part::Entry,
+          LogLine("stop_asked")
+              .add("in_progress", static_cast<std::int64_t>(Open.size()))
+              .text());
+  Peers.announce();
+}
+
+void DirectEntry::tickLeaving(Clock::time_point now) {
+  auto since = now - *LeavingSince;
+  if (!IsDraining && since > LeaveLinger) {
+    IsDraining = true;
+    Requests.drain(IdleLinger);
+  }
+  bool isQuiet = IsDraining && Open.empty() && Requests.connections() == 0;
+  if (!isQuiet && since < Settings.Grace - GraceMargin)
+    return;
+  logInfo(Part::Entry, LogLine("stop")
+                           .addMs("after_ms", since)
+                           .add("cut", static_cast<std::int64_t>(Open.size()))
+                           .text());
+  event_base_loopbreak(Loop);
+}
+
+void DirectEntry::tick() {
+  auto now = Clock::now();
+  Site.tick(now);
+  bool isWaiting = LeavingSince.has_value();
+  for (auto &[id, pool] : Pools) {
+    pool->tick(now);
+    isWaiting = isWaiting || pool->waiting() > 0;
+  }
+  if (LeavingSince)
+    tickLeaving(now);
+  Ticker.start(isWaiting ? BusyTick : IdleTick);
+}
+
+void DirectEntry::bury(CallId id) {
+  auto node = Open.extract(id);
+  if (!node)
+    return;
+  // The exchange is still running: it is destroyed from an event of its own.
+  Ended.push_back(std::move(node.mapped()));
+  Cleaner.start(milliseconds{0});
+}
+
+ServerPool &DirectEntry::poolOf(const ServiceId &service) {
+  auto &pool = Pools[service];
+  if (!pool) {
+    pool = std::make_unique<ServerPool>(Loop, service, Random());
+    shareRetries();
+  }
+  return *pool;
+}
+
+// Gives each pool this entry's part of the retries that all may make: a bucket
+// that holds one window's part never gives out more than that in a window
+// beyond the share of requests.
+void DirectEntry::shareRetries() {
+  const auto &members = Peers.view().Members;
+  auto entries = std::max<std::ptrdiff_t>(
+      1, std::ranges::count_if(
+             members, [](const auto &it) { return takesWork(it.second); }));
+  double part = Settings.ExtraRetries / static_cast<double>(entries);
+  constexpr double resumeShare = 0.4;
+  constexpr double caution = 0.9;
+  for (auto &[id, pool] : Pools) {
+    RetryBudget &budget = pool->budget();
+    budget.Share = caution * Settings.RetryShare;
+    budget.Overdraft = resumeShare * part * caution;
+    budget.MaxTokens = (1 - resumeShare) * part * caution;
+    budget.Tokens = std::min(budget.Tokens, budget.MaxTokens);
+  }
+}
+
+void DirectEntry::onConfiguration(
+    const std::shared_ptr<const RouteTable> &table) {
+  Self.Settings = table->Site.Version;
+  for (const auto &[id, backend] : table->Site.Backends)
+    poolOf(id).configure(backend);
+  HttpServerLimits limits = table->Site.Limits;
+  Requests.setLimits(limits);
+}
+
+void DirectEntry::onServers(const ServerChanges &changes) {
+  for (const ServerRecord &it : changes.Gone)
+    poolOf(it.Service).remove(it.Id);
+  for (const ServerRecord &it : changes.Updated)
+    poolOf(it.Service).update(it);
+}
+
+void DirectEntry::pullFrom(const Address &peer, Generation at) {
+  if (at <= Self.Settings)
+    return;
+  Pulls.pull(peer, Self.Settings, [this, peer](Result<std::string> result) {
+    recoverFrom(
+        [&]() -> Result<void> {
+          BOOST_LEAF_AUTO(text, std::move(result));
+          if (!text.empty())
+            Site.takeSnapshot(text);
+          return {};
+        },
+        [&](const Error &e) {
+          logWarning(Part::Link, LogLine("pull_failed")
+                                     .add("peer", peer.Value)
+                                     .add("why", e.Message)
+                                     .text());
+        });
+  });
+}
+
+bool DirectEntry::isReady() const { return Site.table() && !LeavingSince; }
+
+void DirectEntry::answerEdge(EdgeCall call,
+                             const std::shared_ptr<HttpReply> &reply) {
+  switch (call) {
+  case EdgeCall::Ready:
+    return reply->sendWhole(isReady() ? StatusOk : StatusUnavailable, {}, "");
+  case EdgeCall::Addresses:
+    return answerAddresses(reply);
+  case EdgeCall::Request:
+    return reply->sendWhole(StatusNotFound, {}, "");
+  }
+}
+
+void DirectEntry::answerAddresses(const std::shared_ptr<HttpReply> &reply) {
+  std::vector<Address> entries = entriesToAnswer(
+      Peers.view(), Settings.DataCentre, Random(), MaxAddresses);
+  if (entries.empty())
+    return reply->sendWhole(StatusUnavailable, {{"Retry-After", RetryNotReady}},
+                            "");
+  reply->sendWhole(StatusOk, jsonFields(),
+                   Dialect.WriteAddresses(entries, Settings.AddressKeep));
+}
+
+void DirectEntry::answerMetrics(const std::shared_ptr<HttpReply> &reply) {
+  setGauge(Numbers, {"greengagespar_configuration_version"},
+           static_cast<double>(Self.Settings.Value));
+  setGauge(Numbers, {"greengagespar_requests_open"},
+           static_cast<double>(Open.size()));
+  setGauge(Numbers, {"greengagespar_connections"},
+           static_cast<double>(Requests.connections()));
+  setGauge(Numbers, {"greengagespar_store_calls"},
+           static_cast<double>(totalSent(Site.storeCalls())));
+  for (const auto &[id, pool] : Pools) {
+    setGauge(Numbers, {"greengagespar_waiting", {{"service", id.Value}}},
+             static_cast<double>(pool->waiting()));
+    setGauge(Numbers,
+             {"greengagespar_server_connections", {{"service", id.Value}}},
+             static_cast<double>(pool->opened()));
+  }
+  reply->sendWhole(StatusOk, {{"Content-Type", "text/plain; version=0.0.4"}},
+                   renderPrometheus(Numbers));
+}
+
+void DirectEntry::reject(const CallFacts &facts,
+                         const std::shared_ptr<HttpReply> &reply, int status,
+                         std::string_view reason) {
+  logInfo(Part::Call,
+          LogLine("answer")
+              .add("id", facts.RequestId)
+              .add("outcome", "rejected")
+              .add("reason", reason)
+              .add("status", status)
+              .add("config", static_cast<std::int64_t>(Self.Settings.Value))
+              .text());
+  countUp(Numbers, {"greengagespar_requests_total",
+                    {{"kind", "none"},
+                     {"outcome", "rejected"},
+                     {"reason", std::string(reason)}}});
+  HttpFields fields{{"X-Request-Id", facts.RequestId}};
+  if (status == StatusUnavailable)
+    fields.push_back({"Retry-After", RetryNotReady});
+  reply->sendWhole(status, std::move(fields), "");
+}
+
+std::optional<Deadline> DirectEntry::dueOf(const CallFacts &facts,
+                                           const Route &route,
+                                           Clock::time_point now) const {
+  milliseconds left = facts.TimeLeft.value_or(DefaultTimeLeft);
+  if (route.Timeout > milliseconds::zero())
+    left = std::min(left, route.Timeout);
+  if (left <= milliseconds::zero())
+    return std::nullopt;
+  return deadlineAfter(left, now);
+}
+
+void DirectEntry::onRequest(HttpRequestMessage request,
+                            std::shared_ptr<HttpReply> reply) {
+  auto now = Clock::now();
+  CallFacts facts = Dialect.ReadCall(request.Head);
+  auto table = Site.table();
+  if (!table)
+    return reject(facts, reply, StatusUnavailable, "no_configuration");
+  const Route *route = findRoute(*table, facts.Host, request.Head.Target);
+  if (!route)
+    return reject(facts, reply, StatusNotFound, "no_route");
+  Admittance admittance = admitKey(*table, *route, facts.ApiKey);
+  if (!admittance.IsAllowed)
+    return reject(facts, reply, StatusUnauthorized, "unknown_key");
+  if (facts.RequestId.empty())
+    return reject(facts, reply, StatusBadRequest, "no_request_id");
+  auto due = dueOf(facts, *route, now);
+  if (!due)
+    return reject(facts, reply, StatusUnavailable, "no_time");
+  std::uniform_real_distribution<double> draw(0, 1);
+  const ServiceId *service = pickService(*route, draw(Random));
+  if (!service)
+    return reject(facts, reply, StatusUnavailable, "no_service");
+  AcceptedCall call{
+      CallId{Self.Life, ++NextCall}, std::move(facts), table, route,
+      admittance.Holder.Workspace,   *service,         now,   *due};
+  CallId id = call.Id;
+  auto exchange =
+      std::make_unique<Exchange>(Context, poolOf(*service), std::move(call),
+                                 std::move(request), std::move(reply));
+  Exchange &started = *exchange;
+  Open.emplace(id, std::move(exchange));
+  started.start();
+}
+
+} // namespace greengagespar
--- /dev/null
+++ b/src/direct/direct_settings.cpp
@@ -0,0 +1,74 @@
+#include "greengagespar/direct/direct_settings.h"
+
+#include <algorithm>
+
+namespace greengagespar {
+
+namespace {
+
+using S = DirectSettings;
+
+constexpr std::size_t MaxPeers = 64;
+
+Schema<S> makeSchema() {
+  constexpr auto required = Presence::Required;
+  constexpr auto optional = Presence::Optional;
+  return {{
+      field("name", &S::Name, identifier<HostId>("a host"), required,
+            "Name of this entry, unique among all entries."),
+      field("data_centre", &S::DataCentre,
+            identifier<DataCentreId>("a data centre"), required,
+            "Data centre that this entry runs in."),
+      field("listen", &S::Listen, ipPort(), required,
+            "Address that callers send requests to."),
+      field("ready", &S::Ready, ipPort(), required,
+            "Address that answers whether this entry is ready."),
+      field("directory", &S::Directory, ipPort(), required,
+            "Address that tells callers which entries to connect to."),
+      field("link", &S::Link, ipPort(), required,
+            "Address that other entries connect to."),
+      field("store", &S::Store, ipPort(), required,
+            "Address of the platform's object store."),
+      field("peers", &S::Peers, listOfValues(ipPort(), MaxPeers), optional,
+            "Link addresses of some entries, to find the others by."),
+      field("grace_ms", &S::Grace, millisecondCount(500, 600000), optional,
+            "Time from a request to stop until the process is killed."),
+      field("address_keep_ms", &S::AddressKeep, millisecondCount(100, 600000),
+            optional, "Time for which callers may keep the addresses."),
+      field("retry_share", &S::RetryShare, decimalNumber({0, 1}), optional,
+            "Retries of all entries as a share of requests."),
+      field("extra_retries", &S::ExtraRetries,
+            wholeNumber("retries", {0, 1000000}), optional,
+            "Retries of all entries beyond the share, in a window."),
+      field("retry_window_ms", &S::RetryWindow, millisecondCount(100, 600000),
+            optional, "Length of that window."),
+      field("log_lines_per_second", &S::LogLinesPerSecond,
+            wholeNumber("lines", {1, 100000}), optional,
+            "Most log lines in a second; more are counted and left out."),
+  }};
+}
+
+} // namespace
+
+const Schema<DirectSettings> &directSettingsSchema() {
+  static const Schema<S> schema = makeSchema();
+  return schema;
+}
+
+DirectSettings defaultDirectSettings() {
+  DirectSettings settings;
+  settings.Name = {"entry-1"};
+  settings.DataCentre = {"kigali-1"};
+  settings.Listen = {"127.0.0.1:8001"};
+  settings.Ready = {"127.0.0.1:8002"};
+  settings.Directory = {"127.0.0.1:8003"};
+  settings.Link = {"127.0.0.1:7001"};
+  settings.Store = {"127.0.0.1:9000"};
+  return settings;
+}
+
+void completeDirectSettings(DirectSettings &settings, Findings &) {
+  std::erase(settings.Peers, settings.Link);
+}
+
+} // namespace greengagespar
--- /dev/null
+++ b/src/direct/site_follower.cpp
@@ -0,0 +1,217 @@
+#include "greengagespar/direct/site_follower.h"
+
+#include "greengagespar/base/log.h"
+#include "greengagespar/base/log_output.h"
+#include <boost/json.hpp>
+
+namespace greengagespar {
+
+namespace json = boost::json;
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// A poll is answered at once when something changes; a shorter one only shows
+// sooner that the store is there, and each is counted and priced.
+constexpr milliseconds PollWait{8000};
+// Bound on the calls under many changes; far under the two seconds in which a
+// change has to be in force.
+constexpr milliseconds PollPause{100};
+// The store answers in milliseconds; it is slow at 60 to 100 times that.
+constexpr milliseconds CallTimeout{2000};
+constexpr GraceOptions PollGrace{milliseconds{1000}, milliseconds{2000}};
+// Servers are back about 2 s after the store is, and changes in force after
+// 2 s, so the store's return has to be noticed well within one.
+constexpr BackoffOptions Retry{milliseconds{200}, milliseconds{800}};
+
+ObjectClientOptions clientOptions(const Address &store,
+                                  const SiteDialect &dialect) {
+  ObjectClientOptions options = clientOptionsFor(store);
+  options.Api = dialect.Objects;
+  options.RequestTimeout = CallTimeout;
+  options.KeepAlive.On = true;
+  return options;
+}
+
+PrefixWatchOptions watchOptions(const std::string &prefix) {
+  PrefixWatchOptions options;
+  options.Prefix = prefix;
+  options.Wait = PollWait;
+  options.Pause = PollPause;
+  options.Grace = PollGrace;
+  options.Retry = Retry;
+  return options;
+}
+
+} // namespace
+
+SiteFollower::SiteFollower(event_base *loop, const Address &store,
+                           const SiteDialect &dialect, std::uint64_t seed,
+                           SiteFollowerHooks hooks)
+    : Dialect(dialect), Hooks(std::move(hooks)),
+      Client(loop, clientOptions(store, dialect)),
+      Configurations(
+          loop, Client, watchOptions(dialect.ConfigurationPrefix), seed,
+          [this](const PrefixChange &it) { onConfiguration(it); },
+          [this](const Error &e) { noteAway(e); }),
+      Servers(
+          loop, Client, watchOptions(dialect.ServersPrefix), seed + 1,
+          [this](const PrefixChange &it) { onServers(it); },
+          [this](const Error &e) { noteAway(e); }) {}
+
+void SiteFollower::start() {
+  Configurations.start();
+  Servers.start();
+}
+
+void SiteFollower::noteAnswered() {
+  auto now = Clock::now();
+  if (AwaySince)
+    logInfo(
+        Part::Platform,
+        LogLine("store_regained").addMs("away_ms", now - *AwaySince).text());
+  AwaySince.reset();
+  noteStoreAnswered(Known, now);
+}
+
+void SiteFollower::noteAway(const Error &error) {
+  if (!AwaySince) {
+    AwaySince = Clock::now();
+    logWarning(Part::Platform,
+               LogLine("store_lost").add("why", error.Message).text());
+  }
+  noteStoreAway(Known);
+}
+
+void SiteFollower::takeConfiguration(const json::value &value,
+                                     std::string_view source) {
+  recoverFrom(
+      [&]() -> Result<void> {
+        BOOST_LEAF_AUTO(site, Dialect.ReadConfiguration(value));
+        Generation known = Table ? Table->Site.Version : Generation{};
+        if (site.Version <= known)
+          return {};
+        logInfo(
+            Part::Contract,
+            LogLine("configuration_in_force")
+                .add("version", static_cast<std::int64_t>(site.Version.Value))
+                .add("before", static_cast<std::int64_t>(known.Value))
+                .add("from", source)
+                .add("routes", static_cast<std::int64_t>(site.Routes.size()))
+                .add("keys", static_cast<std::int64_t>(site.Keys.size()))
+                .text());
+        Declared = value;
+        Table = makeRouteTable(std::move(site));
+        Hooks.OnConfiguration(Table);
+        return {};
+      },
+      [&](const Error &e) {
+        logError(Part::Contract, LogLine("configuration_refused")
+                                     .add("from", source)
+                                     .add("why", e.Message)
+                                     .text());
+      });
+}
+
+void SiteFollower::onConfiguration(const PrefixChange &change) {
+  noteAnswered();
+  for (const Object &it : change.Objects)
+    takeConfiguration(it.Value, "store");
+}
+
+std::vector<ServerRecord>
+SiteFollower::readServers(const std::vector<Object> &objects) {
+  std::vector<ServerRecord> records;
+  for (const Object &it : objects)
+    recoverFrom(
+        [&]() -> Result<void> {
+          BOOST_LEAF_AUTO(record, Dialect.ReadServer(it));
+          records.push_back(std::move(record));
+          ServerValues[it.Path] = it.Value;
+          return {};
+        },
+        [&](const Error &e) {
+          logWarning(Part::Host, LogLine("server_entry_skipped")
+                                     .add("path", it.Path)
+                                     .add("why", e.Message)
+                                     .text());
+        });
+  return records;
+}
+
+void SiteFollower::onServers(const PrefixChange &change) {
+  noteAnswered();
+  auto now = Clock::now();
+  std::vector<ServerRecord> records = readServers(change.Objects);
+  report(noteEntries(Known, records));
+  std::vector<ServerId> missing;
+  if (change.Whole)
+    missing = missingFrom(Known, records);
+  for (const std::string &path : change.Deleted) {
+    missing.push_back({path.substr(path.rfind('/') + 1)});
+    ServerValues.erase(path);
+  }
+  report(noteMissing(Known, missing, now));
+  HasServers = HasServers || change.Whole;
+}
+
+void SiteFollower::report(const ServerChanges &changes) {
+  for (const ServerRecord &it : changes.Updated)
+    logInfo(Part::Host, LogLine("server")
+                            .add("server", it.Id.Value)
+                            .add("service", it.Service.Value)
+                            .add("at", it.At.Value)
+                            .add("state", it.Leaving ? "leaving" : "ready")
+                            .text());
+  for (const ServerRecord &it : changes.Gone)
+    logInfo(Part::Host,
+            LogLine("server_gone").add("server", it.Id.Value).text());
+  if (!changes.Updated.empty() || !changes.Gone.empty())
+    Hooks.OnServers(changes);
+}
+
+void SiteFollower::tick(Clock::time_point now) {
+  report(sweepServers(Known, now));
+}
+
+std::string SiteFollower::snapshotSince(Generation since) const {
+  if (!Table || Table->Site.Version <= since)
+    return {};
+  json::array servers;
+  for (const auto &[path, value] : ServerValues)
+    servers.push_back({{"path", path}, {"value", value}});
+  return json::serialize(
+      json::object{{"configuration", Declared}, {"servers", servers}});
+}
+
+void SiteFollower::takeSnapshot(const std::string &text) {
+  json::error_code ec;
+  json::value parsed = json::parse(text, ec);
+  const json::object *snapshot = ec ? nullptr : parsed.if_object();
+  const json::value *declared =
+      snapshot ? snapshot->if_contains("configuration") : nullptr;
+  const json::value *servers =
+      snapshot ? snapshot->if_contains("servers") : nullptr;
+  if (!declared || !servers || !servers->is_array()) {
+    logWarning(Part::Contract, "snapshot_refused why=malformed");
+    return;
+  }
+  takeConfiguration(*declared, "peer");
+  if (HasServers)
+    return;
+  std::vector<Object> objects;
+  for (const json::value &it : servers->get_array()) {
+    const json::object *entry = it.if_object();
+    if (!entry || !entry->contains("path") || !entry->contains("value") ||
+        !entry->at("path").is_string())
+      continue;
+    Object object;
+    object.Path = std::string(entry->at("path").get_string());
+    object.Value = entry->at("value");
+    objects.push_back(std::move(object));
+  }
+  report(noteEntries(Known, readServers(objects)));
+}
+
+} // namespace greengagespar
--- a/src/endpoint/first_life.h
+++ b/src/endpoint/first_life.h
@@ -6,7 +6,7 @@
 #define GREENGAGESPAR_ENDPOINT_FIRST_LIFE_H
 
 #include "greengagespar/endpoint/endpoint_settings.h"
-#include "greengagespar/platform/object_client.h"
+#include "greengagespar/store/object_client.h"
 #include <functional>
 
 struct event_base;
--- a/src/entry/control_plane.h
+++ b/src/entry/control_plane.h
@@ -9,8 +9,8 @@
 #include "greengagespar/config/config_follower.h"
 #include "greengagespar/entry/entry_settings.h"
 #include "greengagespar/link/settings_pulls.h"
+#include "greengagespar/peers/peer_links.h"
 #include "in_force_reporter.h"
-#include "peer_links.h"
 #include <functional>
 #include <memory>
 #include <string_view>
--- a/src/entry/entry_directory.cpp
+++ b/src/entry/entry_directory.cpp
@@ -90,7 +90,7 @@
         },
         [&](const Error &) { retry(); });
   };
-  Client.list(EntriesPrefix, Life.wrap(done));
+  Client.list(EntriesPrefix, "", Life.wrap(done));
 }
 
 void EntryDirectory::retry() { Next.start(nextDelay(Delay, Rng)); }
--- a/src/entry/entry_directory.h
+++ b/src/entry/entry_directory.h
@@ -6,10 +6,10 @@
 #define GREENGAGESPAR_ENTRY_ENTRY_DIRECTORY_H
 
 #include "greengagespar/host/member.h"
-#include "greengagespar/platform/backoff.h"
-#include "greengagespar/platform/guard.h"
-#include "greengagespar/platform/object_client.h"
-#include "greengagespar/platform/timer.h"
+#include "greengagespar/store/backoff.h"
+#include "greengagespar/store/guard.h"
+#include "greengagespar/store/object_client.h"
+#include "greengagespar/store/timer.h"
 #include <functional>
 #include <random>
 #include <vector>
--- a/src/entry/in_force_reporter.h
+++ b/src/entry/in_force_reporter.h
@@ -8,9 +8,9 @@
 #include "greengagespar/config/snapshot.h"
 #include "greengagespar/contract/status.h"
 #include "greengagespar/host/member.h"
-#include "greengagespar/platform/backoff.h"
-#include "greengagespar/platform/guard.h"
-#include "greengagespar/platform/object_client.h"
+#include "greengagespar/store/backoff.h"
+#include "greengagespar/store/guard.h"
+#include "greengagespar/store/object_client.h"
 #include <functional>
 #include <map>
 #include <optional>
--- /dev/null
+++ b/src/http/client.cpp
@@ -0,0 +1,281 @@
+#include "greengagespar/http/client.h"
+
+#include <algorithm>
+#include <charconv>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/util.h>
+#include <limits>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace greengagespar {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Time that an idle connection is kept when the server does not say how long:
+// servers name only whole seconds, so theirs may be just under one.
+constexpr milliseconds UnnamedIdle{600};
+// Given up so long before the server would, for the way of a request.
+constexpr milliseconds IdleMargin{400};
+// Unacknowledged bytes end a connection after this: the network is gone.
+constexpr int UserTimeoutMs = 3000;
+
+constexpr int MillisPerSecond = 1000;
+constexpr int MicrosPerMilli = 1000;
+constexpr std::size_t MaxReadAhead = std::size_t{256} * 1024;
+
+MessageLimits answerLimits() {
+  MessageLimits limits;
+  limits.MaxHeadBytes = 65536;
+  limits.MaxBodyBytes = std::numeric_limits<std::uint64_t>::max() / 2;
+  return limits;
+}
+
+milliseconds idleTimeOf(const HttpHead &head) {
+  const std::string *value = findField(head.Fields, "Keep-Alive");
+  std::size_t at = value ? value->find("timeout=") : std::string::npos;
+  if (at == std::string::npos)
+    return UnnamedIdle;
+  int seconds = 0;
+  const char *from = value->data() + at + std::string_view("timeout=").size();
+  std::from_chars(from, value->data() + value->size(), seconds);
+  return std::max(milliseconds{0}, std::chrono::seconds(seconds) - IdleMargin);
+}
+
+} // namespace
+
+namespace detail {
+
+/// One connection and its exchange. Callbacks hold a reference while they run.
+struct ClientState : std::enable_shared_from_this<ClientState> {
+  bufferevent *Stream = nullptr;
+  event *ConnectTimer = nullptr;
+  ExchangeEvents Events;
+  std::unique_ptr<ResponseReader> Reader;
+  HttpHead Last; ///< Of the last complete answer.
+  Clock::time_point IdleSince;
+  bool IsHead = false;
+  bool IsConnected = false;
+  bool IsDead = false; ///< Closed, or not to be used again.
+  bool InExchange = false;
+  bool HeadSeen = false;
+  bool Passing = false; ///< The answer belongs to another request.
+  bool ServedBefore = false;
+  bool UsedBefore = false;
+
+  ~ClientState() {
+    if (ConnectTimer)
+      event_free(ConnectTimer);
+    if (Stream)
+      bufferevent_free(Stream);
+  }
+
+  void read();
+  bool takeAnswer(std::string_view bytes, std::size_t &used);
+  void complete();
+  void end(ExchangeEnd how, std::string_view why);
+  void newReader();
+};
+
+namespace {
+
+ClientState &stateOf(void *arg) { return *static_cast<ClientState *>(arg); }
+
+void onRead(bufferevent *, void *arg) {
+  auto keep = stateOf(arg).shared_from_this();
+  keep->read();
+}
+
+void onEvent(bufferevent *, short what, void *arg) {
+  auto keep = stateOf(arg).shared_from_this();
+  if (what & BEV_EVENT_CONNECTED) {
+    keep->IsConnected = true;
+    event_del(keep->ConnectTimer);
+    return;
+  }
+  if (!(what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)))
+    return;
+  keep->read();
+  if (!keep->IsConnected)
+    return keep->end(ExchangeEnd::NotConnected, "connection refused");
+  if ((what & BEV_EVENT_EOF) && keep->InExchange && keep->Reader) {
+    keep->Reader->takeEnd();
+    if (keep->HeadSeen && keep->Reader->state() == ReadState::Complete) {
+      keep->IsDead = true;
+      return keep->complete();
+    }
+  }
+  keep->end(ExchangeEnd::Broken, what & BEV_EVENT_EOF ? "closed by the server"
+                                                      : "reset by the server");
+}
+
+void onConnectTimeout(evutil_socket_t, short, void *arg) {
+  auto keep = stateOf(arg).shared_from_this();
+  keep->end(ExchangeEnd::NotConnected, "no connection in time");
+}
+
+} // namespace
+
+void ClientState::newReader() {
+  HeadSeen = false;
+  Passing = false;
+  Reader = std::make_unique<ResponseReader>(
+      answerLimits(), [this](std::string_view piece) {
+        if (!HeadSeen) {
+          HeadSeen = true;
+          Passing = !Events.OnHead(Reader->head());
+        }
+        if (!Passing && InExchange)
+          Events.OnBody(piece);
+      });
+  if (IsHead)
+    Reader->expectNoBody();
+}
+
+void ClientState::read() {
+  if (!Stream)
+    return;
+  evbuffer *buf = bufferevent_get_input(Stream);
+  while (!IsDead && evbuffer_get_length(buf) > 0) {
+    if (!InExchange) {
+      // Nothing was asked for: these bytes belong to no request.
+      IsDead = true;
+      return;
+    }
+    std::size_t size = evbuffer_get_length(buf);
+    const auto *bytes =
+        reinterpret_cast<const char *>(evbuffer_pullup(buf, -1));
+    std::size_t used = 0;
+    bool goesOn = takeAnswer({bytes, size}, used);
+    evbuffer_drain(buf, used);
+    if (!goesOn)
+      return;
+    if (InExchange && Reader->state() == ReadState::Complete)
+      complete();
+  }
+}
+
+// Returns false when there is nothing more to do with the bytes now.
+bool ClientState::takeAnswer(std::string_view bytes, std::size_t &used) {
+  used = Reader->take(bytes);
+  if (!InExchange)
+    return false;
+  ReadState state = Reader->state();
+  bool hasHead = state == ReadState::Body || state == ReadState::Complete;
+  if (hasHead && !HeadSeen) {
+    HeadSeen = true;
+    bool isInterim = Reader->head().Status < 200;
+    Passing = isInterim || !Events.OnHead(Reader->head());
+    if (!InExchange)
+      return false;
+  }
+  if (state == ReadState::Broken) {
+    end(ExchangeEnd::Broken, "the bytes are no answer");
+    return false;
+  }
+  return used > 0 || state == ReadState::Complete;
+}
+
+void ClientState::complete() {
+  if (Passing) {
+    // Later answers on a connection that brought a stray one can't be trusted
+    // to be in order, so it is not used again.
+    if (Reader->head().Status >= 200)
+      ServedBefore = true;
+    newReader();
+    return;
+  }
+  Last = Reader->head();
+  InExchange = false;
+  IdleSince = Clock::now();
+  bool isSent = evbuffer_get_length(bufferevent_get_output(Stream)) == 0;
+  bool hasFraming = Last.IsChunked || Last.Length || IsHead;
+  if (!isSent || !hasFraming || closesAfter(Last))
+    IsDead = true;
+  ServedBefore = true;
+  auto done = std::move(Events.OnEnd);
+  Events = {};
+  done(ExchangeEnd::Complete, "");
+}
+
+void ClientState::end(ExchangeEnd how, std::string_view why) {
+  IsDead = true;
+  event_del(ConnectTimer);
+  if (!InExchange)
+    return;
+  InExchange = false;
+  auto done = std::move(Events.OnEnd);
+  Events = {};
+  done(how, why);
+}
+
+} // namespace detail
+
+HttpClientConnection::HttpClientConnection(event_base *loop,
+                                           const Address &server,
+                                           milliseconds connectTimeout)
+    : S(std::make_shared<detail::ClientState>()) {
+  S->Stream = bufferevent_socket_new(
+      loop, -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+  S->ConnectTimer =
+      event_new(loop, -1, EV_TIMEOUT, detail::onConnectTimeout, S.get());
+  bufferevent_setcb(S->Stream, detail::onRead, nullptr, detail::onEvent,
+                    S.get());
+  bufferevent_setwatermark(S->Stream, EV_READ, 0, MaxReadAhead);
+  bufferevent_enable(S->Stream, EV_READ | EV_WRITE);
+  timeval tv{};
+  tv.tv_sec = static_cast<time_t>(connectTimeout.count() / MillisPerSecond);
+  tv.tv_usec = static_cast<suseconds_t>(
+      (connectTimeout.count() % MillisPerSecond) * MicrosPerMilli);
+  event_add(S->ConnectTimer, &tv);
+  sockaddr_storage name{};
+  int size = sizeof(name);
+  if (evutil_parse_sockaddr_port(server.Value.c_str(),
+                                 reinterpret_cast<sockaddr *>(&name),
+                                 &size) != 0 ||
+      bufferevent_socket_connect(S->Stream, reinterpret_cast<sockaddr *>(&name),
+                                 size) != 0)
+    return; // The exchange ends when the timer fires.
+  evutil_socket_t fd = bufferevent_getfd(S->Stream);
+  int on = 1;
+  setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+  setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &UserTimeoutMs,
+             sizeof(UserTimeoutMs));
+}
+
+HttpClientConnection::~HttpClientConnection() {
+  // The events stay until the state goes: one of them may be running now.
+  S->InExchange = false;
+  S->IsDead = true;
+  bufferevent_setcb(S->Stream, nullptr, nullptr, nullptr, nullptr);
+  bufferevent_disable(S->Stream, EV_READ | EV_WRITE);
+  event_del(S->ConnectTimer);
+}
+
+void HttpClientConnection::send(std::string_view request, bool isHead,
+                                ExchangeEvents events) {
+  S->Events = std::move(events);
+  S->IsHead = isHead;
+  S->InExchange = true;
+  S->UsedBefore = S->ServedBefore;
+  S->newReader();
+  bufferevent_write(S->Stream, request.data(), request.size());
+}
+
+bool HttpClientConnection::isReusable() const {
+  return !S->IsDead && !S->InExchange && S->IsConnected &&
+         evbuffer_get_length(bufferevent_get_input(S->Stream)) == 0;
+}
+
+Clock::time_point HttpClientConnection::usableUntil() const {
+  return S->IdleSince + idleTimeOf(S->Last);
+}
+
+bool HttpClientConnection::wasUsedBefore() const { return S->UsedBefore; }
+
+} // namespace greengagespar
--- /dev/null
+++ b/src/http/server.cpp
@@ -0,0 +1,420 @@
+#include "greengagespar/http/server.h"
+
+#include "greengagespar/base/clock.h"
+#include <array>
+#include <cstdio>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+#include <event2/util.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <optional>
+#include <sys/socket.h>
+#include <unordered_map>
+#include <utility>
+
+namespace greengagespar {
+
+namespace {
+
+constexpr int MillisPerSecond = 1000;
+constexpr int MicrosPerMilli = 1000;
+constexpr int ListenBacklog = 1024;
+
+// Bytes read ahead of the request in progress; more stay in the kernel.
+constexpr std::size_t MaxReadAhead = std::size_t{64} * 1024;
+
+timeval timevalOf(std::chrono::milliseconds ms) {
+  timeval out{};
+  out.tv_sec = static_cast<time_t>(ms.count() / MillisPerSecond);
+  out.tv_usec =
+      static_cast<suseconds_t>((ms.count() % MillisPerSecond) * MicrosPerMilli);
+  return out;
+}
+
+std::string statusLine(int status) {
+  return "HTTP/1.1 " + std::to_string(status) + " " +
+         std::string(reasonPhrase(status)) + "\r\n";
+}
+
+int statusOf(ReadFault fault) {
+  switch (fault) {
+  case ReadFault::HeadTooLarge:
+    return 431;
+  case ReadFault::BodyTooLarge:
+    return 413;
+  default:
+    return 400;
+  }
+}
+
+constexpr int StatusRequestTimeout = 408;
+
+} // namespace
+
+namespace detail {
+
+/// Everything that an edge holds.
+struct ServerState {
+  event_base *Loop = nullptr;
+  HttpServerLimits Limits;
+  HttpEdge::Handler Handle;
+  evconnlistener *Listener = nullptr;
+  std::unordered_map<ServerConnection *, std::shared_ptr<ServerConnection>>
+      Open;
+  bool Draining = false;
+  std::chrono::milliseconds Linger{0};
+};
+
+/// One caller's connection. Kept alive by ServerState until it is closed.
+class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
+public:
+  ServerConnection(ServerState &server, evutil_socket_t fd);
+  ~ServerConnection();
+  ServerConnection(const ServerConnection &) = delete;
+  ServerConnection &operator=(const ServerConnection &) = delete;
+
+  void read();
+  void close();
+  void send(int status, HttpFields &fields, std::string_view body);
+  void begin(int status, HttpFields &fields);
+  void sendPiece(std::string_view piece);
+  void endAnswer();
+  /// While no request is in progress, closes after \p wait without bytes.
+  void awaitRequest(std::chrono::milliseconds wait);
+  bool isIdle() const { return !InProgress && !HasBegunRequest; }
+
+  std::function<void()> Gone;
+
+private:
+  static void onRead(bufferevent *, void *self);
+  static void onWrite(bufferevent *, void *self);
+  static void onEvent(bufferevent *, short what, void *self);
+  static void onTimeout(evutil_socket_t, short, void *self);
+  void takeBytes();
+  void deliver();
+  void refuse(int status);
+  void addFraming(HttpFields &fields);
+  void write(std::string_view bytes);
+
+  ServerState &Server;
+  bufferevent *Stream;
+  event *Timeout;
+  std::unique_ptr<RequestReader> Reader;
+  std::string Body;
+  bool HasBegunRequest = false; ///< Bytes of a request have come.
+  bool InProgress = false;      ///< A request waits for the end of its answer.
+  bool IsChunked = false;       ///< The answer in progress.
+  bool CloseAfter = false;      ///< Close once all output is written.
+  bool IsClosed = false;
+  bool IsHead = false;    ///< The request's method is HEAD.
+  bool CanChunk = true;   ///< The caller speaks HTTP/1.1.
+  bool IsReading = false; ///< Guards against reading inside a handler.
+  bool ReadAgain = false; ///< An answer ended while IsReading.
+};
+
+ServerConnection::ServerConnection(ServerState &server, evutil_socket_t fd)
+    : Server(server),
+      Stream(bufferevent_socket_new(
+          server.Loop, fd, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS)),
+      Timeout(event_new(server.Loop, -1, EV_TIMEOUT, onTimeout, this)) {
+  int on = 1;
+  setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+  setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+  bufferevent_setcb(Stream, onRead, onWrite, onEvent, this);
+  bufferevent_setwatermark(Stream, EV_READ, 0, MaxReadAhead);
+  bufferevent_enable(Stream, EV_READ | EV_WRITE);
+  awaitRequest(server.Limits.IdleTimeout);
+}
+
+ServerConnection::~ServerConnection() {
+  event_free(Timeout);
+  bufferevent_free(Stream);
+}
+
+void ServerConnection::awaitRequest(std::chrono::milliseconds wait) {
+  timeval tv = timevalOf(wait);
+  event_add(Timeout, &tv);
+}
+
+void ServerConnection::close() {
+  if (IsClosed)
+    return;
+  IsClosed = true;
+  auto self = shared_from_this();
+  event_del(Timeout);
+  bufferevent_disable(Stream, EV_READ | EV_WRITE);
+  bufferevent_setcb(Stream, nullptr, nullptr, nullptr, nullptr);
+  Server.Open.erase(this);
+  if (auto gone = std::move(Gone))
+    gone();
+}
+
+void ServerConnection::onRead(bufferevent *, void *self) {
+  auto keep = static_cast<ServerConnection *>(self)->shared_from_this();
+  keep->read();
+}
+
+void ServerConnection::onWrite(bufferevent *, void *self) {
+  auto keep = static_cast<ServerConnection *>(self)->shared_from_this();
+  // Called for a socket that is writable too, whether or not output waits.
+  bool isWritten =
+      evbuffer_get_length(bufferevent_get_output(keep->Stream)) == 0;
+  if (keep->CloseAfter && !keep->InProgress && isWritten)
+    keep->close();
+}
+
+void ServerConnection::onEvent(bufferevent *, short what, void *self) {
+  auto keep = static_cast<ServerConnection *>(self)->shared_from_this();
+  if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR))
+    keep->close();
+}
+
+void ServerConnection::onTimeout(evutil_socket_t, short, void *self) {
+  auto keep = static_cast<ServerConnection *>(self)->shared_from_this();
+  if (keep->InProgress || keep->CloseAfter || !keep->HasBegunRequest)
+    keep->close();
+  else
+    keep->refuse(StatusRequestTimeout);
+}
+
+void ServerConnection::read() {
+  if (IsReading) {
+    ReadAgain = true;
+    return;
+  }
+  IsReading = true;
+  do {
+    ReadAgain = false;
+    if (!InProgress && !CloseAfter && !IsClosed)
+      takeBytes();
+  } while (ReadAgain && !IsClosed);
+  IsReading = false;
+}
+
+void ServerConnection::takeBytes() {
+  evbuffer *buf = bufferevent_get_input(Stream);
+  std::size_t size = evbuffer_get_length(buf);
+  if (size == 0)
+    return;
+  if (!HasBegunRequest) {
+    HasBegunRequest = true;
+    Body.clear();
+    Reader = std::make_unique<RequestReader>(
+        Server.Limits.Message,
+        [this](std::string_view piece) { Body.append(piece); });
+    awaitRequest(Server.Limits.HeadTimeout);
+  }
+  bool wasHead = Reader->state() == ReadState::Head;
+  const auto *bytes = reinterpret_cast<const char *>(evbuffer_pullup(buf, -1));
+  evbuffer_drain(buf, Reader->take({bytes, size}));
+  switch (Reader->state()) {
+  case ReadState::Broken:
+    return refuse(statusOf(Reader->fault()));
+  case ReadState::Complete:
+    return deliver();
+  case ReadState::Body:
+    awaitRequest(Server.Limits.IdleTimeout);
+    if (wasHead &&
+        fieldHasToken(Reader->head().Fields, "Expect", "100-continue"))
+      write("HTTP/1.1 100 Continue\r\n\r\n");
+    return;
+  case ReadState::Head:
+    return;
+  }
+}
+
+void ServerConnection::deliver() {
+  event_del(Timeout);
+  InProgress = true;
+  HasBegunRequest = false;
+  HttpRequestMessage message{Reader->head(), std::move(Body)};
+  Body.clear();
+  Reader.reset();
+  IsHead = message.Head.Method == "HEAD";
+  CanChunk = message.Head.Version >= 11;
+  CloseAfter = closesAfter(message.Head) || Server.Draining;
+  Server.Handle(std::move(message),
+                std::make_shared<HttpReply>(weak_from_this()));
+}
+
+void ServerConnection::refuse(int status) {
+  CloseAfter = true;
+  HttpFields fields;
+  send(status, fields, "");
+}
+
+void ServerConnection::addFraming(HttpFields &fields) {
+  CloseAfter = CloseAfter || Server.Draining;
+  if (CloseAfter)
+    fields.push_back({"Connection", "close"});
+}
+
+void ServerConnection::write(std::string_view bytes) {
+  bufferevent_write(Stream, bytes.data(), bytes.size());
+  evbuffer *out = bufferevent_get_output(Stream);
+  if (evbuffer_get_length(out) > Server.Limits.MaxWaitingBytes)
+    close();
+}
+
+void ServerConnection::send(int status, HttpFields &fields,
+                            std::string_view body) {
+  addFraming(fields);
+  fields.push_back({"Content-Length", std::to_string(body.size())});
+  std::string out = statusLine(status);
+  appendFields(out, fields);
+  if (!IsHead)
+    out += body;
+  write(out);
+  endAnswer();
+}
+
+void ServerConnection::begin(int status, HttpFields &fields) {
+  IsChunked = CanChunk;
+  CloseAfter = CloseAfter || !CanChunk;
+  addFraming(fields);
+  if (IsChunked)
+    fields.push_back({"Transfer-Encoding", "chunked"});
+  std::string out = statusLine(status);
+  appendFields(out, fields);
+  write(out);
+}
+
+void ServerConnection::sendPiece(std::string_view piece) {
+  if (piece.empty())
+    return;
+  if (!IsChunked)
+    return write(piece);
+  std::array<char, 24> size{};
+  int n = std::snprintf(size.data(), size.size(), "%zx\r\n", piece.size());
+  std::string out(size.data(), static_cast<std::size_t>(n));
+  out += piece;
+  out += "\r\n";
+  write(out);
+}
+
+void ServerConnection::endAnswer() {
+  if (IsClosed)
+    return;
+  if (IsChunked)
+    write("0\r\n\r\n");
+  if (IsClosed)
+    return;
+  IsChunked = false;
+  InProgress = false;
+  HasBegunRequest = false;
+  Gone = nullptr;
+  if (CloseAfter) {
+    // A caller that does not take its answer must not hold the connection.
+    awaitRequest(Server.Limits.IdleTimeout);
+    if (evbuffer_get_length(bufferevent_get_output(Stream)) == 0)
+      close();
+    return;
+  }
+  awaitRequest(Server.Limits.IdleTimeout);
+  read();
+}
+
+} // namespace detail
+
+HttpReply::HttpReply(std::weak_ptr<detail::ServerConnection> connection)
+    : Connection(std::move(connection)) {}
+
+bool HttpReply::isOpen() const { return !Connection.expired(); }
+
+void HttpReply::whenGone(std::function<void()> gone) {
+  if (auto it = Connection.lock())
+    it->Gone = std::move(gone);
+}
+
+void HttpReply::sendWhole(int status, HttpFields fields,
+                          std::string_view body) {
+  if (auto it = Connection.lock())
+    it->send(status, fields, body);
+  Connection.reset();
+}
+
+void HttpReply::begin(int status, HttpFields fields) {
+  if (auto it = Connection.lock())
+    it->begin(status, fields);
+}
+
+void HttpReply::sendPiece(std::string_view piece) {
+  if (auto it = Connection.lock())
+    it->sendPiece(piece);
+}
+
+void HttpReply::end() {
+  if (auto it = Connection.lock())
+    it->endAnswer();
+  Connection.reset();
+}
+
+void HttpReply::abort() {
+  if (auto it = Connection.lock()) {
+    it->Gone = nullptr;
+    it->close();
+  }
+  Connection.reset();
+}
+
+namespace {
+
+void onAccept(evconnlistener *, evutil_socket_t fd, sockaddr *, int,
+              void *arg) {
+  auto *server = static_cast<detail::ServerState *>(arg);
+  if (std::cmp_greater_equal(server->Open.size(),
+                             server->Limits.MaxConnections)) {
+    evutil_closesocket(fd);
+    return;
+  }
+  auto connection = std::make_shared<detail::ServerConnection>(*server, fd);
+  server->Open.emplace(connection.get(), connection);
+}
+
+} // namespace
+
+HttpEdge::HttpEdge(event_base *loop, HttpServerLimits limits, Handler handler)
+    : S(std::make_unique<detail::ServerState>()) {
+  S->Loop = loop;
+  S->Limits = limits;
+  S->Handle = std::move(handler);
+}
+
+HttpEdge::~HttpEdge() {
+  if (S->Listener)
+    evconnlistener_free(S->Listener);
+  auto open = std::move(S->Open);
+  S->Open.clear();
+}
+
+Result<void> HttpEdge::listen(const Address &address) {
+  sockaddr_storage name{};
+  int size = sizeof(name);
+  if (evutil_parse_sockaddr_port(address.Value.c_str(),
+                                 reinterpret_cast<sockaddr *>(&name),
+                                 &size) != 0)
+    return fail(ErrorKind::BadSettings, "not an address: " + address.Value);
+  S->Listener = evconnlistener_new_bind(
+      S->Loop, onAccept, S.get(),
+      LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
+      ListenBacklog, reinterpret_cast<sockaddr *>(&name), size);
+  if (!S->Listener)
+    return fail(ErrorKind::LinkDown, "can't listen on " + address.Value);
+  return {};
+}
+
+void HttpEdge::setLimits(const HttpServerLimits &limits) { S->Limits = limits; }
+
+void HttpEdge::drain(std::chrono::milliseconds linger) {
+  S->Draining = true;
+  for (auto &[raw, connection] : S->Open)
+    if (connection->isIdle())
+      connection->awaitRequest(linger);
+}
+
+std::size_t HttpEdge::connections() const { return S->Open.size(); }
+
+} // namespace greengagespar
--- a/src/include/greengagespar/base/event_loop.h
+++ b/src/include/greengagespar/base/event_loop.h
@@ -25,16 +25,22 @@
   /// Calls \p leave on SIGTERM and on SIGINT.
   void onTermination(std::function<void()> leave);
 
+  /// Calls \p reload on SIGHUP, which is ignored otherwise.
+  void onReload(std::function<void()> reload);
+
   /// Runs until something breaks the loop.
   void run();
 
 private:
   static void onSignal(int, short, void *self);
+  static void onHangUp(int, short, void *self);
 
   event_base *Base;
   event *Terminate = nullptr;
   event *Interrupt = nullptr;
+  event *HangUp = nullptr;
   std::function<void()> Leave;
+  std::function<void()> Reload;
 };
 
 } // namespace greengagespar
--- a/src/include/greengagespar/config/config_follower.h
+++ b/src/include/greengagespar/config/config_follower.h
@@ -8,9 +8,9 @@
 #include "greengagespar/config/platform_reader.h"
 #include "greengagespar/config/snapshot.h"
 #include "greengagespar/config/team_acceptor.h"
-#include "greengagespar/platform/object_client.h"
-#include "greengagespar/platform/prefix_watch.h"
-#include "greengagespar/platform/timer.h"
+#include "greengagespar/store/object_client.h"
+#include "greengagespar/store/prefix_watch.h"
+#include "greengagespar/store/timer.h"
 #include <cstdint>
 #include <functional>
 #include <memory>
--- a/src/include/greengagespar/config/platform_reader.h
+++ b/src/include/greengagespar/config/platform_reader.h
@@ -4,8 +4,8 @@
 #define GREENGAGESPAR_CONFIG_PLATFORM_READER_H
 
 #include "greengagespar/config/snapshot.h"
-#include "greengagespar/platform/guard.h"
-#include "greengagespar/platform/object_client.h"
+#include "greengagespar/store/guard.h"
+#include "greengagespar/store/object_client.h"
 #include <functional>
 #include <vector>
 
--- a/src/include/greengagespar/config/team_acceptor.h
+++ b/src/include/greengagespar/config/team_acceptor.h
@@ -8,8 +8,8 @@
 #include "greengagespar/config/platform_reader.h"
 #include "greengagespar/config/team_mirror.h"
 #include "greengagespar/contract/accept.h"
-#include "greengagespar/platform/settle_put.h"
-#include "greengagespar/platform/timer.h"
+#include "greengagespar/store/settle_put.h"
+#include "greengagespar/store/timer.h"
 #include <cstdint>
 #include <functional>
 #include <map>
--- a/src/include/greengagespar/config/team_mirror.h
+++ b/src/include/greengagespar/config/team_mirror.h
@@ -6,8 +6,8 @@
 
 #include "greengagespar/base/ids.h"
 #include "greengagespar/contract/team_settings.h"
-#include "greengagespar/platform/object.h"
-#include "greengagespar/platform/prefix_watch.h"
+#include "greengagespar/store/object.h"
+#include "greengagespar/store/prefix_watch.h"
 #include <map>
 #include <set>
 #include <string>
--- /dev/null
+++ b/src/include/greengagespar/http/message.h
@@ -0,0 +1,152 @@
+/// \file
+/// Heads of HTTP/1.1 messages, and a reader that takes a message apart as its
+/// bytes arrive. Boost.Beast's parser does the syntax; evhttp is not used here
+/// because it hides what a proxy has to see: bytes after a complete answer, an
+/// answer that ends early, and an answer before the request was read.
+#ifndef GREENGAGESPAR_HTTP_MESSAGE_H
+#define GREENGAGESPAR_HTTP_MESSAGE_H
+
+#include <boost/beast/http/basic_parser.hpp>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace greengagespar {
+
+/// One header field.
+struct HttpField {
+  std::string Name;
+  std::string Value;
+};
+
+/// The header fields of a message in their order.
+using HttpFields = std::vector<HttpField>;
+
+/// Whether two header names are the same. Thread safe.
+bool isSameField(std::string_view a, std::string_view b);
+
+/// Returns the value of the first field \p name, or null. Thread safe.
+const std::string *findField(const HttpFields &fields, std::string_view name);
+
+/// Returns how many fields are named \p name. Thread safe.
+std::size_t countFields(const HttpFields &fields, std::string_view name);
+
+/// Whether the comma-separated list in the field \p name holds \p token.
+bool fieldHasToken(const HttpFields &fields, std::string_view name,
+                   std::string_view token);
+
+/// Removes the fields that concern one connection only: those of RFC 9110,
+/// section 7.6.1, and those that Connection names.
+void removeHopByHopFields(HttpFields &fields);
+
+/// The first line and the header fields of a message.
+struct HttpHead {
+  std::string Method; ///< Of a request.
+  std::string Target; ///< Of a request: path and query as they were sent.
+  int Status = 0;     ///< Of an answer.
+  std::string Reason; ///< Of an answer.
+  HttpFields Fields;
+  int Version = 11; ///< 10 or 11.
+  bool IsChunked = false;
+  std::optional<std::uint64_t> Length; ///< Of the body, where it was said.
+};
+
+/// Whether the sender of \p head will close its connection after the message.
+bool closesAfter(const HttpHead &head);
+
+/// Appends \p fields and the empty line that ends a head to \p out.
+void appendFields(std::string &out, const HttpFields &fields);
+
+/// Returns the usual reason phrase of \p status. Thread safe.
+std::string_view reasonPhrase(int status);
+
+/// How far a reader is.
+enum class ReadState {
+  Head,     ///< The head is not complete.
+  Body,     ///< The head is complete, the body is not.
+  Complete, ///< The message is complete; later bytes are not part of it.
+  Broken,   ///< The bytes are no message.
+};
+
+/// Why bytes were refused.
+enum class ReadFault { None, Malformed, HeadTooLarge, BodyTooLarge };
+
+/// Bounds of a message.
+struct MessageLimits {
+  std::uint32_t MaxHeadBytes = 16384;
+  std::uint64_t MaxBodyBytes = 4194304;
+};
+
+namespace detail {
+
+/// Fills a head and hands on the body as Beast's parser reports them.
+template <bool IsRequest>
+class HeadCollector : public boost::beast::http::basic_parser<IsRequest> {
+public:
+  HttpHead Head;
+  std::function<void(std::string_view)> OnBody;
+  bool IsHeadComplete = false;
+
+private:
+  using ErrorCode = boost::beast::error_code;
+  using View = boost::beast::string_view;
+
+  void on_request_impl(boost::beast::http::verb, View method, View target, int,
+                       ErrorCode &) override;
+  void on_response_impl(int status, View reason, int, ErrorCode &) override;
+  void on_field_impl(boost::beast::http::field, View name, View value,
+                     ErrorCode &) override;
+  void on_header_impl(ErrorCode &) override;
+  void on_body_init_impl(boost::optional<std::uint64_t> const &,
+                         ErrorCode &) override;
+  std::size_t on_body_impl(View body, ErrorCode &) override;
+  void on_chunk_header_impl(std::uint64_t, View, ErrorCode &) override;
+  std::size_t on_chunk_body_impl(std::uint64_t, View body,
+                                 ErrorCode &) override;
+  void on_finish_impl(ErrorCode &) override;
+};
+
+} // namespace detail
+
+/// Reads one message. Make a new reader for the next one. Not thread safe.
+template <bool IsRequest> class MessageReader {
+public:
+  /// Body bytes are handed to \p onBody as they come, without their framing.
+  MessageReader(const MessageLimits &limits,
+                std::function<void(std::string_view)> onBody);
+
+  /// Takes bytes and returns how many were used. The rest is to be offered
+  /// again with more behind it, or follows the message when it is complete.
+  std::size_t take(std::string_view bytes);
+
+  /// Notes that the sender closed its side. Completes a message whose body
+  /// ends with the connection; any other unfinished message becomes Broken.
+  void takeEnd();
+
+  /// Tells the reader of an answer that no body follows, as after HEAD.
+  void expectNoBody() { Parser.skip(true); }
+
+  ReadState state() const { return State; }
+  ReadFault fault() const { return Fault; }
+  /// Complete once the state is past Head.
+  const HttpHead &head() const { return Parser.Head; }
+
+private:
+  void refuse(ReadFault why);
+  std::size_t completeHead(std::string_view bytes);
+
+  detail::HeadCollector<IsRequest> Parser;
+  MessageLimits Limits;
+  ReadState State = ReadState::Head;
+  ReadFault Fault = ReadFault::None;
+};
+
+using RequestReader = MessageReader<true>;
+using ResponseReader = MessageReader<false>;
+
+} // namespace greengagespar
+
+#endif // GREENGAGESPAR_HTTP_MESSAGE_H
--- a/src/include/greengagespar/link/settings_pulls.h
+++ b/src/include/greengagespar/link/settings_pulls.h
@@ -7,7 +7,7 @@
 #include "greengagespar/base/errors.h"
 #include "greengagespar/base/ids.h"
 #include "greengagespar/link/link.pb.h"
-#include "greengagespar/platform/timer.h"
+#include "greengagespar/store/timer.h"
 #include <functional>
 #include <map>
 #include <string>
--- a/src/entry/peer_links.h
+++ b/src/include/greengagespar/peers/peer_links.h
@@ -7,13 +7,13 @@
 /// Mesh or Near) + Far) an entry sends p digests and, on average, p answers
 /// each HeartbeatInterval: 4 p messages a second, each of at most
 /// 1 + DigestRows rows. docs/design/03-membership.md gives the figures.
-#ifndef GREENGAGESPAR_ENTRY_PEER_LINKS_H
-#define GREENGAGESPAR_ENTRY_PEER_LINKS_H
+#ifndef GREENGAGESPAR_PEERS_PEER_LINKS_H
+#define GREENGAGESPAR_PEERS_PEER_LINKS_H
 
 #include "greengagespar/host/member.h"
 #include "greengagespar/host/partners.h"
 #include "greengagespar/link/link.h"
-#include "greengagespar/platform/timer.h"
+#include "greengagespar/store/timer.h"
 #include <functional>
 #include <map>
 #include <memory>
@@ -121,4 +121,4 @@
 
 } // namespace greengagespar
 
-#endif // GREENGAGESPAR_ENTRY_PEER_LINKS_H
+#endif // GREENGAGESPAR_PEERS_PEER_LINKS_H
--- a/src/include/greengagespar/platform/backoff.h
+++ b/src/include/greengagespar/store/backoff.h
@@ -1,8 +1,8 @@
 /// \file
 /// Exponential backoff with full jitter, so that many processes which lost
 /// the platform at one moment do not return to it at one moment.
-#ifndef GREENGAGESPAR_PLATFORM_BACKOFF_H
-#define GREENGAGESPAR_PLATFORM_BACKOFF_H
+#ifndef GREENGAGESPAR_STORE_BACKOFF_H
+#define GREENGAGESPAR_STORE_BACKOFF_H
 
 #include <chrono>
 #include <random>
@@ -30,4 +30,4 @@
 
 } // namespace greengagespar
 
-#endif // GREENGAGESPAR_PLATFORM_BACKOFF_H
+#endif // GREENGAGESPAR_STORE_BACKOFF_H
--- a/src/include/greengagespar/platform/captured.h
+++ b/src/include/greengagespar/store/captured.h
@@ -1,7 +1,7 @@
 /// \file
 /// Failed results that can be handed to a callback.
-#ifndef GREENGAGESPAR_PLATFORM_CAPTURED_H
-#define GREENGAGESPAR_PLATFORM_CAPTURED_H
+#ifndef GREENGAGESPAR_STORE_CAPTURED_H
+#define GREENGAGESPAR_STORE_CAPTURED_H
 
 #include "greengagespar/base/errors.h"
 #include <string>
@@ -26,4 +26,4 @@
 
 } // namespace greengagespar
 
-#endif // GREENGAGESPAR_PLATFORM_CAPTURED_H
+#endif // GREENGAGESPAR_STORE_CAPTURED_H
--- a/src/include/greengagespar/platform/guard.h
+++ b/src/include/greengagespar/store/guard.h
@@ -1,7 +1,7 @@
 /// \file
 /// Keeps callbacks from running after the object that they belong to is gone.
-#ifndef GREENGAGESPAR_PLATFORM_GUARD_H
-#define GREENGAGESPAR_PLATFORM_GUARD_H
+#ifndef GREENGAGESPAR_STORE_GUARD_H
+#define GREENGAGESPAR_STORE_GUARD_H
 
 #include <memory>
 #include <utility>
@@ -28,4 +28,4 @@
 
 } // namespace greengagespar
 
-#endif // GREENGAGESPAR_PLATFORM_GUARD_H
+#endif // GREENGAGESPAR_STORE_GUARD_H
--- a/src/include/greengagespar/platform/http_pool.h
+++ b/src/include/greengagespar/store/http_pool.h
@@ -1,7 +1,7 @@
 /// \file
 /// A small pool of HTTP connections to one address, on evhttp.
-#ifndef GREENGAGESPAR_PLATFORM_HTTP_POOL_H
-#define GREENGAGESPAR_PLATFORM_HTTP_POOL_H
+#ifndef GREENGAGESPAR_STORE_HTTP_POOL_H
+#define GREENGAGESPAR_STORE_HTTP_POOL_H
 
 #include "greengagespar/base/ids.h"
 #include <chrono>
@@ -44,6 +44,15 @@
   std::string Failure; ///< Why there is no answer; empty when there is one.
 };
 
+/// TCP keep-alive of a pool's connections. Something between the two ends may
+/// lose track of a connection; without probes a long poll would not notice.
+struct HttpKeepAlive {
+  bool On = false;
+  std::chrono::seconds Idle{1};     ///< Quiet time before the first probe.
+  std::chrono::seconds Interval{1}; ///< Between probes.
+  int Probes = 2;                   ///< Unanswered probes that end it.
+};
+
 /// Limits of a pool.
 struct HttpPoolOptions {
   Address Server;              ///< IP address and port.
@@ -55,6 +64,7 @@
   std::chrono::milliseconds MaxIdle{5000};
   std::size_t MaxAnswerBytes =
       std::size_t{16} * 1024 * 1024; ///< Largest answer body.
+  HttpKeepAlive KeepAlive;
 };
 
 /// Sends requests over a bounded number of connections and reuses them. After
@@ -84,4 +94,4 @@
 
 } // namespace greengagespar
 
-#endif // GREENGAGESPAR_PLATFORM_HTTP_POOL_H
+#endif // GREENGAGESPAR_STORE_HTTP_POOL_H
--- a/src/include/greengagespar/platform/object.h
+++ b/src/include/greengagespar/store/object.h
@@ -1,11 +1,12 @@
 /// \file
 /// Values that the platform's object API gives and takes, and their parsing.
-#ifndef GREENGAGESPAR_PLATFORM_OBJECT_H
-#define GREENGAGESPAR_PLATFORM_OBJECT_H
+#ifndef GREENGAGESPAR_STORE_OBJECT_H
+#define GREENGAGESPAR_STORE_OBJECT_H
 
 #include "greengagespar/base/errors.h"
 #include "greengagespar/base/ids.h"
 #include <boost/json/value.hpp>
+#include <chrono>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -41,6 +42,7 @@
 struct Listing {
   ObjectVersion Revision;
   std::vector<Object> Objects; ///< In order of path.
+  std::string Next;            ///< Go on after this one; empty at the end.
 };
 
 /// What changed under a prefix.
@@ -70,6 +72,31 @@
 /// Parses the body of an answer to a question for the hosts.
 Result<std::vector<HostRecord>> parseHosts(std::string_view body);
 
+/// How the calls of an object API are spelled. All functions are pure and
+/// thread safe; each pointer is set.
+struct ObjectApi {
+  /// The target of calls on one object, on condition of its version if given.
+  std::string (*ObjectTarget)(const std::string &path,
+                              std::optional<ObjectVersion> ifVersion);
+  /// The target of a list of the objects under a prefix that stand behind
+  /// \p after in order; all of them when it is empty.
+  std::string (*ListTarget)(const std::string &prefix,
+                            const std::string &after);
+  /// The target of a long poll for changes after a revision.
+  std::string (*WatchTarget)(const std::string &prefix, ObjectVersion after,
+                             std::chrono::milliseconds wait);
+  /// The body of a write.
+  std::string (*WriteBody)(const std::string &path,
+                           const boost::json::value &value);
+  Result<Object> (*ParseObject)(std::string_view body);
+  Result<ObjectVersion> (*ParseVersion)(std::string_view body);
+  Result<Listing> (*ParseListing)(std::string_view body);
+  Result<WatchAnswer> (*ParseWatchAnswer)(std::string_view body);
+};
+
+/// The object API as the project's own interface spells it. Thread safe.
+const ObjectApi &ownObjectApi();
+
 /// Percent-encodes every part of \p path and keeps its slashes.
 std::string encodePath(std::string_view path);
 /// Percent-encodes \p text for a query, slashes too.
@@ -77,4 +104,4 @@
 
 } // namespace greengagespar
 
-#endif // GREENGAGESPAR_PLATFORM_OBJECT_H
+#endif // GREENGAGESPAR_STORE_OBJECT_H
--- a/src/include/greengagespar/platform/object_client.h
+++ b/src/include/greengagespar/store/object_client.h
@@ -1,11 +1,11 @@
 /// \file
 /// An asynchronous client of the platform's object API.
-#ifndef GREENGAGESPAR_PLATFORM_OBJECT_CLIENT_H
-#define GREENGAGESPAR_PLATFORM_OBJECT_CLIENT_H
+#ifndef GREENGAGESPAR_STORE_OBJECT_CLIENT_H
+#define GREENGAGESPAR_STORE_OBJECT_CLIENT_H
 
 #include "greengagespar/base/errors.h"
-#include "greengagespar/platform/http_pool.h"
-#include "greengagespar/platform/object.h"
+#include "greengagespar/store/http_pool.h"
+#include "greengagespar/store/object.h"
 #include <array>
 #include <chrono>
 #include <cstdint>
@@ -36,8 +36,10 @@
   Address Platform; ///< IP address and port.
   /// How long an answer may take. Over 5 s, so that a slow platform serves.
   std::chrono::milliseconds RequestTimeout{8000};
-  int MaxConcurrent = 4; ///< Calls in progress, watches apart.
-  int MaxWatches = 4;    ///< Watches in progress.
+  int MaxConcurrent = 4;                  ///< Calls in progress, watches apart.
+  int MaxWatches = 4;                     ///< Watches in progress.
+  const ObjectApi *Api = &ownObjectApi(); ///< How calls are spelled.
+  HttpKeepAlive KeepAlive; ///< How silent connections are noticed.
 };
 
 /// Returns the usual options of a client of \p platform. Thread safe.
@@ -72,8 +74,10 @@
   void remove(const std::string &path, std::optional<ObjectVersion> ifVersion,
               Callback<PutOutcome> done);
 
-  /// Lists the objects under \p prefix.
-  void list(const std::string &prefix, Callback<Listing> done);
+  /// Lists the objects under \p prefix behind \p after: one part of them, when
+  /// the platform divides its answer.
+  void list(const std::string &prefix, const std::string &after,
+            Callback<Listing> done);
 
   /// Waits at most \p wait until something under \p prefix changed after
   /// \p after. Nothing changed: no objects and a revision. Without an answer
@@ -99,4 +103,4 @@
 
 } // namespace greengagespar
 
-#endif // GREENGAGESPAR_PLATFORM_OBJECT_CLIENT_H
+#endif // GREENGAGESPAR_STORE_OBJECT_CLIENT_H
--- a/src/include/greengagespar/platform/prefix_watch.h
+++ b/src/include/greengagespar/store/prefix_watch.h
@@ -1,14 +1,14 @@
 /// \file
 /// Follows all objects under a prefix: list once, then one long poll after
 /// another, through outages and lost answers.
-#ifndef GREENGAGESPAR_PLATFORM_PREFIX_WATCH_H
-#define GREENGAGESPAR_PLATFORM_PREFIX_WATCH_H
+#ifndef GREENGAGESPAR_STORE_PREFIX_WATCH_H
+#define GREENGAGESPAR_STORE_PREFIX_WATCH_H
 
 #include "greengagespar/base/clock.h"
-#include "greengagespar/platform/backoff.h"
-#include "greengagespar/platform/guard.h"
-#include "greengagespar/platform/object_client.h"
-#include "greengagespar/platform/timer.h"
+#include "greengagespar/store/backoff.h"
+#include "greengagespar/store/guard.h"
+#include "greengagespar/store/object_client.h"
+#include "greengagespar/store/timer.h"
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -79,6 +79,7 @@
 private:
   void poll();
   void list();
+  void listPart(const std::string &after);
   void watch();
   void take(WatchAnswer answer);
   void report(const PrefixChange &change);
@@ -94,6 +95,7 @@
   std::chrono::milliseconds Grace; ///< What the next poll's answer may take.
   std::mt19937_64 Rng;
   ObjectVersion Revision;
+  Listing Parts; ///< What a list in progress has brought so far.
   bool Listed = false;
   bool Running = false;
   std::uint64_t Round = 0; ///< Answers to earlier rounds are dropped.
@@ -102,4 +104,4 @@
 
 } // namespace greengagespar
 
-#endif // GREENGAGESPAR_PLATFORM_PREFIX_WATCH_H
+#endif // GREENGAGESPAR_STORE_PREFIX_WATCH_H
--- a/src/include/greengagespar/platform/settle_put.h
+++ b/src/include/greengagespar/store/settle_put.h
@@ -1,12 +1,12 @@
 /// \file
 /// Conditional updates that settle a lost answer by reading again.
-#ifndef GREENGAGESPAR_PLATFORM_SETTLE_PUT_H
-#define GREENGAGESPAR_PLATFORM_SETTLE_PUT_H
+#ifndef GREENGAGESPAR_STORE_SETTLE_PUT_H
+#define GREENGAGESPAR_STORE_SETTLE_PUT_H
 
-#include "greengagespar/platform/backoff.h"
-#include "greengagespar/platform/guard.h"
-#include "greengagespar/platform/object_client.h"
-#include "greengagespar/platform/timer.h"
+#include "greengagespar/store/backoff.h"
+#include "greengagespar/store/guard.h"
+#include "greengagespar/store/object_client.h"
+#include "greengagespar/store/timer.h"
 #include <cstdint>
 #include <functional>
 #include <list>
@@ -89,4 +89,4 @@
 
 } // namespace greengagespar
 
-#endif // GREENGAGESPAR_PLATFORM_SETTLE_PUT_H
+#endif // GREENGAGESPAR_STORE_SETTLE_PUT_H
--- a/src/include/greengagespar/platform/timer.h
+++ b/src/include/greengagespar/store/timer.h
@@ -1,7 +1,7 @@
 /// \file
 /// A one-shot timer on the event loop.
-#ifndef GREENGAGESPAR_PLATFORM_TIMER_H
-#define GREENGAGESPAR_PLATFORM_TIMER_H
+#ifndef GREENGAGESPAR_STORE_TIMER_H
+#define GREENGAGESPAR_STORE_TIMER_H
 
 #include <chrono>
 #include <functional>
@@ -40,4 +40,4 @@
 
 } // namespace greengagespar
 
-#endif // GREENGAGESPAR_PLATFORM_TIMER_H
+#endif // GREENGAGESPAR_STORE_TIMER_H
--- a/src/link/settings_pulls.cpp
+++ b/src/link/settings_pulls.cpp
@@ -1,6 +1,6 @@
 #include "greengagespar/link/settings_pulls.h"
 
-#include "greengagespar/platform/captured.h"
+#include "greengagespar/store/captured.h"
 #include <utility>
 #include <vector>
 
--- a/src/entry/peer_links_test.cpp
+++ b/src/peers/peer_links_test.cpp
@@ -1,4 +1,4 @@
-#include "peer_links.h"
+#include "greengagespar/peers/peer_links.h"
 
 #include "greengagespar/base/event_loop.h"
 #include <algorithm>
--- a/src/platform/backoff.cpp
+++ b/src/store/backoff.cpp
@@ -1,4 +1,4 @@
-#include "greengagespar/platform/backoff.h"
+#include "greengagespar/store/backoff.h"
 
 #include <algorithm>
 #include <cstdint>
--- a/src/platform/http_pool.cpp
+++ b/src/store/http_pool.cpp
@@ -1,17 +1,21 @@
-#include "greengagespar/platform/http_pool.h"
+#include "greengagespar/store/http_pool.h"
 
 #include "greengagespar/base/clock.h"
-#include "greengagespar/platform/timer.h"
+#include "greengagespar/store/timer.h"
 
 #include <algorithm>
 #include <cstdlib>
 #include <deque>
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 #include <iterator>
 #include <list>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 #include <utility>
 #include <vector>
 
@@ -61,6 +65,27 @@
   return answer;
 }
 
+// Sets the options of a connection once its socket exists. One that can't be
+// set leaves the timeouts of requests to notice silence.
+void applyKeepAlive(evhttp_connection *connection, const HttpKeepAlive &it) {
+  evutil_socket_t fd =
+      bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
+  if (!it.On || fd < 0)
+    return;
+  auto set = [fd](int level, int name, int value) {
+    setsockopt(fd, level, name, &value, sizeof(value));
+  };
+  auto idle = static_cast<int>(it.Idle.count());
+  auto interval = static_cast<int>(it.Interval.count());
+  set(SOL_SOCKET, SO_KEEPALIVE, 1);
+  set(IPPROTO_TCP, TCP_KEEPIDLE, idle);
+  set(IPPROTO_TCP, TCP_KEEPINTVL, interval);
+  set(IPPROTO_TCP, TCP_KEEPCNT, it.Probes);
+  constexpr int millisPerSecond = 1000;
+  set(IPPROTO_TCP, TCP_USER_TIMEOUT,
+      (idle + it.Probes * interval) * millisPerSecond);
+}
+
 } // namespace
 
 namespace detail {
@@ -164,7 +189,8 @@
   if (evhttp_make_request(it->Connection.get(), req,
                           commandOf(it->Request.Method),
                           it->Request.Target.c_str()) != 0)
-    finish(it, failedAnswer("could not open a connection", false));
+    return finish(it, failedAnswer("could not open a connection", false));
+  applyKeepAlive(it->Connection.get(), Options.KeepAlive);
 }
 
 void PoolState::finish(Exchange *exchange, HttpAnswer answer) {
--- a/src/platform/object.cpp
+++ b/src/store/object.cpp
@@ -1,7 +1,8 @@
-#include "greengagespar/platform/object.h"
+#include "greengagespar/store/object.h"
 
 #include <algorithm>
 #include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
 #include <cstdlib>
 #include <event2/http.h>
 #include <memory>
@@ -140,6 +141,41 @@
   return hosts;
 }
 
+namespace {
+
+std::string ownObjectTarget(const std::string &path,
+                            std::optional<ObjectVersion> ifVersion) {
+  std::string target = "/v1/objects" + encodePath(path);
+  if (ifVersion)
+    target += "?if_version=" + std::to_string(ifVersion->Value);
+  return target;
+}
+
+// The own API lists all objects in one answer.
+std::string ownListTarget(const std::string &prefix, const std::string &) {
+  return "/v1/list?prefix=" + encodeQueryValue(prefix);
+}
+
+std::string ownWatchTarget(const std::string &prefix, ObjectVersion after,
+                           std::chrono::milliseconds wait) {
+  return "/v1/watch?prefix=" + encodeQueryValue(prefix) +
+         "&after=" + std::to_string(after.Value) +
+         "&timeout_ms=" + std::to_string(wait.count());
+}
+
+std::string ownWriteBody(const std::string &, const json::value &value) {
+  return json::serialize(value);
+}
+
+} // namespace
+
+const ObjectApi &ownObjectApi() {
+  static const ObjectApi api{ownObjectTarget, ownListTarget,   ownWatchTarget,
+                             ownWriteBody,    parseObject,     parseVersion,
+                             parseListing,    parseWatchAnswer};
+  return api;
+}
+
 std::string encodePath(std::string_view path) {
   std::string encoded;
   std::size_t from = 0;
--- a/src/platform/object_client.cpp
+++ b/src/store/object_client.cpp
@@ -1,7 +1,6 @@
-#include "greengagespar/platform/object_client.h"
+#include "greengagespar/store/object_client.h"
 
-#include "greengagespar/platform/captured.h"
-#include <boost/json/serialize.hpp>
+#include "greengagespar/store/captured.h"
 #include <numeric>
 #include <utility>
 
@@ -38,9 +37,10 @@
   return parse(answer.Body);
 }
 
-Result<WatchAnswer> watchAnswerOf(const HttpAnswer &answer) {
+Result<WatchAnswer> watchAnswerOf(const HttpAnswer &answer,
+                                  const ObjectApi &api) {
   if (answer.Status != StatusGone)
-    return readAnswer(answer, parseWatchAnswer);
+    return readAnswer(answer, api.ParseWatchAnswer);
   WatchAnswer old;
   old.TooOld = true;
   return old;
@@ -53,7 +53,8 @@
   return outcome;
 }
 
-Result<PutOutcome> writeOutcomeOf(const HttpAnswer &answer) {
+Result<PutOutcome> writeOutcomeOf(const HttpAnswer &answer,
+                                  const ObjectApi &api) {
   if (!answer.Sent)
     return failUnanswered(answer);
   if (answer.Status == StatusTooLarge)
@@ -64,7 +65,7 @@
     return unknownOutcome(answer);
   auto version = recoverFrom(
       [&]() -> Result<std::optional<ObjectVersion>> {
-        BOOST_LEAF_AUTO(v, parseVersion(answer.Body));
+        BOOST_LEAF_AUTO(v, api.ParseVersion(answer.Body));
         return std::optional(v);
       },
       [](const Error &) { return std::optional<ObjectVersion>(); });
@@ -76,19 +77,12 @@
                     {}};
 }
 
-std::string objectTarget(const std::string &path,
-                         std::optional<ObjectVersion> ifVersion) {
-  std::string target = "/v1/objects" + encodePath(path);
-  if (ifVersion)
-    target += "?if_version=" + std::to_string(ifVersion->Value);
-  return target;
-}
-
 HttpPoolOptions poolOptionsOf(const ObjectClientOptions &options) {
   HttpPoolOptions pool;
   pool.Server = options.Platform;
   pool.MaxOrdinary = options.MaxConcurrent;
   pool.MaxWaiting = options.MaxWatches;
+  pool.KeepAlive = options.KeepAlive;
   return pool;
 }
 
@@ -119,18 +113,18 @@
 void ObjectClient::write(CallKind kind, HttpRequest request,
                          Callback<PutOutcome> done) {
   send(kind, std::move(request),
-       [done = std::move(done)](const HttpAnswer &answer) {
-         done(captured([&] { return writeOutcomeOf(answer); }));
+       [done = std::move(done), api = Options.Api](const HttpAnswer &answer) {
+         done(captured([&] { return writeOutcomeOf(answer, *api); }));
        });
 }
 
 void ObjectClient::get(const std::string &path, Callback<Object> done) {
-  HttpRequest request{.Target = objectTarget(path, std::nullopt),
+  HttpRequest request{.Target = Options.Api->ObjectTarget(path, std::nullopt),
                       .Body = {},
                       .Timeout = Options.RequestTimeout};
   send(CallKind::Get, std::move(request),
-       [done = std::move(done)](const HttpAnswer &answer) {
-         done(captured([&] { return readAnswer(answer, parseObject); }));
+       [done = std::move(done), api = Options.Api](const HttpAnswer &answer) {
+         done(captured([&] { return readAnswer(answer, api->ParseObject); }));
        });
 }
 
@@ -139,8 +133,8 @@
                        Callback<PutOutcome> done) {
   write(CallKind::Put,
         HttpRequest{.Method = HttpMethod::Put,
-                    .Target = objectTarget(path, ifVersion),
-                    .Body = boost::json::serialize(value),
+                    .Target = Options.Api->ObjectTarget(path, ifVersion),
+                    .Body = Options.Api->WriteBody(path, value),
                     .Timeout = Options.RequestTimeout},
         std::move(done));
 }
@@ -150,19 +144,20 @@
                           Callback<PutOutcome> done) {
   write(CallKind::Remove,
         HttpRequest{.Method = HttpMethod::Delete,
-                    .Target = objectTarget(path, ifVersion),
+                    .Target = Options.Api->ObjectTarget(path, ifVersion),
                     .Body = {},
                     .Timeout = Options.RequestTimeout},
         std::move(done));
 }
 
-void ObjectClient::list(const std::string &prefix, Callback<Listing> done) {
-  HttpRequest request{.Target = "/v1/list?prefix=" + encodeQueryValue(prefix),
+void ObjectClient::list(const std::string &prefix, const std::string &after,
+                        Callback<Listing> done) {
+  HttpRequest request{.Target = Options.Api->ListTarget(prefix, after),
                       .Body = {},
                       .Timeout = Options.RequestTimeout};
   send(CallKind::List, std::move(request),
-       [done = std::move(done)](const HttpAnswer &answer) {
-         done(captured([&] { return readAnswer(answer, parseListing); }));
+       [done = std::move(done), api = Options.Api](const HttpAnswer &answer) {
+         done(captured([&] { return readAnswer(answer, api->ParseListing); }));
        });
 }
 
@@ -170,15 +165,13 @@
                          std::chrono::milliseconds wait,
                          std::chrono::milliseconds grace,
                          Callback<WatchAnswer> done) {
-  HttpRequest request{.Target = "/v1/watch?prefix=" + encodeQueryValue(prefix) +
-                                "&after=" + std::to_string(after.Value) +
-                                "&timeout_ms=" + std::to_string(wait.count()),
+  HttpRequest request{.Target = Options.Api->WatchTarget(prefix, after, wait),
                       .Body = {},
                       .Timeout = wait + grace,
                       .Lane = HttpLane::Waiting};
   send(CallKind::Watch, std::move(request),
-       [done = std::move(done)](const HttpAnswer &answer) {
-         done(captured([&] { return watchAnswerOf(answer); }));
+       [done = std::move(done), api = Options.Api](const HttpAnswer &answer) {
+         done(captured([&] { return watchAnswerOf(answer, *api); }));
        });
 }
 
--- a/src/platform/object_client_test.cpp
+++ b/src/store/object_client_test.cpp
@@ -1,4 +1,4 @@
-#include "greengagespar/platform/object_client.h"
+#include "greengagespar/store/object_client.h"
 
 #include "scripted_server.h"
 #include <boost/test/unit_test.hpp>
--- a/src/platform/prefix_watch.cpp
+++ b/src/store/prefix_watch.cpp
@@ -1,6 +1,7 @@
-#include "greengagespar/platform/prefix_watch.h"
+#include "greengagespar/store/prefix_watch.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace greengagespar {
@@ -65,18 +66,30 @@
 }
 
 void PrefixWatch::list() {
+  Parts = {};
+  listPart("");
+}
+
+// Changes made while the parts come in are reported by the first poll, which
+// begins at the revision of the first part.
+void PrefixWatch::listPart(const std::string &after) {
   auto done = [this, round = Round](Result<Listing> result) {
     if (round != Round)
       return;
-    handle(std::move(result), [this](Listing listing) {
-      Listed = listing.Revision >= Revision;
+    handle(std::move(result), [this](Listing part) {
+      if (Parts.Objects.empty())
+        Parts.Revision = part.Revision;
+      std::ranges::move(part.Objects, std::back_inserter(Parts.Objects));
+      if (!part.Next.empty())
+        return listPart(part.Next);
+      Listed = Parts.Revision >= Revision;
       report({.Whole = true,
-              .Revision = listing.Revision,
-              .Objects = std::move(listing.Objects),
+              .Revision = Parts.Revision,
+              .Objects = std::move(Parts.Objects),
               .Deleted = {}});
     });
   };
-  Client.list(Options.Prefix, Life.wrap(done));
+  Client.list(Options.Prefix, after, Life.wrap(done));
 }
 
 void PrefixWatch::watch() {
--- a/src/platform/prefix_watch_test.cpp
+++ b/src/store/prefix_watch_test.cpp
@@ -1,4 +1,4 @@
-#include "greengagespar/platform/prefix_watch.h"
+#include "greengagespar/store/prefix_watch.h"
 
 #include "scripted_server.h"
 #include <boost/test/unit_test.hpp>
--- a/src/platform/scripted_server.h
+++ b/src/store/scripted_server.h
@@ -1,7 +1,7 @@
 /// \file
 /// Test support: an HTTP server on a free port that answers from a script.
-#ifndef GREENGAGESPAR_PLATFORM_SCRIPTED_SERVER_H
-#define GREENGAGESPAR_PLATFORM_SCRIPTED_SERVER_H
+#ifndef GREENGAGESPAR_STORE_SCRIPTED_SERVER_H
+#define GREENGAGESPAR_STORE_SCRIPTED_SERVER_H
 
 #include "greengagespar/base/ids.h"
 #include <arpa/inet.h>
@@ -85,4 +85,4 @@
 
 } // namespace greengagespar
 
-#endif // GREENGAGESPAR_PLATFORM_SCRIPTED_SERVER_H
+#endif // GREENGAGESPAR_STORE_SCRIPTED_SERVER_H
--- a/src/platform/settle_put.cpp
+++ b/src/store/settle_put.cpp
@@ -1,6 +1,6 @@
-#include "greengagespar/platform/settle_put.h"
+#include "greengagespar/store/settle_put.h"
 
-#include "greengagespar/platform/captured.h"
+#include "greengagespar/store/captured.h"
 #include <iterator>
 #include <utility>
 
--- a/src/platform/settle_put_test.cpp
+++ b/src/store/settle_put_test.cpp
@@ -1,4 +1,4 @@
-#include "greengagespar/platform/settle_put.h"
+#include "greengagespar/store/settle_put.h"
 
 #include "scripted_server.h"
 #include <boost/test/unit_test.hpp>
--- a/src/platform/timer.cpp
+++ b/src/store/timer.cpp
@@ -1,4 +1,4 @@
-#include "greengagespar/platform/timer.h"
+#include "greengagespar/store/timer.h"
 
 #include <event2/event.h>
 #include <utility>
