Expert maps in the programs: a process beside each rank, one entry that drives

Ruled out: reading counts from the entries (each number read from afar is priced and pauses the group); a lease in the store for the driver (safety rests on the ranks' promises, so any entry may drive; the first live one does). Change: the switch of src/group in the programs. A rank that is armed also holds its step; released it drops the hold, cancelled it disarms first. Each order names the number of orders accepted, so that a late one is refused.

--- a/src/direct/direct_entry.cpp
+++ b/src/direct/direct_entry.cpp
@@ -67,8 +67,8 @@
             [this](const Address &peer, wire::Envelope &envelope) {
               return Peers.send(peer, envelope);
             }),
-      Requests(
-          loop, {},
+      Maps(loop, context, Self, mapHooks()),
+      Requests(loop, {},
           [this](HttpRequestMessage request, std::shared_ptr<HttpReply> reply) {
             onRequest(std::move(request), std::move(reply));
           }),
@@ -107,6 +107,39 @@
   return hooks;
 }
 
+MapKeeperHooks DirectEntry::mapHooks() {
+  MapKeeperHooks hooks;
+  hooks.Position = [this] {
+    const auto &members = Peers.view().Members;
+    return static_cast<std::size_t>(
+        std::ranges::count_if(members, [this](const auto &it) {
+          return takesWork(it.second) && it.first < Settings.Link;
+        }));
+  };
+  hooks.OnState = [](const Address &, const wire::RankState &) {};
+  return hooks;
+}
+
+// The process beside a rank runs on the host of the rank's server.
+void DirectEntry::findAgents() {
+  auto table = Site.table();
+  if (!table || Settings.RankPort == 0)
+    return;
+  std::vector<Address> agents;
+  EngineProfile engine;
+  for (const auto &[id, backend] : table->Site.Backends) {
+    if (!backend.Engine || backend.Engine->Experts == 0)
+      continue;
+    engine = *backend.Engine;
+    for (const EndpointView &it : poolOf(id).views()) {
+      std::string host = it.Target.Endpoint.Value;
+      host = host.substr(0, host.rfind(':') + 1);
+      agents.push_back({host + std::to_string(Settings.RankPort)});
+    }
+  }
+  Maps.setAgents(agents, engine);
+}
+
 MemberRow DirectEntry::ownRow() const {
   MemberRow row;
   row.Host = Settings.Name;
@@ -229,8 +262,8 @@
   Self.Settings = table->Site.Version;
   for (const auto &[id, backend] : table->Site.Backends)
     poolOf(id).configure(backend);
-  HttpServerLimits limits = table->Site.Limits;
-  Requests.setLimits(limits);
+  Requests.setLimits(table->Site.Limits);
+  findAgents();
 }
 
 void DirectEntry::onServers(const ServerChanges &changes) {
@@ -238,6 +271,7 @@
     poolOf(it.Service).remove(it.Id);
   for (const ServerRecord &it : changes.Updated)
     poolOf(it.Service).update(it);
+  findAgents();
 }
 
 void DirectEntry::pullFrom(const Address &peer, Generation at) {
--- a/src/direct/direct_settings.cpp
+++ b/src/direct/direct_settings.cpp
@@ -29,6 +29,10 @@
             "Address that other entries connect to."),
       field("store", &S::Store, ipPort(), required,
             "Address of the platform's object store."),
+      field("rank_port", &S::RankPort, wholeNumber("port", {0, 65535}),
+            optional,
+            "Link port of the processes beside the ranks of groups, on their "
+            "hosts; 0: there are none."),
       field("peers", &S::Peers, listOfValues(ipPort(), MaxPeers), optional,
             "Link addresses of some entries, to find the others by."),
       field("grace_ms", &S::Grace, millisecondCount(500, 600000), optional,
--- /dev/null
+++ b/src/direct/map_keeper.cpp
@@ -0,0 +1,392 @@
+#include "greengagespar/direct/map_keeper.h"
+
+#include "greengagespar/base/log.h"
+#include "greengagespar/base/log_output.h"
+#include <algorithm>
+
+namespace greengagespar {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds SwitchTick{10};
+constexpr milliseconds IdleTick{100};
+
+// How often the driver reads counts, and how often the others only show that
+// they are there.
+constexpr milliseconds CountPeriod{400};
+constexpr milliseconds PresencePeriod{1000};
+
+// A rank that has not been heard of for this long is not in step.
+constexpr milliseconds RankSilent{2500};
+
+// What is in demand drifts within seconds.
+constexpr milliseconds DemandHalfLife{800};
+
+// An entry waits this much for each one before it in order.
+constexpr milliseconds SettleStagger{250};
+
+// A driver that was deposed or failed waits before it tries again.
+constexpr milliseconds DriveAgain{1000};
+
+constexpr std::size_t FetchesPerRank = 3;
+
+DriverLimits driverLimits() {
+  DriverLimits limits;
+  limits.ResendAfter = milliseconds{60};
+  limits.PrepareWithin = milliseconds{8000};
+  limits.ArmWithin = milliseconds{600};
+  limits.SilentAfter = milliseconds{3000};
+  limits.StepsAhead = 4;
+  return limits;
+}
+
+PlanLimits planLimits(const EngineProfile &engine, std::size_t ranks) {
+  constexpr double bytesPerMegabyte = 1e6;
+  constexpr double bitsPerByte = 8;
+  PlanLimits limits;
+  limits.EvenShares = true;
+  limits.TriggerSkew = 1.12;
+  limits.TargetSkew = 1.05;
+  limits.FalseAlarm = 0.5;
+  limits.MinPeriods = 1;
+  limits.StagingSlots = std::min(FetchesPerRank, engine.MaxNewPerLayer);
+  limits.ExpertBytes =
+      static_cast<std::uint64_t>(engine.ExpertMegabytes * bytesPerMegabyte);
+  limits.FetchBytesPerSecond = static_cast<double>(ranks) *
+                               engine.LinkMegabits * bytesPerMegabyte /
+                               bitsPerByte;
+  // Passes take 15 in 100 longer while weights are copied.
+  limits.FetchShare = 0.15;
+  limits.SwitchPause = milliseconds{20};
+  limits.Horizon = std::chrono::seconds{3};
+  return limits;
+}
+
+GroupShape shapeOf(const KeptGroup &group) {
+  return {group.Ranks.size(), group.Engine.Experts, group.Engine.Layers,
+          group.Engine.SlotsPerLayer};
+}
+
+bool isWhole(const KeptGroup &group, Clock::time_point now) {
+  return !group.Ranks.empty() &&
+         std::ranges::all_of(group.Ranks, [&](const KnownRank &it) {
+           return it.IsOpen && now - it.HeardAt < RankSilent;
+         });
+}
+
+// The map in use, when all ranks have told the same one.
+std::optional<Placement> placementOf(const KeptGroup &group) {
+  Placement placement{shapeOf(group), {}, {}};
+  placement.Slots.assign(placement.Shape.Layers * slotsOfLayer(placement.Shape),
+                         NoExpert);
+  for (std::size_t r = 0; r < group.Ranks.size(); ++r) {
+    const KnownRank &rank = group.Ranks[r];
+    // The map of the last switch is in use from its step on only.
+    bool isCurrent = rank.PlacesOf == rank.InUse &&
+                     rank.InUse >= group.Switched &&
+                     rank.InUse == group.Ranks[0].InUse &&
+                     rank.Places.size() == placement.Shape.Layers;
+    if (!isCurrent)
+      return std::nullopt;
+    for (std::size_t l = 0; l < rank.Places.size(); ++l) {
+      if (rank.Places[l].size() > placement.Shape.SlotsPerLayer)
+        return std::nullopt;
+      std::size_t at =
+          (l * placement.Shape.Ranks + r) * placement.Shape.SlotsPerLayer;
+      std::ranges::copy(rank.Places[l], placement.Slots.begin() +
+                                            static_cast<std::ptrdiff_t>(at));
+    }
+  }
+  return greengagespar::isWhole(placement) ? std::optional(placement)
+                                           : std::nullopt;
+}
+
+RankPlaces placesOf(const Placement &placement) {
+  const GroupShape &shape = placement.Shape;
+  RankPlaces places(shape.Layers,
+                    std::vector<std::vector<Expert>>(shape.Ranks));
+  for (std::size_t l = 0; l < shape.Layers; ++l)
+    for (std::size_t r = 0; r < shape.Ranks; ++r)
+      for (std::size_t s = 0; s < shape.SlotsPerLayer; ++s) {
+        Expert it =
+            placement.Slots[(l * shape.Ranks + r) * shape.SlotsPerLayer + s];
+        if (it != NoExpert)
+          places[l][r].push_back(it);
+      }
+  return places;
+}
+
+std::vector<std::vector<Expert>> readPlaces(const wire::RankState &state) {
+  std::vector<std::vector<Expert>> places;
+  int next = 0;
+  for (std::uint32_t n : state.places_in_layer()) {
+    auto &layer = places.emplace_back();
+    for (std::uint32_t i = 0; i < n && next < state.places_size(); ++i)
+      layer.push_back(Expert(state.places(next++)));
+  }
+  return places;
+}
+
+bool isDriving(const KeptGroup &group) {
+  return group.Driver && !group.Driver->IsSettler &&
+         group.Driver->Phase != DriverPhase::Stopped;
+}
+
+bool isSteady(const KeptGroup &group) {
+  return isDriving(group) && group.Driver->Phase == DriverPhase::Steady;
+}
+
+} // namespace
+
+MapKeeper::MapKeeper(event_base *loop, zmq::context_t &context,
+                     const LinkIdentity &self, MapKeeperHooks hooks)
+    : Loop(loop), Context(context), Self(self), Hooks(std::move(hooks)),
+      Ticker(loop, [this] { tick(); }) {
+  Ticker.start(IdleTick);
+}
+
+void MapKeeper::setAgents(const std::vector<Address> &agents,
+                          const EngineProfile &engine) {
+  Engine = engine;
+  std::erase_if(Agents, [&](const auto &it) {
+    return std::ranges::find(agents, it.first) == agents.end();
+  });
+  for (const Address &it : agents) {
+    auto &client = Agents[it];
+    if (!client)
+      client = std::make_unique<LinkClient>(
+          Loop, Context, Self, it, [this, it](const wire::Envelope &envelope) {
+            onEnvelope(it, envelope);
+          });
+  }
+}
+
+void MapKeeper::tick() {
+  auto now = Clock::now();
+  if (now >= NextAsk)
+    ask(now);
+  bool isBusy = false;
+  for (auto &[name, group] : Groups) {
+    drive(name, group, now);
+    isBusy = isBusy || (group.Driver && !isSteady(group) &&
+                        group.Driver->Phase != DriverPhase::Stopped);
+  }
+  Ticker.start(isBusy ? SwitchTick : IdleTick);
+}
+
+void MapKeeper::ask(Clock::time_point now) {
+  bool drives = Hooks.Position() == 0;
+  NextAsk = now + (drives ? CountPeriod : PresencePeriod);
+  for (auto &[address, client] : Agents) {
+    wire::Envelope envelope;
+    envelope.mutable_rank_ask()->set_with_counts(drives);
+    client->send(envelope);
+    if (!drives)
+      continue;
+    for (const auto &[name, group] : Groups)
+      for (const KnownRank &it : group.Ranks)
+        if (it.Agent == address &&
+            (it.PlacesOf != it.InUse || it.Places.empty())) {
+          wire::Envelope places;
+          places.mutable_rank_ask()->set_with_places(true);
+          client->send(places);
+        }
+  }
+  if (drives)
+    for (auto &[name, group] : Groups)
+      endPeriod(name, group, now);
+}
+
+void MapKeeper::onEnvelope(const Address &agent,
+                           const wire::Envelope &envelope) {
+  if (envelope.has_rank_state())
+    onState(agent, envelope.rank_state());
+  else if (envelope.has_map_report())
+    onReport(envelope.map_report());
+}
+
+void MapKeeper::onState(const Address &agent, const wire::RankState &state) {
+  auto now = Clock::now();
+  Hooks.OnState(agent, state);
+  if (state.group().empty() || state.rank() >= state.size() ||
+      Engine.Experts == 0)
+    return;
+  KeptGroup &group = Groups[state.group()];
+  if (state.epoch() < group.Epoch)
+    return;
+  if (state.epoch() > group.Epoch || group.Ranks.size() != state.size()) {
+    group.Epoch = state.epoch();
+    group.Engine = Engine;
+    group.Ranks.assign(state.size(), {});
+    group.Driver.reset();
+    group.SettleWanted.reset();
+    group.Switched = {};
+    group.Loads = makeLoadTable(shapeOf(group), DemandHalfLife);
+    group.PeriodCounts.assign(group.Loads.Loads.size(), 0);
+    group.PeriodFrom = now;
+  }
+  KnownRank &rank = group.Ranks[state.rank()];
+  rank.Agent = agent;
+  rank.HeardAt = now;
+  rank.IsOpen = state.open();
+  rank.InUse = {state.map()};
+  if (state.wants_settlement() && !group.SettleWanted)
+    group.SettleWanted = now;
+  if (state.places_in_layer_size() > 0) {
+    rank.Places = readPlaces(state);
+    rank.PlacesOf = rank.InUse;
+  }
+  if (std::cmp_not_equal(state.counts_size(), group.PeriodCounts.size()))
+    return;
+  std::vector<std::uint64_t> counts(state.counts().begin(),
+                                    state.counts().end());
+  // Counts begin anew with each life of the server.
+  if (rank.Counts.size() == counts.size())
+    for (std::size_t i = 0; i < counts.size(); ++i)
+      if (counts[i] >= rank.Counts[i])
+        group.PeriodCounts[i] +=
+            static_cast<double>(counts[i] - rank.Counts[i]);
+  rank.Counts = std::move(counts);
+}
+
+void MapKeeper::onReport(const wire::MapReport &message) {
+  recoverFrom(
+      [&]() -> Result<void> {
+        BOOST_LEAF_AUTO(report, readMapReport(message));
+        HighestLease =
+            std::max(HighestLease, report.Report.Promised.Lease.Value);
+        for (auto &[name, group] : Groups)
+          if (group.Epoch == report.Epoch && group.Driver)
+            apply(name, group,
+                  decideDriver(*group.Driver, ReportCame{report.Report},
+                               Clock::now()));
+        return {};
+      },
+      [](const Error &e) { logWarning(Part::Group, e.Message); });
+}
+
+void MapKeeper::drive(const std::string &name, KeptGroup &group,
+                      Clock::time_point now) {
+  std::size_t position = Hooks.Position();
+  bool isStopped = !group.Driver || group.Driver->Phase == DriverPhase::Stopped;
+  if (position != 0 && isSteady(group))
+    group.Driver.reset();
+  if (isStopped && now >= group.NotBefore && isWhole(group, now)) {
+    bool settles = group.SettleWanted &&
+                   now - *group.SettleWanted >= SettleStagger * position;
+    Ballot ballot;
+    ballot.Process = Self.Life;
+    if (position == 0) {
+      ballot.Lease = {++HighestLease};
+      group.Driver = makeDriver(ballot, group.Ranks.size(), SteadyTime::max(),
+                                driverLimits(), now);
+    } else if (settles) {
+      ballot.Lease = {HighestLease};
+      group.Driver =
+          makeSettler(ballot, group.Ranks.size(), driverLimits(), now);
+    }
+    if (group.Driver && (position == 0 || settles)) {
+      group.SettleWanted.reset();
+      group.NotBefore = now + DriveAgain;
+      logInfo(Part::Group,
+              LogLine(position == 0 ? "drive" : "settle")
+                  .add("group", name)
+                  .add("epoch", static_cast<std::int64_t>(group.Epoch))
+                  .add("lease", static_cast<std::int64_t>(ballot.Lease.Value))
+                  .text());
+    }
+  }
+  if (group.Driver && group.Driver->Phase != DriverPhase::Stopped)
+    apply(name, group, decideDriver(*group.Driver, DriverTick{}, now));
+}
+
+void MapKeeper::apply(const std::string &name, KeptGroup &group,
+                      const std::vector<DriverAction> &actions) {
+  for (const DriverAction &it : actions) {
+    if (const auto *order = std::get_if<SendOrder>(&it)) {
+      send(group, order->Order);
+    } else if (const auto *ended = std::get_if<SwitchEnded>(&it)) {
+      logInfo(Part::Group,
+              LogLine("switch_ended")
+                  .add("group", name)
+                  .add("map", static_cast<std::int64_t>(ended->Map.Value))
+                  .add("outcome", ended->Outcome == Decision::Release
+                                      ? "in_use"
+                                      : "cancelled")
+                  .addMs("took_ms", Clock::now() - group.SwitchAt)
+                  .text());
+      if (ended->Outcome == Decision::Release)
+        group.Switched = ended->Map;
+      NextAsk = {};
+    } else if (const auto *failed = std::get_if<GroupFailed>(&it)) {
+      logWarning(Part::Group,
+                 LogLine("ranks_silent")
+                     .add("group", name)
+                     .add("n", static_cast<std::int64_t>(failed->Ranks.size()))
+                     .text());
+    }
+  }
+}
+
+void MapKeeper::send(KeptGroup &group, const MapOrder &order) {
+  const KnownRank &rank = group.Ranks[indexOf(order.To)];
+  auto agent = Agents.find(rank.Agent);
+  if (agent == Agents.end())
+    return;
+  DirectMapOrder out;
+  out.Order = order;
+  out.Epoch = group.Epoch;
+  if (order.Kind == OrderKind::Prepare)
+    out.Places = group.NextPlaces;
+  wire::Envelope envelope;
+  *envelope.mutable_map_order() = writeMapOrder(out);
+  agent->second->send(envelope);
+}
+
+void MapKeeper::endPeriod(const std::string &name, KeptGroup &group,
+                          Clock::time_point now) {
+  auto length =
+      std::chrono::duration_cast<milliseconds>(now - group.PeriodFrom);
+  if (length < CountPeriod / 2)
+    return;
+  double sum = 0;
+  for (double it : group.PeriodCounts)
+    sum += it;
+  if (sum > 0) {
+    addPeriod(group.Loads, group.PeriodCounts, length);
+    std::ranges::fill(group.PeriodCounts, 0);
+  }
+  group.PeriodFrom = now;
+  if (sum > 0 && isSteady(group))
+    plan(name, group);
+}
+
+void MapKeeper::plan(const std::string &name, KeptGroup &group) {
+  std::optional<Placement> placement = placementOf(group);
+  if (!placement)
+    return;
+  Plan next = planIncremental(group.Loads, *placement,
+                              planLimits(group.Engine, group.Ranks.size()));
+  bool isMove = next.Reason == PlanReason::Moved;
+  logInfo(
+      Part::Group,
+      LogLine("plan")
+          .add("group", name)
+          .add("reason", planReasonName(next.Reason))
+          .add("map", static_cast<std::int64_t>(group.Ranks[0].InUse.Value))
+          .add("skew_x1000", static_cast<std::int64_t>(next.SkewBefore * 1000))
+          .add("low_x1000",
+               static_cast<std::int64_t>(next.SkewBeforeLow * 1000))
+          .add("after_x1000", static_cast<std::int64_t>(next.SkewAfter * 1000))
+          .add("moves", static_cast<std::int64_t>(next.Moves.size()))
+          .text());
+  if (!isMove)
+    return;
+  group.NextPlaces = placesOf(next.Next);
+  group.SwitchAt = Clock::now();
+  apply(name, group, decideDriver(*group.Driver, SwitchWanted{}, Clock::now()));
+}
+
+} // namespace greengagespar
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -5,22 +5,17 @@
 
 #include "entry.h"
 
-#include "greengagespar/base/log_output.h"
 #include "greengagespar/base/program.h"
 #include "greengagespar/direct/direct_entry.h"
+#include "greengagespar/direct/direct_program.h"
 #include "greengagespar/entry/entry_settings.h"
-#include "greengagespar/store/timer.h"
 #include "platform/dialect.h"
 #include <iostream>
-#include <unistd.h>
 
 using namespace greengagespar;
 
 namespace {
 
-// Log lines are written this often; a line of an event waits no longer.
-constexpr std::chrono::milliseconds LogInterval{100};
-
 ExitCode run(const EntrySettings &settings) {
   EventLoop loop;
   zmq::context_t context(1);
@@ -40,42 +35,13 @@
   return program;
 }
 
-// Reads the settings again; keeps those in force when they are refused.
-void reloadSettings(DirectEntry &entry, const std::string &path) {
-  recoverFrom(
-      [&]() -> Result<void> {
-        BOOST_LEAF_AUTO(settings, loadSettings(directProgram(), path));
-        entry.reload(settings);
-        return {};
-      },
-      [](const Error &e) {
-        logError(Part::Entry, "settings not reloaded: " + e.Message);
-      });
-}
-
 int runDirect(int argc, char **argv) {
-  Program<DirectSettings> program = directProgram();
-  CommandLine line =
-      parseCommandLine(program.Info, argc, argv, std::cout, std::cerr);
-  program.Run = [&](const DirectSettings &settings) {
-    LogOutput output(STDOUT_FILENO,
-                     {.LinesPerSecond = settings.LogLinesPerSecond});
-    initLogging(line.Log, &output);
-    EventLoop loop;
-    zmq::context_t context(1);
-    DirectEntry entry(loop.base(), context, settings, platformDialect());
-    loop.onReload([&] { reloadSettings(entry, line.SettingsFile); });
-    Timer flush(loop.base(), [&] {
-      output.writeWaiting();
-      flush.start(LogInterval);
-    });
-    flush.start(LogInterval);
-    ExitCode code = runProcess(entry, loop, Part::Entry);
-    output.writeWaiting();
-    initLogging(line.Log);
-    return code;
-  };
-  return runProgram(program, argc, argv, std::cout, std::cerr);
+  return runDirectProgram(directProgram(), argc, argv,
+                          [](event_base *loop, zmq::context_t &context,
+                             const DirectSettings &settings) {
+                            return std::make_unique<DirectEntry>(
+                                loop, context, settings, platformDialect());
+                          });
 }
 
 } // namespace
--- a/src/group/loads.cpp
+++ b/src/group/loads.cpp
@@ -34,7 +34,7 @@
 } // namespace
 
 LoadTable makeLoadTable(const GroupShape &shape,
-                        std::chrono::seconds halfLife) {
+                        std::chrono::milliseconds halfLife) {
   LoadTable table;
   table.Shape = shape;
   table.HalfLife = halfLife;
--- a/src/group/planner.cpp
+++ b/src/group/planner.cpp
@@ -306,13 +306,16 @@
   return moves;
 }
 
-// The placement after moves that findMoves returned, with fitted shares.
+// The placement after moves that findMoves returned, with fitted shares unless
+// the engines know only even ones.
 Placement afterMoves(const LoadTable &loads, const Placement &placement,
-                     const std::vector<Move> &moves) {
+                     const std::vector<Move> &moves, const PlanLimits &limits) {
   Placement next = placement;
+  next.Shares.clear();
   for (const Move &move : moves)
     replaceSlot(next, move);
-  fitShares(next, loads);
+  if (!limits.EvenShares)
+    fitShares(next, loads);
   return next;
 }
 
@@ -366,8 +369,8 @@
     return withoutChange(plan, placement, PlanReason::WithinNoise);
   plan.Reason = PlanReason::SharesOnly;
   plan.SkewAfter = plan.SkewBefore;
-  if (plan.SkewBefore <= MostSkewForShares) {
-    plan.Next = afterMoves(loads, placement, {});
+  if (plan.SkewBefore <= MostSkewForShares && !limits.EvenShares) {
+    plan.Next = afterMoves(loads, placement, {}, limits);
     plan.SkewAfter = estimateSkew(loads, plan.Next, limits.FalseAlarm).Value;
   }
   if (plan.SkewAfter > limits.TargetSkew) {
@@ -376,7 +379,7 @@
   }
   if (!plan.Moves.empty()) {
     plan.Reason = PlanReason::Moved;
-    plan.Next = afterMoves(loads, placement, plan.Moves);
+    plan.Next = afterMoves(loads, placement, plan.Moves, limits);
     plan.SkewAfter = estimateSkew(loads, plan.Next, limits.FalseAlarm).Value;
   }
   if (plan.SkewAfter >= plan.SkewBefore)
--- a/src/include/greengagespar/direct/direct_entry.h
+++ b/src/include/greengagespar/direct/direct_entry.h
@@ -7,6 +7,7 @@
 
 #include "greengagespar/direct/direct_settings.h"
 #include "greengagespar/direct/exchange.h"
+#include "greengagespar/direct/map_keeper.h"
 #include "greengagespar/direct/site_follower.h"
 #include "greengagespar/link/settings_pulls.h"
 #include "greengagespar/peers/peer_links.h"
@@ -41,6 +42,8 @@
   void onServers(const ServerChanges &changes);
   ServerPool &poolOf(const ServiceId &service);
   void shareRetries();
+  void findAgents();
+  MapKeeperHooks mapHooks();
   PeerLinksHooks peerHooks();
   MemberRow ownRow() const;
   void pullFrom(const Address &peer, Generation at);
@@ -58,6 +61,7 @@
   SiteFollower Site;
   PeerLinks Peers;
   SettingsPulls Pulls;
+  MapKeeper Maps;
   HttpEdge Requests;
   HttpEdge ReadyEdge;
   HttpEdge DirectoryEdge;
--- /dev/null
+++ b/src/include/greengagespar/direct/direct_program.h
@@ -0,0 +1,69 @@
+/// \file
+/// The frame of the programs in direct mode: log to standard output, settings
+/// read again on SIGHUP.
+#ifndef GREENGAGESPAR_DIRECT_DIRECT_PROGRAM_H
+#define GREENGAGESPAR_DIRECT_DIRECT_PROGRAM_H
+
+#include "greengagespar/base/log_output.h"
+#include "greengagespar/base/program.h"
+#include "greengagespar/store/timer.h"
+#include <iostream>
+#include <unistd.h>
+#include <zmq.hpp>
+
+namespace greengagespar {
+
+/// Log lines are written this often.
+inline constexpr std::chrono::milliseconds LogInterval{100};
+
+namespace detail {
+
+/// Reads the settings again; keeps those in force when they are refused.
+template <class S, class Process>
+void reloadSettings(const Program<S> &program, const std::string &path,
+                    Process &process) {
+  recoverFrom(
+      [&]() -> Result<void> {
+        BOOST_LEAF_AUTO(settings, loadSettings(program, path));
+        process.reload(settings);
+        return {};
+      },
+      [&](const Error &e) {
+        logError(program.Info.LogPart, "settings not reloaded: " + e.Message);
+      });
+}
+
+} // namespace detail
+
+/// Runs \p program, whose process \p make returns for a loop, a ZeroMQ context
+/// and the settings. Call once, from main.
+template <class S, class Make>
+int runDirectProgram(Program<S> program, int argc, const char *const *argv,
+                     Make make) {
+  CommandLine line =
+      parseCommandLine(program.Info, argc, argv, std::cout, std::cerr);
+  program.Run = [&](const S &settings) {
+    LogOutput output(STDOUT_FILENO,
+                     {.LinesPerSecond = settings.LogLinesPerSecond});
+    initLogging(line.Log, &output);
+    EventLoop loop;
+    zmq::context_t context(1);
+    auto process = make(loop.base(), context, settings);
+    loop.onReload(
+        [&] { detail::reloadSettings(program, line.SettingsFile, *process); });
+    Timer flush(loop.base(), [&] {
+      output.writeWaiting();
+      flush.start(LogInterval);
+    });
+    flush.start(LogInterval);
+    ExitCode code = runProcess(*process, loop, program.Info.LogPart);
+    output.writeWaiting();
+    initLogging(line.Log);
+    return code;
+  };
+  return runProgram(program, argc, argv, std::cout, std::cerr);
+}
+
+} // namespace greengagespar
+
+#endif // GREENGAGESPAR_DIRECT_DIRECT_PROGRAM_H
--- a/src/include/greengagespar/direct/direct_settings.h
+++ b/src/include/greengagespar/direct/direct_settings.h
@@ -10,14 +10,15 @@
 
 /// What one entry in direct mode learns from its settings file. Plain value.
 struct DirectSettings {
-  HostId Name;                ///< Unique among all entries.
-  DataCentreId DataCentre;    ///< Where it runs.
-  Address Listen;             ///< For callers' requests.
-  Address Ready;              ///< For questions whether it is ready.
-  Address Directory;          ///< For questions which entries to connect to.
-  Address Link;               ///< For links from other entries.
-  Address Store;              ///< The platform's object store.
-  std::vector<Address> Peers; ///< Link addresses of some entries.
+  HostId Name;             ///< Unique among all entries.
+  DataCentreId DataCentre; ///< Where it runs.
+  Address Listen;          ///< For callers' requests.
+  Address Ready;           ///< For questions whether it is ready.
+  Address Directory;       ///< For questions which entries to connect to.
+  Address Link;            ///< For links from other entries.
+  Address Store;           ///< The platform's object store.
+  int RankPort = 0; ///< Link port of the processes beside ranks; 0: none.
+  std::vector<Address> Peers;            ///< Link addresses of some entries.
   std::chrono::milliseconds Grace{8000}; ///< From a stop to its forced end.
   std::chrono::milliseconds AddressKeep{2000}; ///< Callers keep addresses.
   double RetryShare = 0.2; ///< Retries per request, all entries.
--- /dev/null
+++ b/src/include/greengagespar/direct/rank_agent.h
@@ -0,0 +1,116 @@
+/// \file
+/// The process beside one rank of a group in direct mode: reads the rank's
+/// state and counts where they are fresh, carries out the orders of map
+/// switches at its server, and tells both to the entries. It is not on any
+/// request's way. Not thread safe: belongs to the thread of its loop.
+#ifndef GREENGAGESPAR_DIRECT_RANK_AGENT_H
+#define GREENGAGESPAR_DIRECT_RANK_AGENT_H
+
+#include "greengagespar/base/schema.h"
+#include "greengagespar/direct/map_messages.h"
+#include "greengagespar/group/rank.h"
+#include "greengagespar/http/client.h"
+#include "greengagespar/link/link.h"
+#include "greengagespar/store/timer.h"
+#include <deque>
+#include <map>
+
+namespace greengagespar {
+
+/// What a rank's process learns from its settings file. Plain value.
+struct RankAgentSettings {
+  HostId Name;    ///< Unique among all processes.
+  Address Link;   ///< For links from entries.
+  Address Server; ///< The rank's server on this host; empty: none.
+  int LogLinesPerSecond = 200;
+};
+
+/// Returns the table of the settings. Thread safe.
+const Schema<RankAgentSettings> &rankAgentSettingsSchema();
+
+/// Returns default values, and example values for required keys. Thread safe.
+RankAgentSettings defaultRankAgentSettings();
+
+/// The process.
+class RankAgent {
+public:
+  /// Precondition: all arguments outlive the agent.
+  RankAgent(event_base *loop, zmq::context_t &context,
+            const RankAgentSettings &settings, const RankDialect &dialect);
+
+  /// Listens and begins to read the rank's state.
+  Result<void> start();
+  /// Ends the loop. An order in progress is left to the next process.
+  void leave();
+  /// Takes the settings that may change while the process runs: none.
+  void reload(const RankAgentSettings &settings);
+
+private:
+  /// A call of the server. Calls are made one at a time.
+  struct ServerCall {
+    std::string Text;
+    std::function<void(int status, std::string body)> Done;
+  };
+  /// An order of a switch that is being carried out at the server.
+  struct EngineWork {
+    DirectMapOrder Goal;
+    bool IsUndoing = false; ///< It was refused; its hold is taken back.
+    bool IsFence = false;   ///< Makes late orders of an earlier life harmless.
+    int Orders = 0;         ///< Given to the server so far.
+  };
+  /// An entry that asked for the state lately.
+  struct Watcher {
+    PeerId At;
+    Clock::time_point AskedAt;
+  };
+
+  void get(const std::string &target,
+           std::function<void(int, std::string)> done);
+  void call(ServerCall call);
+  void startCall();
+  void endCall(int status);
+
+  void onEnvelope(const PeerId &from, const wire::Envelope &envelope);
+  void answerState(const PeerId &to, const wire::RankAsk &ask);
+  void sendState(const PeerId &to, const std::vector<std::uint64_t> &counts,
+                 const std::vector<std::vector<Expert>> &places);
+  void takeMapOrder(const PeerId &from, const wire::MapOrder &message);
+  void poll();
+  void readState(std::function<void()> done);
+  void takeState(const RankServerState &state);
+  void act(const std::vector<RankAction> &actions);
+  void sendReport(const RankReport &report);
+  void startWork(const MapOrder &order);
+  void stepWork();
+  void giveOrder(const RankServerOrder &order);
+  void endWork(bool refused);
+  void fillState(wire::RankState &out) const;
+  void tellWatchers();
+
+  event_base *Loop;
+  RankAgentSettings Settings;
+  const RankDialect &Dialect;
+  LinkIdentity Self;
+  LinkServer Link;
+  std::unique_ptr<HttpClientConnection> Connection;
+  std::deque<ServerCall> Calls;
+  std::string Body;
+  int Status = 0;
+  bool IsCalling = false;
+  std::optional<RankServerState> Server;
+  std::optional<RankState> Switch; ///< Set while the rank is in a group.
+  std::optional<EngineWork> Work;
+  std::map<MapNumber, RankPlaces> Maps; ///< Of orders to prepare.
+  MapNumber PrepareSent; ///< Accepted by the server, weights on their way.
+  MapNumber Cancelled;   ///< The highest map cancelled.
+  std::map<Ballot, PeerId> Askers; ///< Who uses a ballot.
+  std::vector<Watcher> Watchers;
+  bool NeedsFence = true;
+  bool IsPolling = false;
+  Timer Poll;
+  Timer CallLimit;
+};
+
+} // namespace greengagespar
+
+#endif // GREENGAGESPAR_DIRECT_RANK_AGENT_H
--- a/src/include/greengagespar/direct/site.h
+++ b/src/include/greengagespar/direct/site.h
@@ -58,6 +58,12 @@
   double ReadTokensPerMs = 0;
   int UsualPromptTokens = 0;
   int UsualAnswerTokens = 0;
+  std::size_t Layers = 0;         ///< Layers that have experts; 0: none.
+  std::size_t Experts = 0;        ///< Of each layer.
+  std::size_t SlotsPerLayer = 0;  ///< Experts that one rank may hold.
+  std::size_t MaxNewPerLayer = 0; ///< New ones of a rank in one map.
+  double ExpertMegabytes = 0;     ///< Weights of one expert of one layer.
+  double LinkMegabits = 0;        ///< A second, for copies of weights.
 };
 
 /// A service or model group behind routes.
--- a/src/include/greengagespar/group/loads.h
+++ b/src/include/greengagespar/group/loads.h
@@ -24,15 +24,17 @@
 /// Loads of all experts of a group. Not thread safe while being updated.
 struct LoadTable {
   GroupShape Shape;
-  std::chrono::seconds HalfLife{300}; ///< A count weighs half after this time.
-  std::vector<ExpertLoad> Loads;      ///< By layer, then by expert.
-  std::size_t Periods = 0;            ///< Periods added so far.
+  std::chrono::milliseconds HalfLife{
+      300000};                   ///< A count weighs half after this time.
+  std::vector<ExpertLoad> Loads; ///< By layer, then by expert.
+  std::size_t Periods = 0;       ///< Periods added so far.
   /// Variance over mean of period counts, by period modulo the window.
   std::array<double, DispersionWindow> Dispersions{};
 };
 
 /// Makes a table without counts. \p halfLife is over 0.
-LoadTable makeLoadTable(const GroupShape &shape, std::chrono::seconds halfLife);
+LoadTable makeLoadTable(const GroupShape &shape,
+                        std::chrono::milliseconds halfLife);
 
 /// Adds the token counts of one period of length \p period, by layer then by
 /// expert. Older counts are multiplied by 2^(-period/HalfLife).
--- a/src/include/greengagespar/group/planner.h
+++ b/src/include/greengagespar/group/planner.h
@@ -27,6 +27,7 @@
   double FetchShare = 0.02; ///< Share of step time lost while fetching.
   std::chrono::milliseconds SwitchPause{74}; ///< Pause of one map switch.
   std::chrono::seconds Horizon{900};         ///< How long a gain is counted.
+  bool EvenShares = false; ///< The engines split an expert's tokens evenly.
 };
 
 /// One replacement: \p Load takes the slot of \p Drop. Needs one fetch.
--- a/src/include/greengagespar/route/admission.h
+++ b/src/include/greengagespar/route/admission.h
@@ -115,7 +115,7 @@
     std::function<std::optional<std::size_t>(const QueuedCall &)>;
 
 /// A call that was started and its server.
-struct Placement {
+struct PlacedCall {
   StartedCall Call;
   std::size_t Server = 0;
 };
@@ -124,7 +124,7 @@
 /// there is none. A call that can't go anywhere, as one whose key has its home
 /// on a full server, holds up no others; only the first few of those are tried.
 /// Call expire() before it, and again until it is empty.
-std::optional<Placement> placeNext(Admission &admission,
+std::optional<PlacedCall> placeNext(Admission &admission,
                                    const ServerChooser &choose, bool allowLong,
                                    Clock::time_point now);
 
--- a/src/route/admission.cpp
+++ b/src/route/admission.cpp
@@ -328,7 +328,7 @@
   return StartedCall{*take(admission.Queue, id, meanServiceMs(admission)), now};
 }
 
-std::optional<Placement> placeNext(Admission &admission,
+std::optional<PlacedCall> placeNext(Admission &admission,
                                    const ServerChooser &choose, bool allowLong,
                                    Clock::time_point now) {
   PassedOver passed;
@@ -338,7 +338,7 @@
       return std::nullopt;
     CallId id = call->Id;
     if (auto server = choose(*call))
-      return Placement{*start(admission, id, now), *server};
+      return PlacedCall{*start(admission, id, now), *server};
     passed.insert(id);
   }
   return std::nullopt;
