Hear of silent entries within 2 s in direct mode

Ruled out: shorter limits alone (rows that are passed on come too seldom). Change: up to 8 entries of other data centres are partners, as those of the own one are; silent after 2 s.

--- a/src/direct/direct_entry.cpp
+++ b/src/direct/direct_entry.cpp
@@ -37,6 +37,13 @@
 
 constexpr const char *RetryNotReady = "0.5";
 
+// Callers must not be sent to an entry that has been off for seconds; four
+// heartbeats may be lost before.
+constexpr milliseconds SilentAfter{2000};
+// Up to so many entries of other data centres are heard of directly, as those
+// of the own one are.
+constexpr std::size_t FarPartners = 8;
+
 LinkIdentity identityOf(const DirectSettings &settings) {
   return {settings.Name, newIncarnation(), Generation{}};
 }
@@ -45,9 +52,17 @@
   MemberView view;
   view.Self = settings.Link;
   view.DataCentre = settings.DataCentre;
+  view.Limits.SilentNear = SilentAfter;
+  view.Limits.SilentFar = SilentAfter;
   return view;
 }
 
+PartnerLimits partnerLimits() {
+  PartnerLimits limits;
+  limits.Far = FarPartners;
+  return limits;
+}
+
 HttpFields jsonFields() { return {{"Content-Type", "application/json"}}; }
 
 } // namespace
@@ -62,7 +77,8 @@
               onConfiguration(it);
             },
             [this](const ServerChanges &it) { onServers(it); }}),
-      Peers(loop, context, Self, viewOf(settings), peerHooks()),
+      Peers(loop, context, Self, viewOf(settings), peerHooks(),
+            partnerLimits()),
       Pulls(loop,
             [this](const Address &peer, wire::Envelope &envelope) {
               return Peers.send(peer, envelope);
--- a/src/direct/map_keeper.cpp
+++ b/src/direct/map_keeper.cpp
@@ -15,14 +15,14 @@
 
 // How often the driver reads counts, and how often the others only show that
 // they are there.
-constexpr milliseconds CountPeriod{400};
+constexpr milliseconds CountPeriod{250};
 constexpr milliseconds PresencePeriod{1000};
 
 // A rank that has not been heard of for this long is not in step.
 constexpr milliseconds RankSilent{2500};
 
 // What is in demand drifts within seconds.
-constexpr milliseconds DemandHalfLife{800};
+constexpr milliseconds DemandHalfLife{600};
 
 // An entry waits this much for each one before it in order.
 constexpr milliseconds SettleStagger{250};
@@ -30,7 +30,7 @@
 // A driver that was deposed or failed waits before it tries again.
 constexpr milliseconds DriveAgain{1000};
 
-constexpr std::size_t FetchesPerRank = 3;
+constexpr std::size_t FetchesPerRank = 2;
 
 DriverLimits driverLimits() {
   DriverLimits limits;
--- a/src/include/greengagespar/peers/peer_links.h
+++ b/src/include/greengagespar/peers/peer_links.h
@@ -60,7 +60,8 @@
 public:
   /// Precondition: \p base, \p context and \p self outlive this object.
   PeerLinks(event_base *base, zmq::context_t &context, const LinkIdentity &self,
-            MemberView view, PeerLinksHooks hooks);
+            MemberView view, PeerLinksHooks hooks,
+            const PartnerLimits &limits = {});
 
   /// Listens and begins the heartbeats. Fails with LinkDown when the address
   /// can't be bound.
@@ -106,6 +107,7 @@
   const LinkIdentity &Self;
   MemberView View;
   PeerLinksHooks Hooks;
+  PartnerLimits Limits;
   LinkServer Server;
   std::map<Address, Peer> Peers;
   std::set<Address> Seeds;
--- a/src/peers/peer_links.cpp
+++ b/src/peers/peer_links.cpp
@@ -30,9 +30,9 @@
 
 PeerLinks::PeerLinks(event_base *base, zmq::context_t &context,
                      const LinkIdentity &self, MemberView view,
-                     PeerLinksHooks hooks)
+                     PeerLinksHooks hooks, const PartnerLimits &limits)
     : Base(base), Context(context), Self(self), View(std::move(view)),
-      Hooks(std::move(hooks)),
+      Hooks(std::move(hooks)), Limits(limits),
       Server(base, context, self,
              [this](const PeerId &from, const wire::Envelope &envelope) {
                onRequest(from, envelope);
@@ -72,7 +72,7 @@
   beat(View, Hooks.OwnRow(), now);
   sweep(now);
   bool renew = ++Rounds % RenewEvery == 0;
-  Partners = choosePartners(View, Seeds, Partners, renew, {}, Rng);
+  Partners = choosePartners(View, Seeds, Partners, renew, Limits, Rng);
   Unsent.clear();
   for (const Address &it : Partners)
     if (!sendDigest(it))
