--- a/src/direct/rank_agent.cpp
+++ b/src/direct/rank_agent.cpp
@@ -21,10 +21,6 @@
 constexpr milliseconds CallTimeout{100};
 constexpr milliseconds ConnectTimeout{100};
 
-// Orders given for one step of a switch before it counts as refused. Up to
-// half of them may be left without an answer.
-constexpr int MaxOrders = 16;
-
 // An entry that has not asked for so long is told nothing any more.
 constexpr milliseconds WatcherKept{5000};
 
@@ -214,7 +210,7 @@
   if (!Switch || Work)
     return;
   if (NeedsFence && fenceEarlierProcess(state)) {
-    Work = EngineWork{};
+    Work = RankWork{};
     Work->IsFence = true;
     return stepWork();
   }
@@ -282,47 +278,24 @@
     return;
   if (order.Kind == OrderKind::Prepare && PrepareSent == order.Map)
     return;
-  Work = EngineWork{};
-  Work->Goal.Order = order;
-  if (auto map = Maps.find(order.Map); map != Maps.end())
-    Work->Goal.Places = map->second;
+  Work = RankWork{};
+  Work->Goal = order;
   readState([this] { stepWork(); });
 }
 
 void RankAgent::stepWork() {
   if (!Work)
     return;
-  if (!Server || Work->Orders >= MaxOrders)
-    return endWork(true);
-  if (Work->IsFence) {
-    auto fence = fenceEarlierProcess(*Server);
-    if (!fence)
-      return endWork(false);
-    return giveOrder(*fence);
-  }
-  MapOrder goal = Work->Goal.Order;
-  if (Work->IsUndoing) {
-    goal.Kind = OrderKind::Decide;
-    goal.Outcome = Decision::Cancel;
-  }
-  RankServerStep step = decideRankServer(goal, *Server);
-  switch (step.What) {
-  case RankServerStep::Kind::Send:
+  RankServerStep step = decideRankServer(*Work, Server);
+  if (step.What == RankServerStep::Kind::Send)
     return giveOrder(step.Order);
-  case RankServerStep::Kind::Done:
-    return endWork(Work->IsUndoing);
-  case RankServerStep::Kind::Refused:
-    if (goal.Kind == OrderKind::Arm && Server->Held == goal.Step) {
-      Work->IsUndoing = true;
-      return stepWork();
-    }
-    return endWork(true);
-  }
+  endWork(step.What == RankServerStep::Kind::Refused);
 }
 
 void RankAgent::giveOrder(const RankServerOrder &order) {
-  ++Work->Orders;
-  std::string body = Dialect.WriteOrder(order, Work->Goal.Places);
+  auto map = Maps.find(order.Map);
+  std::string body =
+      Dialect.WriteOrder(order, map == Maps.end() ? RankPlaces{} : map->second);
   std::string text = "POST " + Dialect.OrderTarget +
                      " HTTP/1.1\r\nHost: " + Settings.Server.Value +
                      "\r\nContent-Type: application/json\r\nContent-Length: " +
@@ -354,13 +327,13 @@
 }
 
 void RankAgent::endWork(bool refused) {
-  EngineWork ended = std::move(*Work);
+  RankWork ended = *Work;
   Work.reset();
   if (ended.IsFence) {
     NeedsFence = refused;
     return;
   }
-  const MapOrder &order = ended.Goal.Order;
+  const MapOrder &order = ended.Goal;
   bool isCancel =
       order.Kind == OrderKind::Decide && order.Outcome == Decision::Cancel;
   if (isCancel && !refused)
--- a/src/direct/rank_server.cpp
+++ b/src/direct/rank_server.cpp
@@ -77,10 +77,7 @@
   return done();
 }
 
-} // namespace
-
-RankServerStep decideRankServer(const MapOrder &goal,
-                                const RankServerState &state) {
+RankServerStep stepOf(const MapOrder &goal, const RankServerState &state) {
   switch (goal.Kind) {
   case OrderKind::Prepare:
     return prepare(goal, state);
@@ -95,6 +92,38 @@
   return done();
 }
 
+// The next step of a work that has not been refused for the number of orders.
+RankServerStep nextStep(RankWork &work, const RankServerState &state) {
+  if (work.IsFence) {
+    auto fence = fenceEarlierProcess(state);
+    return fence ? RankServerStep{Kind::Send, *fence} : done();
+  }
+  if (work.IsUndoing) {
+    RankServerStep undo = cancel(state);
+    return undo.What == Kind::Done ? refused() : undo;
+  }
+  RankServerStep step = stepOf(work.Goal, state);
+  bool leavesHold = step.What == Kind::Refused &&
+                    work.Goal.Kind == OrderKind::Arm &&
+                    state.Held == work.Goal.Step;
+  if (!leavesHold)
+    return step;
+  work.IsUndoing = true;
+  return nextStep(work, state);
+}
+
+} // namespace
+
+RankServerStep decideRankServer(RankWork &work,
+                                const std::optional<RankServerState> &state) {
+  if (!state || work.Orders >= MaxOrdersOfWork)
+    return refused();
+  RankServerStep step = nextStep(work, *state);
+  if (step.What == Kind::Send)
+    ++work.Orders;
+  return step;
+}
+
 std::optional<RankServerOrder>
 fenceEarlierProcess(const RankServerState &state) {
   if (!state.Armed || !state.Held)
--- /dev/null
+++ b/src/direct/route_table_test.cpp
@@ -0,0 +1,71 @@
+#include "greengagespar/direct/route_table.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace greengagespar;
+
+namespace {
+
+/// Three nested routes of one host and two keys.
+struct TableFixture {
+  std::shared_ptr<const RouteTable> Table;
+
+  TableFixture() {
+    SiteConfiguration site;
+    site.NeedsKeys = true;
+    site.Keys["k1"] = {{"butchers"}, std::nullopt};
+    for (const char *prefix : {"/a/", "/a/b/", "/"}) {
+      Route route;
+      route.Name = prefix;
+      route.Host = "Shop.example";
+      route.PathPrefix = prefix;
+      route.IsPublic = route.PathPrefix == "/";
+      route.Services = {{{"one"}, 3}, {{"two"}, 1}};
+      site.Routes.push_back(route);
+    }
+    Table = makeRouteTable(std::move(site));
+  }
+
+  std::string routeOf(std::string_view host, std::string_view target) const {
+    const Route *it = findRoute(*Table, host, target);
+    return it ? it->Name : "none";
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(RouteTables, TableFixture)
+
+BOOST_AUTO_TEST_CASE(route_ofSeveralPrefixes_isTheLongest) {
+  BOOST_TEST(routeOf("shop.example", "/a/b/c") == "/a/b/");
+  BOOST_TEST(routeOf("shop.example", "/a/c") == "/a/");
+  BOOST_TEST(routeOf("SHOP.example", "/x") == "/");
+}
+
+BOOST_AUTO_TEST_CASE(route_withQuery_isFoundByItsPathAlone) {
+  BOOST_TEST(routeOf("shop.example", "/a?/a/b/") == "/");
+}
+
+BOOST_AUTO_TEST_CASE(route_ofUnknownHost_isNone) {
+  BOOST_TEST(routeOf("other.example", "/a/") == "none");
+}
+
+BOOST_AUTO_TEST_CASE(key_unknown_isAllowedOnPublicRoutesOnly) {
+  BOOST_TEST(!admitKey(*Table, Table->Site.Routes[0], "k2").IsAllowed);
+  BOOST_TEST(admitKey(*Table, Table->Site.Routes[2], "").IsAllowed);
+}
+
+BOOST_AUTO_TEST_CASE(key_known_namesItsWorkspace) {
+  Admittance it = admitKey(*Table, Table->Site.Routes[0], "k1");
+  BOOST_TEST(it.IsAllowed);
+  BOOST_TEST(it.Holder.Workspace.Value == "butchers");
+}
+
+BOOST_AUTO_TEST_CASE(service_byDraw_followsTheWeights) {
+  const Route &route = Table->Site.Routes[0];
+  BOOST_TEST(pickService(route, 0.74)->Value == "one");
+  BOOST_TEST(pickService(route, 0.76)->Value == "two");
+  BOOST_TEST(pickService(route, 1.0)->Value == "two");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/include/greengagespar/direct/rank_agent.h
+++ b/src/include/greengagespar/direct/rank_agent.h
@@ -51,13 +51,6 @@
     std::string Text;
     std::function<void(int status, std::string body)> Done;
   };
-  /// An order of a switch that is being carried out at the server.
-  struct EngineWork {
-    DirectMapOrder Goal;
-    bool IsUndoing = false; ///< It was refused; its hold is taken back.
-    bool IsFence = false;   ///< Makes late orders of an earlier life harmless.
-    int Orders = 0;         ///< Given to the server so far.
-  };
   /// An entry that asked for the state lately.
   struct Watcher {
     PeerId At;
@@ -99,7 +92,7 @@
   bool IsCalling = false;
   std::optional<RankServerState> Server;
   std::optional<RankState> Switch; ///< Set while the rank is in a group.
-  std::optional<EngineWork> Work;
+  std::optional<RankWork> Work;
   std::map<MapNumber, RankPlaces> Maps; ///< Of orders to prepare.
   MapNumber PrepareSent; ///< Accepted by the server, weights on their way.
   MapNumber Cancelled;   ///< The highest map cancelled.
--- a/src/include/greengagespar/direct/rank_server.h
+++ b/src/include/greengagespar/direct/rank_server.h
@@ -66,6 +66,18 @@
   StepNumber Step;            ///< Of Arm, Hold and Go.
 };
 
+/// An order of a switch that is being carried out at the server.
+struct RankWork {
+  MapOrder Goal;
+  bool IsUndoing = false; ///< It was refused; its hold is taken back.
+  bool IsFence = false;   ///< Makes late orders of an earlier life harmless.
+  int Orders = 0;         ///< Given to the server so far.
+};
+
+/// Orders given for one step of a switch before it counts as refused. Up to
+/// half of them may be left without an answer.
+inline constexpr int MaxOrdersOfWork = 16;
+
 /// What to do next for an order of a switch.
 struct RankServerStep {
   enum class Kind {
@@ -77,10 +89,10 @@
   RankServerOrder Order;
 };
 
-/// Decides the next step of \p goal, which is no Ask, from the state that was
-/// read after the last order ended.
-RankServerStep decideRankServer(const MapOrder &goal,
-                                const RankServerState &state);
+/// Decides the next step of \p work from the state that was read after its last
+/// order ended; empty when it can't be read. Refused and Done end the work.
+RankServerStep decideRankServer(RankWork &work,
+                                const std::optional<RankServerState> &state);
 
 /// Returns the order that makes late orders of an earlier process harmless: a
 /// rank that is armed and holds its step is disarmed, so that a late release
--- a/src/include/greengagespar/store/http_pool.h
+++ b/src/include/greengagespar/store/http_pool.h
@@ -64,7 +64,7 @@
   std::chrono::milliseconds MaxIdle{5000};
   std::size_t MaxAnswerBytes =
       std::size_t{16} * 1024 * 1024; ///< Largest answer body.
-  HttpKeepAlive KeepAlive;
+  HttpKeepAlive KeepAlive = {};
 };
 
 /// Sends requests over a bounded number of connections and reuses them. After
--- a/src/include/greengagespar/store/object_client.h
+++ b/src/include/greengagespar/store/object_client.h
@@ -39,7 +39,7 @@
   int MaxConcurrent = 4;                  ///< Calls in progress, watches apart.
   int MaxWatches = 4;                     ///< Watches in progress.
   const ObjectApi *Api = &ownObjectApi(); ///< How calls are spelled.
-  HttpKeepAlive KeepAlive; ///< How silent connections are noticed.
+  HttpKeepAlive KeepAlive = {}; ///< How silent connections are noticed.
 };
 
 /// Returns the usual options of a client of \p platform. Thread safe.
