Plan the next expert map at once after a switch, with one copy a rank

Change: the places after a switch are those that were prepared; one copy a rank for each switch, counts every 200 ms, demand halves in 400 ms.

--- a/src/direct/map_keeper.cpp
+++ b/src/direct/map_keeper.cpp
@@ -15,14 +15,14 @@
 
 // How often the driver reads counts, and how often the others only show that
 // they are there.
-constexpr milliseconds CountPeriod{250};
+constexpr milliseconds CountPeriod{200};
 constexpr milliseconds PresencePeriod{1000};
 
 // A rank that has not been heard of for this long is not in step.
 constexpr milliseconds RankSilent{2500};
 
 // What is in demand drifts within seconds.
-constexpr milliseconds DemandHalfLife{600};
+constexpr milliseconds DemandHalfLife{400};
 
 // An entry waits this much for each one before it in order.
 constexpr milliseconds SettleStagger{250};
@@ -30,7 +30,7 @@
 // A driver that was deposed or failed waits before it tries again.
 constexpr milliseconds DriveAgain{1000};
 
-constexpr std::size_t FetchesPerRank = 2;
+constexpr std::size_t FetchesPerRank = 1;
 
 DriverLimits driverLimits() {
   DriverLimits limits;
@@ -83,10 +83,8 @@
                          NoExpert);
   for (std::size_t r = 0; r < group.Ranks.size(); ++r) {
     const KnownRank &rank = group.Ranks[r];
-    // The map of the last switch is in use from its step on only.
-    bool isCurrent = rank.PlacesOf == rank.InUse &&
-                     rank.InUse >= group.Switched &&
-                     rank.InUse == group.Ranks[0].InUse &&
+    bool isCurrent = rank.PlacesOf >= rank.InUse &&
+                     rank.PlacesOf == group.Ranks[0].PlacesOf &&
                      rank.Places.size() == placement.Shape.Layers;
     if (!isCurrent)
       return std::nullopt;
@@ -129,11 +127,27 @@
   return places;
 }
 
+// A map that all ranks were told to use is in use from its step on, a few
+// passes later.
+void notePlaces(KeptGroup &group, MapNumber map) {
+  for (std::size_t r = 0; r < group.Ranks.size(); ++r) {
+    KnownRank &rank = group.Ranks[r];
+    rank.PlacesOf = map;
+    rank.Places.clear();
+    for (const auto &layer : group.NextPlaces)
+      rank.Places.push_back(layer[r]);
+  }
+}
+
 bool isDriving(const KeptGroup &group) {
   return group.Driver && !group.Driver->IsSettler &&
          group.Driver->Phase != DriverPhase::Stopped;
 }
 
+bool needsPlaces(const KnownRank &rank) {
+  return rank.Places.empty() || rank.PlacesOf < rank.InUse;
+}
+
 bool isSteady(const KeptGroup &group) {
   return isDriving(group) && group.Driver->Phase == DriverPhase::Steady;
 }
@@ -187,8 +201,7 @@
       continue;
     for (const auto &[name, group] : Groups)
       for (const KnownRank &it : group.Ranks)
-        if (it.Agent == address &&
-            (it.PlacesOf != it.InUse || it.Places.empty())) {
+        if (it.Agent == address && needsPlaces(it)) {
           wire::Envelope places;
           places.mutable_rank_ask()->set_with_places(true);
           client->send(places);
@@ -222,7 +235,6 @@
     group.Ranks.assign(state.size(), {});
     group.Driver.reset();
     group.SettleWanted.reset();
-    group.Switched = {};
     group.Loads = makeLoadTable(shapeOf(group), DemandHalfLife);
     group.PeriodCounts.assign(group.Loads.Loads.size(), 0);
     group.PeriodFrom = now;
@@ -234,7 +246,7 @@
   rank.InUse = {state.map()};
   if (state.wants_settlement() && !group.SettleWanted)
     group.SettleWanted = now;
-  if (state.places_in_layer_size() > 0) {
+  if (state.places_in_layer_size() > 0 && needsPlaces(rank)) {
     rank.Places = readPlaces(state);
     rank.PlacesOf = rank.InUse;
   }
@@ -318,7 +330,7 @@
                   .addMs("took_ms", Clock::now() - group.SwitchAt)
                   .text());
       if (ended->Outcome == Decision::Release)
-        group.Switched = ended->Map;
+        notePlaces(group, ended->Map);
       NextAsk = {};
     } else if (const auto *failed = std::get_if<GroupFailed>(&it)) {
       logWarning(Part::Group,
--- a/src/include/greengagespar/direct/map_keeper.h
+++ b/src/include/greengagespar/direct/map_keeper.h
@@ -41,7 +41,6 @@
   LoadTable Loads;
   std::vector<double> PeriodCounts; ///< Since the last period's end.
   Clock::time_point PeriodFrom{};
-  MapNumber Switched;    ///< The last map that a switch put in use.
   RankPlaces NextPlaces;        ///< The map that a switch leads to.
   Clock::time_point SwitchAt{}; ///< When the last switch began.
 };
