Limit an entry's streams on a group by the pauses that it sees

Cause: at crests nearly all streams were late by their pauses, not by their first event: in a group each further stream makes every pass longer. Change: route/pace_limit, an AIMD limit by the mean pause; counts of experts every 150 ms, demand halves in 300 ms.

--- a/src/direct/direct_entry.cpp
+++ b/src/direct/direct_entry.cpp
@@ -84,7 +84,8 @@
               return Peers.send(peer, envelope);
             }),
       Maps(loop, context, Self, mapHooks()),
-      Requests(loop, {},
+      Requests(
+          loop, {},
           [this](HttpRequestMessage request, std::shared_ptr<HttpReply> reply) {
             onRequest(std::move(request), std::move(reply));
           }),
@@ -265,6 +266,7 @@
   constexpr double resumeShare = 0.4;
   constexpr double caution = 0.9;
   for (auto &[id, pool] : Pools) {
+    pool->setEntries(static_cast<std::size_t>(entries));
     RetryBudget &budget = pool->budget();
     budget.Share = caution * Settings.RetryShare;
     budget.Overdraft = resumeShare * part * caution;
@@ -346,6 +348,10 @@
   for (const auto &[id, pool] : Pools) {
     setGauge(Numbers, {"greengagespar_waiting", {{"service", id.Value}}},
              static_cast<double>(pool->waiting()));
+    setGauge(Numbers, {"greengagespar_mean_pause_ms", {{"service", id.Value}}},
+             pool->pace().MeanPauseMs);
+    setGauge(Numbers, {"greengagespar_pace_limit", {{"service", id.Value}}},
+             pool->pace().Value);
     setGauge(Numbers,
              {"greengagespar_server_connections", {{"service", id.Value}}},
              static_cast<double>(pool->opened()));
--- a/src/direct/exchange.cpp
+++ b/src/direct/exchange.cpp
@@ -187,9 +187,14 @@
     return endAttempt(AttemptEnd::Lost, "an event is too large");
   if (events.empty())
     return;
+  auto now = Clock::now();
+  // Only pauses of one server's work; what several events bring is one pass.
+  if (Now->EventAt)
+    Pool.notePause(now - *Now->EventAt, Call.Way->LongestPause);
+  Now->EventAt = now;
   if (!HasBegun) {
     HasBegun = true;
-    FirstEventAt = Clock::now();
+    FirstEventAt = now;
     HttpFields fields = Now->Head.Fields;
     removeHopByHopFields(fields);
     Reply->begin(Now->Head.Status, std::move(fields));
--- a/src/direct/map_keeper.cpp
+++ b/src/direct/map_keeper.cpp
@@ -15,14 +15,14 @@
 
 // How often the driver reads counts, and how often the others only show that
 // they are there.
-constexpr milliseconds CountPeriod{200};
+constexpr milliseconds CountPeriod{150};
 constexpr milliseconds PresencePeriod{1000};
 
 // A rank that has not been heard of for this long is not in step.
 constexpr milliseconds RankSilent{2500};
 
 // What is in demand drifts within seconds.
-constexpr milliseconds DemandHalfLife{400};
+constexpr milliseconds DemandHalfLife{300};
 
 // An entry waits this much for each one before it in order.
 constexpr milliseconds SettleStagger{250};
--- a/src/direct/server_pool.cpp
+++ b/src/direct/server_pool.cpp
@@ -1,6 +1,7 @@
 #include "greengagespar/direct/server_pool.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace greengagespar {
 
@@ -46,12 +47,42 @@
   for (EndpointView &it : Views)
     if (auto found = Servers.find(it.Target.Id); found != Servers.end())
       it.Slots = slotsOfServer(found->second.Record);
+  sharePace();
 }
 
 int ServerPool::slotsOfServer(const ServerRecord &record) const {
   return Declared.Engine ? Declared.Engine->Slots : record.Slots;
 }
 
+void ServerPool::notePause(Clock::duration pause,
+                           std::chrono::milliseconds longest) {
+  greengagespar::notePause(Pace, pause, longest,
+                           static_cast<int>(Started.size()), Clock::now());
+}
+
+void ServerPool::setEntries(std::size_t entries) {
+  Entries = std::max<std::size_t>(1, entries);
+  sharePace();
+}
+
+// The most that this entry may have on a group without long pauses: its part
+// of all slots, and half as much again, as demand is not even.
+void ServerPool::sharePace() {
+  if (!Declared.Engine)
+    return;
+  constexpr double uneven = 1.5;
+  double slots = 0;
+  for (const EndpointView &it : Views)
+    slots += it.Target.Leaving ? 0 : it.Slots;
+  setMost(Pace, uneven * slots / static_cast<double>(Entries));
+}
+
+Capacity ServerPool::capacity() const {
+  Capacity all = capacityOf(Views);
+  all.Limit = std::min(all.Limit, allowedStreams(Pace));
+  return all;
+}
+
 EndpointView *ServerPool::viewOf(const ServerId &id) {
   auto it = std::ranges::find_if(
       Views, [&](const EndpointView &view) { return view.Target.Id == id; });
@@ -82,6 +113,7 @@
   view->Target = {record.Id, record.At, record.DataCentre, false,
                   record.Leaving};
   view->Slots = slotsOfServer(record);
+  sharePace();
   startWaiting(Clock::now());
 }
 
@@ -89,6 +121,7 @@
   std::erase_if(Views,
                 [&](const EndpointView &view) { return view.Target.Id == id; });
   Servers.erase(id);
+  sharePace();
 }
 
 bool ServerPool::hasServers() const {
@@ -106,7 +139,7 @@
   Workspace workspace;
   workspace.Id = call.Workspace;
   AdmissionDecision decision =
-      offer(Gate, arriving, workspace, capacityOf(Views), now);
+      offer(Gate, arriving, workspace, capacity(), now);
   if (decision.Refused)
     return call.OnRefused(*decision.Refused);
   Waiting.emplace(call.Id, std::move(call));
@@ -139,9 +172,12 @@
     return;
   IsStarting = true;
   reviewStanding(Views, now);
-  while (auto placed = placeNext(
-             Gate, [&](const QueuedCall &call) { return choose(call, now); },
-             true, now)) {
+  while (std::cmp_less(Started.size(), allowedStreams(Pace))) {
+    auto placed = placeNext(
+        Gate, [&](const QueuedCall &call) { return choose(call, now); }, true,
+        now);
+    if (!placed)
+      break;
     CallId id = placed->Call.Call.Id;
     auto node = Waiting.extract(id);
     EndpointView &view = Views[placed->Server];
@@ -196,7 +232,7 @@
 }
 
 void ServerPool::tick(Clock::time_point now) {
-  for (const RefusedCall &it : expire(Gate, capacityOf(Views), now))
+  for (const RefusedCall &it : expire(Gate, capacity(), now))
     if (auto node = Waiting.extract(it.Call.Id))
       node.mapped().OnRefused(it.Why);
   for (auto &[id, kept] : Servers)
--- a/src/include/greengagespar/direct/exchange.h
+++ b/src/include/greengagespar/direct/exchange.h
@@ -56,6 +56,7 @@
     std::unique_ptr<HttpClientConnection> Connection;
     Clock::time_point SentAt;
     Clock::time_point HeardAt;
+    std::optional<Clock::time_point> EventAt; ///< Of its last event.
     HttpHead Head;
     AnswerFacts Answer;
     bool HasHead = false;
--- a/src/include/greengagespar/direct/server_pool.h
+++ b/src/include/greengagespar/direct/server_pool.h
@@ -9,6 +9,7 @@
 #include "greengagespar/http/client.h"
 #include "greengagespar/route/admission.h"
 #include "greengagespar/route/choose.h"
+#include "greengagespar/route/pace_limit.h"
 #include "greengagespar/route/retry_budget.h"
 
 namespace greengagespar {
@@ -57,6 +58,11 @@
   /// Notes that a started call ended at \p server, and starts waiting ones.
   void finished(CallId id, const ServerId &server, const PoolOutcome &outcome);
 
+  /// Notes the pause before an event of a stream; see notePause() of the limit.
+  void notePause(Clock::duration pause, std::chrono::milliseconds longest);
+  /// Takes the number of entries that share the servers, this one included.
+  void setEntries(std::size_t entries);
+
   /// Returns a connection to \p server, a kept one if there is any.
   std::unique_ptr<HttpClientConnection> connect(const ServerRecord &server,
                                                 bool mayReuse);
@@ -70,6 +76,7 @@
 
   RetryBudget &budget() { return Retries; }
   const std::vector<EndpointView> &views() const { return Views; }
+  const PaceLimit &pace() const { return Pace; }
   std::size_t waiting() const { return Gate.Queue.Calls.size(); }
   /// Whether any server takes work.
   bool hasServers() const;
@@ -83,6 +90,8 @@
   };
 
   EndpointView *viewOf(const ServerId &id);
+  Capacity capacity() const;
+  void sharePace();
   int slotsOfServer(const ServerRecord &record) const;
   void startWaiting(Clock::time_point now);
   std::optional<std::size_t> choose(const QueuedCall &call,
@@ -97,6 +106,8 @@
   std::unordered_map<CallId, PoolCall> Waiting;
   std::unordered_map<CallId, StartedCall> Started;
   RetryBudget Retries;
+  PaceLimit Pace;
+  std::size_t Entries = 1;
   std::uint64_t Opened = 0;
   bool IsStarting = false;
   Rng Random;
