Map switches that are safe when orders come late: fence, then resume together

A rank was disarmed for a cancelled map at 12.83 s; an order to arm that was sent at 12.43 s and left unanswered was carried out later and armed it again, and the step began. The number of accepted orders, which each order named, does not move with orders of maps (0 in all logs), so it refuses nothing. Ruled out: the expected number as a fence; a single phase of cancelling (a rank would drop its hold while another one may still be armed). Change: a cancelled rank is disarmed and fenced by another map, so that a late order to arm finds its map gone, and keeps its hold; holds are dropped when all are cancelled. No map is armed twice, no step held twice; a process that finds its server in use waits out late orders before it prepares. A failed read of the state no longer counts as another rank. Settlements begin with the driver.

--- a/src/direct/map_keeper.cpp
+++ b/src/direct/map_keeper.cpp
@@ -21,11 +21,17 @@
 // A rank that has not been heard of for this long is not in step.
 constexpr milliseconds RankSilent{2500};
 
+// A wish for a settlement that is not repeated for this long is past.
+constexpr milliseconds WishKept{8000};
+
 // What is in demand drifts within seconds.
 constexpr milliseconds DemandHalfLife{300};
 
-// An entry waits this much for each one before it in order.
-constexpr milliseconds SettleStagger{250};
+// A driver that lives settles a switch itself within this time, also when half
+// of the orders are left without an answer; then each entry waits this much for
+// each one before it in order.
+constexpr milliseconds DriverSettles{1000};
+constexpr milliseconds SettleStagger{500};
 
 // A driver that was deposed or failed waits before it tries again.
 constexpr milliseconds DriveAgain{1000};
@@ -39,6 +45,7 @@
   limits.ArmWithin = milliseconds{600};
   limits.SilentAfter = milliseconds{3000};
   limits.StepsAhead = 4;
+  limits.MapStride = MapNumberStride;
   return limits;
 }
 
@@ -244,7 +251,8 @@
   rank.HeardAt = now;
   rank.IsOpen = state.open();
   rank.InUse = {state.map()};
-  if (state.wants_settlement() && !group.SettleWanted)
+  bool isKnown = group.SettleWanted && now - *group.SettleWanted < WishKept;
+  if (state.wants_settlement() && !isKnown)
     group.SettleWanted = now;
   if (state.places_in_layer_size() > 0 && needsPlaces(rank)) {
     rank.Places = readPlaces(state);
@@ -282,12 +290,15 @@
 void MapKeeper::drive(const std::string &name, KeptGroup &group,
                       Clock::time_point now) {
   std::size_t position = Hooks.Position();
-  bool isStopped = !group.Driver || group.Driver->Phase == DriverPhase::Stopped;
-  if (position != 0 && isSteady(group))
+  // A rank is left armed though the switch has ended: it is settled anew.
+  bool isLeft = group.SettleWanted && now - *group.SettleWanted < WishKept;
+  if (isSteady(group) && (position != 0 || isLeft))
     group.Driver.reset();
+  bool isStopped = !group.Driver || group.Driver->Phase == DriverPhase::Stopped;
   if (isStopped && now >= group.NotBefore && isWhole(group, now)) {
-    bool settles = group.SettleWanted &&
-                   now - *group.SettleWanted >= SettleStagger * position;
+    bool settles =
+        group.SettleWanted &&
+        now - *group.SettleWanted >= DriverSettles + SettleStagger * position;
     Ballot ballot;
     ballot.Process = Self.Life;
     if (position == 0) {
@@ -331,6 +342,8 @@
                   .text());
       if (ended->Outcome == Decision::Release)
         notePlaces(group, ended->Map);
+      else
+        resume(group);
       NextAsk = {};
     } else if (const auto *failed = std::get_if<GroupFailed>(&it)) {
       logWarning(Part::Group,
@@ -342,6 +355,19 @@
   }
 }
 
+// All ranks have taken the cancellation, so that none is armed any more.
+void MapKeeper::resume(KeptGroup &group) {
+  for (const KnownRank &it : group.Ranks) {
+    auto agent = Agents.find(it.Agent);
+    if (agent == Agents.end())
+      continue;
+    wire::Envelope envelope;
+    *envelope.mutable_map_resume() =
+        writeMapResume(group.Epoch, group.Driver->Number);
+    agent->second->send(envelope);
+  }
+}
+
 void MapKeeper::send(KeptGroup &group, const MapOrder &order) {
   const KnownRank &rank = group.Ranks[indexOf(order.To)];
   auto agent = Agents.find(rank.Agent);
--- a/src/direct/map_messages.cpp
+++ b/src/direct/map_messages.cpp
@@ -16,10 +16,6 @@
   out.set_process(ballot.Process.Value);
 }
 
-Ballot readBallot(const wire::MapBallot &from) {
-  return {{from.lease()}, from.round(), Rank(from.owner()), {from.process()}};
-}
-
 Result<OrderKind> kindOf(std::uint32_t value) {
   if (value > static_cast<std::uint32_t>(OrderKind::Decide))
     return outOfRange("kind");
@@ -48,6 +44,17 @@
 
 } // namespace
 
+Ballot readBallot(const wire::MapBallot &from) {
+  return {{from.lease()}, from.round(), Rank(from.owner()), {from.process()}};
+}
+
+wire::MapResume writeMapResume(std::uint64_t epoch, const Ballot &ballot) {
+  wire::MapResume out;
+  out.set_epoch(epoch);
+  writeBallot(ballot, *out.mutable_ballot());
+  return out;
+}
+
 wire::MapOrder writeMapOrder(const DirectMapOrder &order) {
   wire::MapOrder out;
   const MapOrder &from = order.Order;
--- a/src/direct/rank_agent.cpp
+++ b/src/direct/rank_agent.cpp
@@ -24,6 +24,13 @@
 // An entry that has not asked for so long is told nothing any more.
 constexpr milliseconds WatcherKept{5000};
 
+// An order without an answer is carried out within this time, from the
+// platform's pages (2 to 12 s), or never.
+constexpr std::chrono::seconds LateOrderWindow{13};
+
+// A hold whose map was cancelled is dropped by then, or settled once more.
+constexpr milliseconds ResumeWithin{1000};
+
 // A switch waits for its outcome for this long before entries are asked to
 // settle it; a driver that lives needs a few ms.
 constexpr milliseconds SettleAfter{500};
@@ -32,6 +39,15 @@
 constexpr int StatusAccepted = 202;
 constexpr std::size_t MaxMapsKept = 4;
 
+// The number of experts of a layer: each is on some rank.
+std::size_t countExperts(const std::vector<std::vector<Expert>> &ranks) {
+  std::size_t n = 0;
+  for (const auto &rank : ranks)
+    for (Expert it : rank)
+      n = std::max(n, indexOf(it) + 1);
+  return n;
+}
+
 RankLimits rankLimits() {
   RankLimits limits;
   limits.SettleAfter = SettleAfter;
@@ -158,6 +174,7 @@
     IsPolling = true;
     readState([this] { IsPolling = false; });
   }
+  reviewHold(Clock::now());
   if (Switch)
     act(decideRank(*Switch, RankTick{}, Clock::now()));
   bool isBusy =
@@ -182,7 +199,7 @@
             },
             [&](const Error &e) {
               logDebug(Part::Group, e.Message);
-              Server.reset();
+              IsFresh = false;
             });
         done();
       });
@@ -192,6 +209,7 @@
   bool isOther = !Server || Server->BornMs != state.BornMs ||
                  Server->Epoch != state.Epoch || Server->Self != state.Self;
   Server = state;
+  IsFresh = true;
   if (isOther && !state.Group.empty()) {
     logInfo(Part::Group,
             LogLine("rank")
@@ -206,15 +224,19 @@
     Maps.clear();
     PrepareSent = {};
     Cancelled = {};
+    LastStep = {};
+    OwnPlaces.clear();
   }
+  if (IsFirstRead && wasInUse(state))
+    LateUntil = Clock::now() + LateOrderWindow;
+  IsFirstRead = false;
   if (!Switch || Work)
     return;
-  if (NeedsFence && fenceEarlierProcess(state)) {
-    Work = RankWork{};
-    Work->IsFence = true;
+  if (OwnPlaces.empty() || OwnPlacesOf != state.InUse)
+    readOwnPlaces();
+  Work = releaseAgain(Switch->Taken, state);
+  if (Work)
     return stepWork();
-  }
-  NeedsFence = false;
   if (Switch->InProgress)
     return;
   act(decideRank(*Switch, EngineRead{engineMapOf(state, Cancelled), false},
@@ -227,7 +249,70 @@
   if (envelope.has_rank_ask())
     return answerState(from, envelope.rank_ask());
   if (envelope.has_map_order())
-    takeMapOrder(from, envelope.map_order());
+    return takeMapOrder(from, envelope.map_order());
+  if (envelope.has_map_resume())
+    takeResume(envelope.map_resume());
+}
+
+// All ranks were cancelled under the ballot that this one has promised last, so
+// none can be armed by now.
+void RankAgent::takeResume(const wire::MapResume &message) {
+  bool isCurrent = Switch && Server && Server->Epoch == message.epoch() &&
+                   readBallot(message.ballot()) == Switch->Promised;
+  if (!isCurrent || Work || !Server->Held)
+    return;
+  Work = RankWork{RankTask::Resume, {}, 0};
+  readState([this] { stepWork(); });
+}
+
+bool RankAgent::mayPrepare() const { return Clock::now() >= LateUntil; }
+
+// Shows a cancelled hold that nobody drops as armed again, so that it is
+// settled.
+void RankAgent::reviewHold(Clock::time_point now) {
+  bool isHeld = Server && Server->Held && !Server->Armed && !Work;
+  if (!isHeld)
+    HeldSince.reset();
+  else if (!HeldSince)
+    HeldSince = now;
+  else if (now - *HeldSince > ResumeWithin) {
+    HeldSince = now;
+    Cancelled = {};
+  }
+}
+
+// The counts of all layers tell how many experts there are.
+void RankAgent::readExperts() {
+  get(Dialect.CountsTarget, [this](int status, const std::string &body) {
+    recoverFrom(
+        [&]() -> Result<void> {
+          if (status != StatusOk || OwnPlaces.empty())
+            return {};
+          BOOST_LEAF_AUTO(counts, Dialect.ReadCounts(body));
+          Experts = counts.size() / OwnPlaces.size();
+          return {};
+        },
+        [](const Error &e) { logWarning(Part::Group, e.Message); });
+  });
+}
+
+void RankAgent::readOwnPlaces() {
+  OwnPlacesOf = Server->InUse;
+  get(Dialect.PlacesTarget, [this](int status, const std::string &body) {
+    recoverFrom(
+        [&]() -> Result<void> {
+          if (status != StatusOk)
+            return fail(ErrorKind::EndpointFailed, "own experts unknown");
+          BOOST_LEAF_ASSIGN(OwnPlaces, Dialect.ReadPlaces(body));
+          if (Experts == 0)
+            readExperts();
+          return {};
+        },
+        [&](const Error &e) {
+          OwnPlaces.clear();
+          logWarning(Part::Group, e.Message);
+        });
+  });
 }
 
 void RankAgent::takeMapOrder(const PeerId &from,
@@ -238,9 +323,20 @@
         bool isCurrent = Switch && Server && Server->Epoch == order.Epoch;
         if (!isCurrent)
           return {};
+        bool isPrepare = order.Order.Kind == OrderKind::Prepare;
+        bool isHeldBefore = order.Order.Kind == OrderKind::Arm &&
+                            order.Order.Step <= LastStep &&
+                            !(Server->Held == order.Order.Step);
+        if ((isPrepare && !mayPrepare()) || isHeldBefore)
+          return {};
+        if (order.Order.Kind == OrderKind::Arm)
+          LastStep = std::max(LastStep, order.Order.Step);
         Askers[order.Order.Number] = from;
-        if (order.Order.Kind == OrderKind::Prepare)
+        if (isPrepare) {
+          for (const auto &ranks : order.Places)
+            Experts = countExperts(ranks);
           Maps[order.Order.Map] = std::move(order.Places);
+        }
         while (Maps.size() > MaxMapsKept)
           Maps.erase(Maps.begin());
         act(decideRank(*Switch, OrderCame{order.Order}, Clock::now()));
@@ -278,24 +374,27 @@
     return;
   if (order.Kind == OrderKind::Prepare && PrepareSent == order.Map)
     return;
-  Work = RankWork{};
-  Work->Goal = order;
+  Work = RankWork{taskOf(order), order, 0};
   readState([this] { stepWork(); });
 }
 
 void RankAgent::stepWork() {
   if (!Work)
     return;
-  RankServerStep step = decideRankServer(*Work, Server);
+  RankServerStep step = decideRankServer(
+      *Work, IsFresh ? Server : std::optional<RankServerState>());
   if (step.What == RankServerStep::Kind::Send)
     return giveOrder(step.Order);
   endWork(step.What == RankServerStep::Kind::Refused);
 }
 
 void RankAgent::giveOrder(const RankServerOrder &order) {
-  auto map = Maps.find(order.Map);
-  std::string body =
-      Dialect.WriteOrder(order, map == Maps.end() ? RankPlaces{} : map->second);
+  RankPlaces places;
+  if (auto map = Maps.find(order.Map); map != Maps.end())
+    places = map->second;
+  else if (order.Kind == ServerMapOrder::Prepare)
+    places = fencePlaces(OwnPlaces, Server->Self, Server->Size, Experts);
+  std::string body = Dialect.WriteOrder(order, places);
   std::string text = "POST " + Dialect.OrderTarget +
                      " HTTP/1.1\r\nHost: " + Settings.Server.Value +
                      "\r\nContent-Type: application/json\r\nContent-Length: " +
@@ -308,7 +407,6 @@
                      .add("order", static_cast<std::int64_t>(order.Kind))
                      .add("map", static_cast<std::int64_t>(order.Map.Value))
                      .add("step", static_cast<std::int64_t>(order.Step.Value))
-                     .add("accepted", static_cast<std::int64_t>(order.Accepted))
                      .add("epoch", static_cast<std::int64_t>(order.Epoch))
                      .add("status", status)
                      .addMs("took_ms", Clock::now() - sentAt)
@@ -329,15 +427,11 @@
 void RankAgent::endWork(bool refused) {
   RankWork ended = *Work;
   Work.reset();
-  if (ended.IsFence) {
-    NeedsFence = refused;
+  if (ended.Task == RankTask::Resume || ended.IsAgain)
     return;
-  }
-  const MapOrder &order = ended.Goal;
-  bool isCancel =
-      order.Kind == OrderKind::Decide && order.Outcome == Decision::Cancel;
-  if (isCancel && !refused)
-    Cancelled = std::max(Cancelled, order.Map);
+  if (ended.Task == RankTask::Cancel && !refused && Server)
+    Cancelled = std::max(
+        {Cancelled, ended.Goal.Map, Server->Prepared.value_or(MapNumber{})});
   if (!Server || !Switch)
     return;
   act(decideRank(*Switch, EngineRead{engineMapOf(*Server, Cancelled), refused},
--- a/src/direct/rank_server.cpp
+++ b/src/direct/rank_server.cpp
@@ -1,6 +1,7 @@
 #include "greengagespar/direct/rank_server.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace greengagespar {
 
@@ -11,27 +12,16 @@
 RankServerStep done() { return {Kind::Done, {}}; }
 RankServerStep refused() { return {Kind::Refused, {}}; }
 
-RankServerOrder orderTo(ServerMapOrder kind, const RankServerState &state) {
+RankServerStep send(ServerMapOrder kind, MapNumber map, StepNumber step,
+                    const RankServerState &state) {
   RankServerOrder order;
   order.Kind = kind;
   order.Epoch = state.Epoch;
-  order.Accepted = state.Accepted;
-  return order;
-}
-
-RankServerStep sendMap(ServerMapOrder kind, MapNumber map, StepNumber step,
-                       const RankServerState &state) {
-  RankServerOrder order = orderTo(kind, state);
   order.Map = map;
   order.Step = step;
   return {Kind::Send, order};
 }
 
-RankServerStep sendStep(ServerMapOrder kind, StepNumber step,
-                        const RankServerState &state) {
-  return sendMap(kind, {}, step, state);
-}
-
 bool isArmedWith(const RankServerState &state, MapNumber map) {
   return state.Armed && state.Armed->Map == map;
 }
@@ -39,7 +29,7 @@
 RankServerStep prepare(const MapOrder &goal, const RankServerState &state) {
   if (state.Prepared == goal.Map || isArmedWith(state, goal.Map))
     return done();
-  return sendMap(ServerMapOrder::Prepare, goal.Map, {}, state);
+  return send(ServerMapOrder::Prepare, goal.Map, {}, state);
 }
 
 // Holds the step before arming, so that the step can't begin while ranks are
@@ -51,69 +41,61 @@
   if (state.Armed || state.Prepared != goal.Map || state.Step >= goal.Step)
     return refused();
   if (holds)
-    return sendMap(ServerMapOrder::Arm, goal.Map, goal.Step, state);
+    return send(ServerMapOrder::Arm, goal.Map, goal.Step, state);
   if (state.Held)
     return refused();
-  return sendStep(ServerMapOrder::Hold, goal.Step, state);
+  return send(ServerMapOrder::Hold, {}, goal.Step, state);
 }
 
 RankServerStep release(const MapOrder &goal, const RankServerState &state) {
   if (state.InUse == goal.Map)
     return done();
-  if (isArmedWith(state, goal.Map))
-    return state.Held ? sendStep(ServerMapOrder::Go, *state.Held, state)
-                      : done();
-  // Disarmed when this process took over from an earlier one.
-  if (state.Held && state.Prepared == goal.Map)
-    return sendMap(ServerMapOrder::Arm, goal.Map, *state.Held, state);
-  return refused();
+  if (!isArmedWith(state, goal.Map))
+    return refused();
+  return state.Held ? send(ServerMapOrder::Go, {}, *state.Held, state) : done();
 }
 
-RankServerStep cancel(const RankServerState &state) {
-  if (state.Armed && state.Held)
-    return sendMap(ServerMapOrder::Disarm, state.Armed->Map, {}, state);
-  if (state.Held)
-    return sendStep(ServerMapOrder::Go, *state.Held, state);
-  return done();
+RankServerStep cancel(const MapOrder &goal, const RankServerState &state) {
+  if (state.Armed)
+    return send(ServerMapOrder::Disarm, state.Armed->Map, {}, state);
+  if (state.Prepared != goal.Map)
+    return done();
+  return send(ServerMapOrder::Prepare, {goal.Map.Value + 1}, {}, state);
 }
 
-RankServerStep stepOf(const MapOrder &goal, const RankServerState &state) {
-  switch (goal.Kind) {
-  case OrderKind::Prepare:
-    return prepare(goal, state);
-  case OrderKind::Arm:
-    return arm(goal, state);
-  case OrderKind::Decide:
-    return goal.Outcome == Decision::Release ? release(goal, state)
-                                             : cancel(state);
-  case OrderKind::Ask:
-    return done();
-  }
-  return done();
+RankServerStep resume(const RankServerState &state) {
+  if (state.Armed)
+    return refused();
+  return state.Held ? send(ServerMapOrder::Go, {}, *state.Held, state) : done();
 }
 
-// The next step of a work that has not been refused for the number of orders.
-RankServerStep nextStep(RankWork &work, const RankServerState &state) {
-  if (work.IsFence) {
-    auto fence = fenceEarlierProcess(state);
-    return fence ? RankServerStep{Kind::Send, *fence} : done();
-  }
-  if (work.IsUndoing) {
-    RankServerStep undo = cancel(state);
-    return undo.What == Kind::Done ? refused() : undo;
+RankServerStep nextStep(const RankWork &work, const RankServerState &state) {
+  switch (work.Task) {
+  case RankTask::Prepare:
+    return prepare(work.Goal, state);
+  case RankTask::Arm:
+    return arm(work.Goal, state);
+  case RankTask::Release:
+    return release(work.Goal, state);
+  case RankTask::Cancel:
+    return cancel(work.Goal, state);
+  case RankTask::Resume:
+    return resume(state);
   }
-  RankServerStep step = stepOf(work.Goal, state);
-  bool leavesHold = step.What == Kind::Refused &&
-                    work.Goal.Kind == OrderKind::Arm &&
-                    state.Held == work.Goal.Step;
-  if (!leavesHold)
-    return step;
-  work.IsUndoing = true;
-  return nextStep(work, state);
+  return refused();
 }
 
 } // namespace
 
+RankTask taskOf(const MapOrder &order) {
+  if (order.Kind == OrderKind::Prepare)
+    return RankTask::Prepare;
+  if (order.Kind == OrderKind::Arm)
+    return RankTask::Arm;
+  return order.Outcome == Decision::Release ? RankTask::Release
+                                            : RankTask::Cancel;
+}
+
 RankServerStep decideRankServer(RankWork &work,
                                 const std::optional<RankServerState> &state) {
   if (!state || work.Orders >= MaxOrdersOfWork)
@@ -124,13 +106,40 @@
   return step;
 }
 
-std::optional<RankServerOrder>
-fenceEarlierProcess(const RankServerState &state) {
-  if (!state.Armed || !state.Held)
+std::optional<RankWork> releaseAgain(const std::optional<TakenDecision> &taken,
+                                     const RankServerState &state) {
+  bool isReleased = taken && taken->Outcome == Decision::Release &&
+                    isArmedWith(state, taken->Map);
+  if (!isReleased || !state.Held)
     return std::nullopt;
-  RankServerOrder order = orderTo(ServerMapOrder::Disarm, state);
-  order.Map = state.Armed->Map;
-  return order;
+  RankWork work;
+  work.Task = RankTask::Release;
+  work.Goal.Map = taken->Map;
+  work.IsAgain = true;
+  return work;
+}
+
+RankPlaces fencePlaces(const std::vector<std::vector<Expert>> &own, Rank self,
+                       std::size_t ranks, std::size_t experts) {
+  RankPlaces places;
+  for (const std::vector<Expert> &mine : own) {
+    std::vector<std::vector<Expert>> layer(ranks);
+    layer[indexOf(self)] = mine;
+    std::size_t next = 0;
+    for (std::size_t e = 0; e < experts; ++e) {
+      if (std::ranges::find(mine, Expert(e)) != mine.end())
+        continue;
+      if (next % ranks == indexOf(self))
+        ++next;
+      layer[next++ % ranks].push_back(Expert(e));
+    }
+    places.push_back(std::move(layer));
+  }
+  return places;
+}
+
+bool wasInUse(const RankServerState &state) {
+  return state.InUse.Value > 0 || state.Prepared || state.Armed || state.Held;
 }
 
 EngineMap engineMapOf(const RankServerState &state, MapNumber cancelled) {
@@ -141,12 +150,13 @@
     map.InForce = state.Armed->Map;
     return map;
   }
-  if (state.Armed || state.Held) {
-    // A hold alone may be left of a switch whose process has died.
-    MapNumber next{state.InUse.Value + 1};
+  MapNumber next{state.InUse.Value + 1};
+  MapNumber pending =
+      state.Armed ? state.Armed->Map : state.Prepared.value_or(next);
+  bool isCancelled = !state.Armed && pending <= cancelled;
+  if ((state.Armed || state.Held) && !isCancelled) {
     map.Stage = MapStage::Armed;
-    map.Pending =
-        state.Armed ? state.Armed->Map : state.Prepared.value_or(next);
+    map.Pending = pending;
     map.Step = state.Armed ? state.Armed->Step : *state.Held;
     return map;
   }
--- a/src/group/driver.cpp
+++ b/src/group/driver.cpp
@@ -211,7 +211,8 @@
 void startSwitch(DriverState &state, SteadyTime now) {
   if (state.Phase != DriverPhase::Steady || state.IsSettler)
     return;
-  state.Map = {state.HighestMap.Value + 1};
+  std::uint64_t stride = state.Limits.MapStride;
+  state.Map = {(state.HighestMap.Value / stride + 1) * stride};
   state.HighestMap = state.Map;
   enter(state, DriverPhase::Preparing, now);
 }
--- a/src/include/greengagespar/direct/map_keeper.h
+++ b/src/include/greengagespar/direct/map_keeper.h
@@ -75,6 +75,7 @@
   void apply(const std::string &name, KeptGroup &group,
              const std::vector<DriverAction> &actions);
   void send(KeptGroup &group, const MapOrder &order);
+  void resume(KeptGroup &group);
   void endPeriod(const std::string &name, KeptGroup &group,
                  Clock::time_point now);
   void plan(const std::string &name, KeptGroup &group);
--- a/src/include/greengagespar/direct/map_messages.h
+++ b/src/include/greengagespar/direct/map_messages.h
@@ -25,6 +25,8 @@
 wire::MapOrder writeMapOrder(const DirectMapOrder &order);
 /// Fails with BadRequest when a value is outside of its range.
 Result<DirectMapOrder> readMapOrder(const wire::MapOrder &message);
+wire::MapResume writeMapResume(std::uint64_t epoch, const Ballot &ballot);
+Ballot readBallot(const wire::MapBallot &from);
 wire::MapReport writeMapReport(const DirectMapReport &report);
 /// Fails with BadRequest when a value is outside of its range.
 Result<DirectMapReport> readMapReport(const wire::MapReport &message);
--- a/src/include/greengagespar/direct/rank_agent.h
+++ b/src/include/greengagespar/direct/rank_agent.h
@@ -68,6 +68,11 @@
   void sendState(const PeerId &to, const std::vector<std::uint64_t> &counts,
                  const std::vector<std::vector<Expert>> &places);
   void takeMapOrder(const PeerId &from, const wire::MapOrder &message);
+  void takeResume(const wire::MapResume &message);
+  bool mayPrepare() const;
+  void reviewHold(Clock::time_point now);
+  void readOwnPlaces();
+  void readExperts();
   void poll();
   void readState(std::function<void()> done);
   void takeState(const RankServerState &state);
@@ -90,15 +95,23 @@
   std::string Body;
   int Status = 0;
   bool IsCalling = false;
-  std::optional<RankServerState> Server;
-  std::optional<RankState> Switch; ///< Set while the rank is in a group.
+  std::optional<RankServerState> Server; ///< As it was last read.
+  bool IsFresh = false;                  ///< The last read succeeded.
+  std::optional<RankState> Switch;       ///< Set while the rank is in a group.
   std::optional<RankWork> Work;
   std::map<MapNumber, RankPlaces> Maps; ///< Of orders to prepare.
   MapNumber PrepareSent; ///< Accepted by the server, weights on their way.
   MapNumber Cancelled;   ///< The highest map cancelled.
   std::map<Ballot, PeerId> Askers; ///< Who uses a ballot.
   std::vector<Watcher> Watchers;
-  bool NeedsFence = true;
+  std::vector<std::vector<Expert>> OwnPlaces; ///< In the map in use.
+  MapNumber OwnPlacesOf;
+  std::size_t Experts = 0; ///< Of each layer.
+  bool IsFirstRead = true;
+  /// Late orders of an earlier process may come until then.
+  Clock::time_point LateUntil{};
+  StepNumber LastStep; ///< The last one that was armed for.
+  std::optional<Clock::time_point> HeldSince;
   bool IsPolling = false;
   Timer Poll;
   Timer CallLimit;
--- a/src/include/greengagespar/direct/rank_server.h
+++ b/src/include/greengagespar/direct/rank_server.h
@@ -5,15 +5,21 @@
 /// The server knows a map that is armed for a step, and a hold that keeps the
 /// whole group from beginning a step. The switch of decideRank and
 /// decideDriver wants "armed, and does not enter the step until told" of each
-/// rank: here a rank that is armed for a step and holds it too. Released, it
-/// drops its hold; cancelled, it disarms and then drops its hold. The step
-/// begins once no rank holds it, so every rank has its outcome by then.
+/// rank: here a rank that is armed for a step and holds it too. The step begins
+/// once no rank holds it.
 ///
-/// An order without an answer may be carried out seconds later. Every order
-/// names the number of orders that the server has accepted; a server refuses
-/// one whose number has passed, so an order that comes late can only be the
-/// next one or none. An order is done only when the server's own state shows
-/// it.
+/// An order without an answer may be carried out seconds later, and nothing in
+/// the order lets the server refuse it then. So:
+/// - an order is done only when the server's own state shows it, and is given
+///   again until then;
+/// - a cancelled rank is disarmed and then fenced: another map is prepared, so
+///   that a late order to arm finds its map gone. It keeps its hold. Holds are
+///   dropped only when all ranks have been cancelled (Resume), so that no rank
+///   can begin the step while another one may still be armed for it;
+/// - a map is never armed again after it was disarmed, and no step is held
+///   twice, so that late orders to disarm or to go find nothing;
+/// - a process that finds the server in use waits until the late orders of the
+///   process before it have passed before it prepares a map.
 #ifndef GREENGAGESPAR_DIRECT_RANK_SERVER_H
 #define GREENGAGESPAR_DIRECT_RANK_SERVER_H
 
@@ -40,8 +46,7 @@
   std::size_t Size = 0; ///< Ranks of the group.
   bool IsOpen = false;
   std::uint64_t BornMs = 0;
-  std::uint64_t Accepted = 0; ///< Orders accepted in this life.
-  StepNumber Step;            ///< The last one that was begun.
+  StepNumber Step; ///< The last one that was begun.
   MapNumber InUse;
   std::optional<MapNumber> Prepared; ///< All weights are there.
   std::optional<ArmedMap> Armed;
@@ -61,22 +66,38 @@
 struct RankServerOrder {
   ServerMapOrder Kind = ServerMapOrder::Go;
   std::uint64_t Epoch = 0;
-  std::uint64_t Accepted = 0; ///< Refused when the server has another number.
-  MapNumber Map;              ///< Of Prepare, Arm and Disarm.
-  StepNumber Step;            ///< Of Arm, Hold and Go.
+  MapNumber Map;   ///< Of Prepare, Arm and Disarm.
+  StepNumber Step; ///< Of Arm, Hold and Go.
 };
 
-/// An order of a switch that is being carried out at the server.
+/// What a rank's process is to do at its server.
+enum class RankTask {
+  Prepare, ///< Have the map's weights there.
+  Arm,     ///< Hold the step and arm the map for it.
+  Release, ///< Drop the hold of an armed rank: it uses the map.
+  Cancel,  ///< Disarm and fence; keep the hold.
+  Resume,  ///< Drop the hold of a cancelled rank.
+};
+
+/// A task that is being carried out at the server.
 struct RankWork {
-  MapOrder Goal;
-  bool IsUndoing = false; ///< It was refused; its hold is taken back.
-  bool IsFence = false;   ///< Makes late orders of an earlier life harmless.
-  int Orders = 0;         ///< Given to the server so far.
+  RankTask Task = RankTask::Prepare;
+  MapOrder Goal;  ///< Unused by Resume.
+  int Orders = 0; ///< Given to the server so far.
+  /// Nobody waits for its end: it was done before and came undone.
+  bool IsAgain = false;
 };
 
-/// Orders given for one step of a switch before it counts as refused. Up to
-/// half of them may be left without an answer.
-inline constexpr int MaxOrdersOfWork = 16;
+/// Returns the task of an order of a switch, which is no Ask.
+RankTask taskOf(const MapOrder &order);
+
+/// Orders given for one task before it counts as refused. Up to half of them
+/// may be left without an answer.
+inline constexpr int MaxOrdersOfWork = 24;
+
+/// Numbers of maps that drivers use are multiples of this; a rank fences with
+/// the numbers that follow a cancelled map's.
+inline constexpr std::uint64_t MapNumberStride = 1024;
 
 /// What to do next for an order of a switch.
 struct RankServerStep {
@@ -94,14 +115,25 @@
 RankServerStep decideRankServer(RankWork &work,
                                 const std::optional<RankServerState> &state);
 
-/// Returns the order that makes late orders of an earlier process harmless: a
-/// rank that is armed and holds its step is disarmed, so that a late release
-/// is refused. Empty when there is none to fear.
-std::optional<RankServerOrder>
-fenceEarlierProcess(const RankServerState &state);
+/// Returns the work of a rank that has been released and holds its step again,
+/// because an order to hold came late; empty when there is none. \p taken: the
+/// latest decision of its process.
+std::optional<RankWork> releaseAgain(const std::optional<TakenDecision> &taken,
+                                     const RankServerState &state);
+
+/// Returns a map of \p ranks ranks for the fence of rank \p self: its own
+/// experts as they are, so that nothing is copied, and the others dealt in
+/// turn. \pre \p own holds this rank's experts, layer by layer.
+RankPlaces fencePlaces(const std::vector<std::vector<Expert>> &own, Rank self,
+                       std::size_t ranks, std::size_t experts);
+
+/// Whether orders of an earlier process may still come late at the server.
+bool wasInUse(const RankServerState &state);
 
 /// Returns the state as decideRank wants it. \p cancelled: the highest map that
-/// this process has cancelled; the server keeps its weights.
+/// this process has cancelled, its fence included. A hold without an armed map
+/// counts as armed unless it is that of a cancelled map: it may be left of a
+/// switch whose process has died, and a settlement drops it.
 EngineMap engineMapOf(const RankServerState &state, MapNumber cancelled);
 
 /// How a platform spells the calls of a rank's server. All functions are pure
--- a/src/include/greengagespar/group/driver.h
+++ b/src/include/greengagespar/group/driver.h
@@ -26,6 +26,8 @@
   std::chrono::milliseconds ArmWithin{200};        ///< Else cancelled.
   std::chrono::milliseconds SilentAfter{1000}; ///< Else the group has failed.
   std::uint64_t StepsAhead = 3; ///< Armed step minus the current one.
+  /// Numbers of maps are multiples of this; ranks may use those between.
+  std::uint64_t MapStride = 1;
 };
 
 /// What a driver or settler is doing.
