Few calls into a stalled group, none into a broken one, later returns

Ruled out: cancelling (the connections were closed; servers that are held do not look). Change: route/stall, a breaker by the progress that all streams show: during a stall one call each 400 ms. Ranks tell a broken group at once, its servers take no part. Refused streams are told to come back after 1.5 s or more.

--- a/src/direct/direct_entry.cpp
+++ b/src/direct/direct_entry.cpp
@@ -134,10 +134,22 @@
           return takesWork(it.second) && it.first < Settings.Link;
         }));
   };
-  hooks.OnState = [](const Address &, const wire::RankState &) {};
+  hooks.OnState = [this](const Address &agent, const wire::RankState &state) {
+    noteRank(agent, state.open());
+  };
   return hooks;
 }
 
+// Tells the pool of the server on the host of \p agent whether its group takes
+// work.
+void DirectEntry::noteRank(const Address &agent, bool isOpen) {
+  std::string host = agent.Value.substr(0, agent.Value.rfind(':') + 1);
+  for (auto &[id, pool] : Pools)
+    for (const EndpointView &it : pool->views())
+      if (it.Target.Endpoint.Value.starts_with(host))
+        return pool->noteOpen(it.Target.Id, isOpen);
+}
+
 // The process beside a rank runs on the host of the rank's server.
 void DirectEntry::findAgents() {
   auto table = Site.table();
--- a/src/direct/exchange.cpp
+++ b/src/direct/exchange.cpp
@@ -183,6 +183,7 @@
   if (events.empty())
     return;
   auto now = Clock::now();
+  Pool.noteEvent();
   // Only pauses of one server's work; what several events bring is one pass.
   if (Now->EventAt)
     Pool.notePause(now - *Now->EventAt, Call.Way->LongestPause);
--- a/src/direct/rank_agent.cpp
+++ b/src/direct/rank_agent.cpp
@@ -208,8 +208,11 @@
 void RankAgent::takeState(const RankServerState &state) {
   bool isOther = !Server || Server->BornMs != state.BornMs ||
                  Server->Epoch != state.Epoch || Server->Self != state.Self;
+  bool isTurned = Server && Server->IsOpen != state.IsOpen;
   Server = state;
   IsFresh = true;
+  if (isTurned)
+    tellWatchers(false);
   if (isOther && !state.Group.empty()) {
     logInfo(Part::Group,
             LogLine("rank")
@@ -353,7 +356,7 @@
     else if (const auto *order = std::get_if<OrderEngine>(&it))
       startWork(order->Order);
     else if (std::get_if<StartSettlement>(&it) != nullptr)
-      tellWatchers();
+      tellWatchers(true);
   }
 }
 
@@ -508,12 +511,17 @@
   Link.send(to, envelope);
 }
 
-void RankAgent::tellWatchers() {
-  logWarning(Part::Group, "settlement_wanted");
+// Tells all entries at once what they would hear too late when they ask.
+void RankAgent::tellWatchers(bool wantsSettlement) {
+  logWarning(Part::Group,
+             LogLine(wantsSettlement ? "settlement_wanted" : "group_turned")
+                 .add("group", Server->Group)
+                 .add("open", Server->IsOpen ? "yes" : "no")
+                 .text());
   for (const Watcher &it : Watchers) {
     wire::Envelope envelope;
     fillState(*envelope.mutable_rank_state());
-    envelope.mutable_rank_state()->set_wants_settlement(true);
+    envelope.mutable_rank_state()->set_wants_settlement(wantsSettlement);
     Link.send(it.At, envelope);
   }
 }
--- a/src/direct/server_pool.cpp
+++ b/src/direct/server_pool.cpp
@@ -20,6 +20,9 @@
 // from the bounds of the platform's pages, divided among its entries.
 constexpr double InitialRetries = 10;
 
+// Crests last for some seconds, and a broken group forms anew within a few.
+constexpr std::chrono::milliseconds StreamRetry{1500};
+
 ChoiceOptions choiceOptions() {
   ChoiceOptions options;
   options.Draws = CompareAll;
@@ -60,6 +63,39 @@
                            static_cast<int>(Started.size()), Clock::now());
 }
 
+void ServerPool::noteOpen(const ServerId &id, bool isOpen) {
+  bool wasOpen = !Closed.contains(id);
+  EndpointView *view = viewOf(id);
+  if (isOpen == wasOpen || !view)
+    return;
+  if (isOpen)
+    Closed.erase(id);
+  else
+    Closed.insert(id);
+  view->Target.Leaving = !isOpen || Servers[id].Record.Leaving;
+  sharePace();
+  startWaiting(Clock::now());
+}
+
+// A stream that is refused is late whenever it comes back, so its caller is
+// told to come when the crest or the group's break is likely to be over.
+Refusal ServerPool::refusalOf(const Refusal &why) const {
+  Refusal refusal = why;
+  if (Declared.Engine)
+    refusal.RetryAfter = std::max(refusal.RetryAfter, StreamRetry);
+  return refusal;
+}
+
+void ServerPool::noteEvent() { noteProgress(Progress, Clock::now()); }
+
+// Whether one more call may be started, on any server.
+bool ServerPool::hasRoom(Clock::time_point now) const {
+  auto inFlight = static_cast<int>(Started.size());
+  if (inFlight >= allowedStreams(Pace))
+    return false;
+  return !Declared.Engine || maySend(Progress, inFlight, now);
+}
+
 void ServerPool::setEntries(std::size_t entries) {
   Entries = std::max<std::size_t>(1, entries);
   sharePace();
@@ -80,6 +116,12 @@
 Capacity ServerPool::capacity() const {
   Capacity all = capacityOf(Views);
   all.Limit = std::min(all.Limit, allowedStreams(Pace));
+  // A call that arrives during a stall finds no free slot.
+  bool stalls =
+      Declared.Engine &&
+      isStalled(Progress, static_cast<int>(Started.size()), Clock::now());
+  if (stalls)
+    all.Limit = std::min(all.Limit, all.InFlight);
   return all;
 }
 
@@ -111,7 +153,7 @@
     view->Limit = {limit, limit, Clock::now()};
   }
   view->Target = {record.Id, record.At, record.DataCentre, false,
-                  record.Leaving};
+                  record.Leaving || Closed.contains(record.Id)};
   view->Slots = slotsOfServer(record);
   sharePace();
   startWaiting(Clock::now());
@@ -121,6 +163,7 @@
   std::erase_if(Views,
                 [&](const EndpointView &view) { return view.Target.Id == id; });
   Servers.erase(id);
+  Closed.erase(id);
   sharePace();
 }
 
@@ -141,11 +184,11 @@
   AdmissionDecision decision =
       offer(Gate, arriving, workspace, capacity(), now);
   if (decision.Refused)
-    return call.OnRefused(*decision.Refused);
+    return call.OnRefused(refusalOf(*decision.Refused));
   Waiting.emplace(call.Id, std::move(call));
   for (const RefusedCall &it : decision.Evicted)
     if (auto node = Waiting.extract(it.Call.Id))
-      node.mapped().OnRefused(it.Why);
+      node.mapped().OnRefused(refusalOf(it.Why));
   startWaiting(now);
 }
 
@@ -172,7 +215,7 @@
     return;
   IsStarting = true;
   reviewStanding(Views, now);
-  while (std::cmp_less(Started.size(), allowedStreams(Pace))) {
+  while (hasRoom(now)) {
     auto placed = placeNext(
         Gate, [&](const QueuedCall &call) { return choose(call, now); }, true,
         now);
@@ -182,6 +225,7 @@
     auto node = Waiting.extract(id);
     EndpointView &view = Views[placed->Server];
     noteSent(view);
+    noteCallSent(Progress, static_cast<int>(Started.size()), now);
     Started.emplace(id, placed->Call);
     ServerRecord record = Servers[view.Target.Id].Record;
     node.mapped().OnStart(record);
@@ -201,6 +245,7 @@
       noteFailure(*view, *outcome.Failure, now);
     else {
       noteAnswer(*view, outcome.Latency, now);
+      noteProgress(Progress, now);
       // Additive increase after the decrease of a refusal.
       view->Limit.Value = std::min(view->Limit.Initial,
                                    view->Limit.Value + 1 / view->Limit.Value);
@@ -234,7 +279,7 @@
 void ServerPool::tick(Clock::time_point now) {
   for (const RefusedCall &it : expire(Gate, capacity(), now))
     if (auto node = Waiting.extract(it.Call.Id))
-      node.mapped().OnRefused(it.Why);
+      node.mapped().OnRefused(refusalOf(it.Why));
   for (auto &[id, kept] : Servers)
     std::erase_if(kept.Idle, [&](const auto &it) {
       return !it->isReusable() || now >= it->usableUntil();
--- a/src/include/greengagespar/direct/direct_entry.h
+++ b/src/include/greengagespar/direct/direct_entry.h
@@ -43,6 +43,7 @@
   ServerPool &poolOf(const ServiceId &service);
   void shareRetries();
   void findAgents();
+  void noteRank(const Address &agent, bool isOpen);
   MapKeeperHooks mapHooks();
   PeerLinksHooks peerHooks();
   MemberRow ownRow() const;
--- a/src/include/greengagespar/direct/rank_agent.h
+++ b/src/include/greengagespar/direct/rank_agent.h
@@ -83,7 +83,7 @@
   void giveOrder(const RankServerOrder &order);
   void endWork(bool refused);
   void fillState(wire::RankState &out) const;
-  void tellWatchers();
+  void tellWatchers(bool wantsSettlement);
 
   event_base *Loop;
   RankAgentSettings Settings;
--- a/src/include/greengagespar/direct/server_pool.h
+++ b/src/include/greengagespar/direct/server_pool.h
@@ -11,6 +11,8 @@
 #include "greengagespar/route/choose.h"
 #include "greengagespar/route/pace_limit.h"
 #include "greengagespar/route/retry_budget.h"
+#include "greengagespar/route/stall.h"
+#include <set>
 
 namespace greengagespar {
 
@@ -60,6 +62,10 @@
 
   /// Notes the pause before an event of a stream; see notePause() of the limit.
   void notePause(Clock::duration pause, std::chrono::milliseconds longest);
+  /// Notes that a server of a group sent an event.
+  void noteEvent();
+  /// Notes whether the group of a server takes work, as the rank tells.
+  void noteOpen(const ServerId &id, bool isOpen);
   /// Takes the number of entries that share the servers, this one included.
   void setEntries(std::size_t entries);
 
@@ -91,6 +97,8 @@
 
   EndpointView *viewOf(const ServerId &id);
   Capacity capacity() const;
+  Refusal refusalOf(const Refusal &why) const;
+  bool hasRoom(Clock::time_point now) const;
   void sharePace();
   int slotsOfServer(const ServerRecord &record) const;
   void startWaiting(Clock::time_point now);
@@ -102,11 +110,13 @@
   Backend Declared;
   std::vector<EndpointView> Views;
   std::map<ServerId, KeptConnections> Servers;
+  std::set<ServerId> Closed; ///< Their groups are broken.
   Admission Gate;
   std::unordered_map<CallId, PoolCall> Waiting;
   std::unordered_map<CallId, StartedCall> Started;
   RetryBudget Retries;
   PaceLimit Pace;
+  StallState Progress;
   std::size_t Entries = 1;
   std::uint64_t Opened = 0;
   bool IsStarting = false;
--- a/src/include/greengagespar/route/admission.h
+++ b/src/include/greengagespar/route/admission.h
@@ -125,8 +125,8 @@
 /// on a full server, holds up no others; only the first few of those are tried.
 /// Call expire() before it, and again until it is empty.
 std::optional<PlacedCall> placeNext(Admission &admission,
-                                   const ServerChooser &choose, bool allowLong,
-                                   Clock::time_point now);
+                                    const ServerChooser &choose, bool allowLong,
+                                    Clock::time_point now);
 
 /// Takes the call \p id out of the queue to start it.
 std::optional<StartedCall> start(Admission &admission, CallId id,
