Take no server for broken on old word

Change: no state is told that was not read a moment ago; a broken group that is not told of for 3 s counts as open; the server's address is read again on a reload.

--- a/src/direct/rank_agent.cpp
+++ b/src/direct/rank_agent.cpp
@@ -112,8 +112,12 @@
   event_base_loopbreak(Loop);
 }
 
-void RankAgent::reload(const RankAgentSettings &) {
-  logInfo(Part::Group, "reload");
+void RankAgent::reload(const RankAgentSettings &settings) {
+  if (Settings.Server != settings.Server)
+    Connection.reset();
+  Settings.Server = settings.Server;
+  logInfo(Part::Group,
+          LogLine("reload").add("server", Settings.Server.Value).text());
 }
 
 // Calls of the server.
@@ -449,7 +453,8 @@
     return it.At == to || now - it.AskedAt > WatcherKept;
   });
   Watchers.push_back({to, now});
-  if (!Server)
+  // What was read before the server went away says nothing of now.
+  if (!Server || !IsFresh)
     return;
   if (ask.with_places()) {
     get(Dialect.PlacesTarget, [this, to](int status, const std::string &body) {
--- a/src/direct/server_pool.cpp
+++ b/src/direct/server_pool.cpp
@@ -20,6 +20,10 @@
 // from the bounds of the platform's pages, divided among its entries.
 constexpr double InitialRetries = 10;
 
+// A broken group is told of each second; one that is not told of any more may
+// have lost the process that tells.
+constexpr std::chrono::milliseconds ClosedKept{3000};
+
 // Crests last for some seconds, and a broken group forms anew within a few.
 constexpr std::chrono::milliseconds StreamRetry{1500};
 
@@ -66,12 +70,12 @@
 void ServerPool::noteOpen(const ServerId &id, bool isOpen) {
   bool wasOpen = !Closed.contains(id);
   EndpointView *view = viewOf(id);
-  if (isOpen == wasOpen || !view)
-    return;
   if (isOpen)
     Closed.erase(id);
-  else
-    Closed.insert(id);
+  else if (view)
+    Closed[id] = Clock::now();
+  if (isOpen == wasOpen || !view)
+    return;
   view->Target.Leaving = !isOpen || Servers[id].Record.Leaving;
   sharePace();
   startWaiting(Clock::now());
@@ -277,6 +281,12 @@
 }
 
 void ServerPool::tick(Clock::time_point now) {
+  std::vector<ServerId> untold;
+  for (const auto &[id, at] : Closed)
+    if (now - at > ClosedKept)
+      untold.push_back(id);
+  for (const ServerId &id : untold)
+    noteOpen(id, true);
   for (const RefusedCall &it : expire(Gate, capacity(), now))
     if (auto node = Waiting.extract(it.Call.Id))
       node.mapped().OnRefused(refusalOf(it.Why));
--- a/src/include/greengagespar/direct/rank_agent.h
+++ b/src/include/greengagespar/direct/rank_agent.h
@@ -42,7 +42,7 @@
   Result<void> start();
   /// Ends the loop. An order in progress is left to the next process.
   void leave();
-  /// Takes the settings that may change while the process runs: none.
+  /// Takes the settings that may change while the process runs: the server.
   void reload(const RankAgentSettings &settings);
 
 private:
--- a/src/include/greengagespar/direct/server_pool.h
+++ b/src/include/greengagespar/direct/server_pool.h
@@ -12,7 +12,6 @@
 #include "greengagespar/route/pace_limit.h"
 #include "greengagespar/route/retry_budget.h"
 #include "greengagespar/route/stall.h"
-#include <set>
 
 namespace greengagespar {
 
@@ -110,7 +109,8 @@
   Backend Declared;
   std::vector<EndpointView> Views;
   std::map<ServerId, KeptConnections> Servers;
-  std::set<ServerId> Closed; ///< Their groups are broken.
+  /// Servers whose groups are broken, and when that was told last.
+  std::map<ServerId, Clock::time_point> Closed;
   Admission Gate;
   std::unordered_map<CallId, PoolCall> Waiting;
   std::unordered_map<CallId, StartedCall> Started;
