Map numbers of a driver's own and steps beyond earlier ones in place of a wait

Change: no wait. A late order to prepare is told apart by its number, which is the driver's own; a late release by its step, which no later switch uses: a new process arms only beyond all that the one before it can have held. Measured: 600 random plays with late orders and deaths, contents of maps compared too: no mixed pass. Conclusion: the wait was not needed.

--- a/src/direct/map_keeper.cpp
+++ b/src/direct/map_keeper.cpp
@@ -38,14 +38,12 @@
 
 constexpr std::size_t FetchesPerRank = 1;
 
-DriverLimits driverLimits() {
-  DriverLimits limits;
+DriverLimits driverLimits(Incarnation life) {
+  DriverLimits limits = mapDriverLimits(life);
   limits.ResendAfter = milliseconds{60};
   limits.PrepareWithin = milliseconds{8000};
   limits.ArmWithin = milliseconds{600};
   limits.SilentAfter = milliseconds{3000};
-  limits.StepsAhead = 4;
-  limits.MapStride = MapNumberStride;
   return limits;
 }
 
@@ -304,11 +302,11 @@
     if (position == 0) {
       ballot.Lease = {++HighestLease};
       group.Driver = makeDriver(ballot, group.Ranks.size(), SteadyTime::max(),
-                                driverLimits(), now);
+                                driverLimits(Self.Life), now);
     } else if (settles) {
       ballot.Lease = {HighestLease};
       group.Driver =
-          makeSettler(ballot, group.Ranks.size(), driverLimits(), now);
+          makeSettler(ballot, group.Ranks.size(), driverLimits(Self.Life), now);
     }
     if (group.Driver && (position == 0 || settles)) {
       group.SettleWanted.reset();
--- a/src/direct/rank_agent.cpp
+++ b/src/direct/rank_agent.cpp
@@ -24,10 +24,6 @@
 // An entry that has not asked for so long is told nothing any more.
 constexpr milliseconds WatcherKept{5000};
 
-// An order without an answer is carried out within this time, from the
-// platform's pages (2 to 12 s), or never.
-constexpr std::chrono::seconds LateOrderWindow{13};
-
 // A hold whose map was cancelled is dropped by then, or settled once more.
 constexpr milliseconds ResumeWithin{1000};
 
@@ -234,8 +230,8 @@
     LastStep = {};
     OwnPlaces.clear();
   }
-  if (IsFirstRead && wasInUse(state))
-    LateUntil = Clock::now() + LateOrderWindow;
+  if (IsFirstRead)
+    LastStep = lastStepBefore(state);
   IsFirstRead = false;
   if (!Switch || Work)
     return;
@@ -272,8 +268,6 @@
   readState([this] { stepWork(); });
 }
 
-bool RankAgent::mayPrepare() const { return Clock::now() >= LateUntil; }
-
 // Shows a cancelled hold that nobody drops as armed again, so that it is
 // settled.
 void RankAgent::reviewHold(Clock::time_point now) {
@@ -334,7 +328,7 @@
         bool isHeldBefore = order.Order.Kind == OrderKind::Arm &&
                             order.Order.Step <= LastStep &&
                             !(Server->Held == order.Order.Step);
-        if ((isPrepare && !mayPrepare()) || isHeldBefore)
+        if (isHeldBefore)
           return {};
         if (order.Order.Kind == OrderKind::Arm)
           LastStep = std::max(LastStep, order.Order.Step);
--- a/src/direct/rank_server.cpp
+++ b/src/direct/rank_server.cpp
@@ -138,6 +138,22 @@
   return places;
 }
 
+DriverLimits mapDriverLimits(Incarnation life) {
+  DriverLimits limits;
+  limits.StepsAhead = MapStepsAhead;
+  limits.MapStride = MapNumberStride;
+  limits.MapSalt =
+      life.Value % (MapNumberStride / MapNumberSalt) * MapNumberSalt;
+  limits.FirstMap = {life.Value};
+  return limits;
+}
+
+StepNumber lastStepBefore(const RankServerState &first) {
+  constexpr std::uint64_t apart = 2;
+  return wasInUse(first) ? StepNumber{first.Step.Value + MapStepsAhead + apart}
+                         : StepNumber{};
+}
+
 bool wasInUse(const RankServerState &state) {
   return state.InUse.Value > 0 || state.Prepared || state.Armed || state.Held;
 }
--- a/src/direct/rank_server_test.cpp
+++ b/src/direct/rank_server_test.cpp
@@ -15,6 +15,7 @@
 struct LateOrder {
   std::size_t To = 0;
   RankServerOrder Order;
+  std::uint64_t Driver = 0; ///< Whose map it is.
   int AtTurn = 0;
 };
 
@@ -24,10 +25,11 @@
   RankState Process;
   std::optional<RankWork> Work;
   MapNumber Cancelled;
-  MapNumber Highest;   ///< Of all maps that the server has had.
-  StepNumber LastStep; ///< The last one that its process armed for.
-  int LateUntil = 0;   ///< The turn at which it may prepare again.
-  int HeldTurns = 0;   ///< Turns that a hold without a map has lasted.
+  MapNumber Highest;          ///< Of all maps that the server has had.
+  StepNumber LastStep;        ///< The last one that its process armed for.
+  std::uint64_t Prepared = 0; ///< The driver whose map is prepared.
+  std::uint64_t Used = 0;     ///< The driver whose map is in use.
+  int HeldTurns = 0;          ///< Turns that a hold without a map has lasted.
 };
 
 /// A group whose orders may stay without an answer and be carried out later,
@@ -77,13 +79,12 @@
     Ranks[r].Process = makeRank(Rank(r), {++Life}, limits);
     Ranks[r].Work.reset();
     Ranks[r].Cancelled = {};
-    Ranks[r].LastStep = {};
-    if (wasInUse(Ranks[r].Server))
-      Ranks[r].LateUntil = Turn + LateTurns + 1;
+    Ranks[r].LastStep = lastStepBefore(Ranks[r].Server);
   }
 
   // The server's rules, from the platform's pages. True when it was accepted.
-  static bool carryOut(SimRank &rank, const RankServerOrder &o) {
+  static bool carryOut(SimRank &rank, const RankServerOrder &o,
+                       std::uint64_t driver = 0) {
     RankServerState &s = rank.Server;
     if (o.Epoch != s.Epoch)
       return false;
@@ -92,6 +93,7 @@
       if (s.Armed || o.Map <= rank.Highest)
         return false;
       rank.Highest = o.Map;
+      rank.Prepared = driver;
       s.Prepared = o.Map;
       return true;
     case ServerMapOrder::Arm:
@@ -130,19 +132,23 @@
         it.Server.InUse = it.Server.Armed->Map;
         it.Server.Armed.reset();
         it.Server.Prepared.reset();
+        it.Used = it.Prepared;
       }
     }
     for (const SimRank &it : Ranks)
-      if (it.Server.InUse != Ranks[0].Server.InUse)
+      if (it.Server.InUse != Ranks[0].Server.InUse || it.Used != Ranks[0].Used)
         ++MixedPasses;
   }
 
   void give(std::size_t r, const RankServerOrder &order) {
+    // The map goes with the order; that of a fence is the rank's own matter.
+    std::uint64_t driver =
+        Ranks[r].Work ? Ranks[r].Work->Goal.Number.Process.Value : 0;
     if (chance(LateShare))
       Late.push_back(
-          {r, order, Turn + 1 + static_cast<int>(Rng() % LateTurns)});
+          {r, order, driver, Turn + 1 + static_cast<int>(Rng() % LateTurns)});
     else
-      carryOut(Ranks[r], order);
+      carryOut(Ranks[r], order, driver);
   }
 
   void act(std::size_t r, const std::vector<RankAction> &actions) {
@@ -174,8 +180,7 @@
     bool isHeldBefore = order.Kind == OrderKind::Arm &&
                         order.Step <= rank.LastStep &&
                         rank.Server.Held != order.Step;
-    bool isTooSoon = order.Kind == OrderKind::Prepare && Turn < rank.LateUntil;
-    if (isHeldBefore || isTooSoon)
+    if (isHeldBefore)
       return;
     if (order.Kind == OrderKind::Arm)
       rank.LastStep = std::max(rank.LastStep, order.Step);
@@ -239,9 +244,7 @@
       Ballot ballot;
       ballot.Lease = {++Lease};
       ballot.Process = {++Life};
-      DriverLimits limits;
-      limits.StepsAhead = 4;
-      limits.MapStride = MapNumberStride;
+      DriverLimits limits = mapDriverLimits(ballot.Process);
       Driver = makeDriver(ballot, Size, SteadyTime::max(), limits, Now);
     }
     if (Driver->Phase == DriverPhase::Steady)
@@ -254,7 +257,7 @@
     Now += 10ms;
     for (const LateOrder &it : std::exchange(Late, {})) {
       if (it.AtTurn <= Turn)
-        carryOut(Ranks[it.To], it.Order);
+        carryOut(Ranks[it.To], it.Order, it.Driver);
       else
         Late.push_back(it);
     }
--- a/src/group/driver.cpp
+++ b/src/group/driver.cpp
@@ -212,7 +212,8 @@
   if (state.Phase != DriverPhase::Steady || state.IsSettler)
     return;
   std::uint64_t stride = state.Limits.MapStride;
-  state.Map = {(state.HighestMap.Value / stride + 1) * stride};
+  std::uint64_t above = std::max(state.HighestMap, state.Limits.FirstMap).Value;
+  state.Map = {(above / stride + 1) * stride + state.Limits.MapSalt};
   state.HighestMap = state.Map;
   enter(state, DriverPhase::Preparing, now);
 }
--- a/src/include/greengagespar/direct/rank_agent.h
+++ b/src/include/greengagespar/direct/rank_agent.h
@@ -69,7 +69,6 @@
                  const std::vector<std::vector<Expert>> &places);
   void takeMapOrder(const PeerId &from, const wire::MapOrder &message);
   void takeResume(const wire::MapResume &message);
-  bool mayPrepare() const;
   void reviewHold(Clock::time_point now);
   void readOwnPlaces();
   void readExperts();
@@ -108,8 +107,6 @@
   MapNumber OwnPlacesOf;
   std::size_t Experts = 0; ///< Of each layer.
   bool IsFirstRead = true;
-  /// Late orders of an earlier process may come until then.
-  Clock::time_point LateUntil{};
   StepNumber LastStep; ///< The last one that was armed for.
   std::optional<Clock::time_point> HeldSince;
   bool IsPolling = false;
--- a/src/include/greengagespar/direct/rank_server.h
+++ b/src/include/greengagespar/direct/rank_server.h
@@ -18,12 +18,14 @@
 ///   can begin the step while another one may still be armed for it;
 /// - a map is never armed again after it was disarmed, and no step is held
 ///   twice, so that late orders to disarm or to go find nothing;
-/// - a process that finds the server in use waits until the late orders of the
-///   process before it have passed before it prepares a map.
+/// - a process that finds its server in use arms only for steps that lie beyond
+///   all that the process before it can have held;
+/// - no two drivers use one number for their maps.
 #ifndef GREENGAGESPAR_DIRECT_RANK_SERVER_H
 #define GREENGAGESPAR_DIRECT_RANK_SERVER_H
 
 #include "greengagespar/base/errors.h"
+#include "greengagespar/group/driver.h"
 #include "greengagespar/group/messages.h"
 #include <optional>
 #include <string>
@@ -95,9 +97,22 @@
 /// may be left without an answer.
 inline constexpr int MaxOrdersOfWork = 24;
 
-/// Numbers of maps that drivers use are multiples of this; a rank fences with
-/// the numbers that follow a cancelled map's.
-inline constexpr std::uint64_t MapNumberStride = 1024;
+/// Numbers of the maps of one driver lie this far apart; a rank fences with the
+/// numbers that follow a cancelled map's.
+inline constexpr std::uint64_t MapNumberStride = 4096;
+/// Numbers between the maps of two drivers inside a stride.
+inline constexpr std::uint64_t MapNumberSalt = 64;
+
+/// Passes from the one that is under way to the first one with a new map.
+inline constexpr std::uint64_t MapStepsAhead = 4;
+
+/// Returns the limits of a driver in the process \p life. Thread safe.
+DriverLimits mapDriverLimits(Incarnation life);
+
+/// Returns the last step that an earlier process of a rank can have armed for,
+/// when the rank's state was \p first at this process's first look: ranks may
+/// be a pass apart when they are asked. Zero for a server that was not in use.
+StepNumber lastStepBefore(const RankServerState &first);
 
 /// What to do next for an order of a switch.
 struct RankServerStep {
--- a/src/include/greengagespar/group/driver.h
+++ b/src/include/greengagespar/group/driver.h
@@ -28,6 +28,11 @@
   std::uint64_t StepsAhead = 3; ///< Armed step minus the current one.
   /// Numbers of maps are multiples of this; ranks may use those between.
   std::uint64_t MapStride = 1;
+  /// Added to each multiple, so that two drivers never use one number.
+  std::uint64_t MapSalt = 0;
+  /// Numbers of maps are not lower: an order of an earlier driver that comes
+  /// late must not prepare another map under the number of a later one.
+  MapNumber FirstMap;
 };
 
 /// What a driver or settler is doing.
