Mend what the linter found in direct mode

Cause: make lint: 4 findings (a binding in a lambda, an unused result, a nested type that clang 14 can't make in an optional, a parameter by value). Ruled out: exceptions from the linter. Change: as said; the attempt of an exchange stands in detail.

--- a/src/direct/server_table.cpp
+++ b/src/direct/server_table.cpp
@@ -67,11 +67,12 @@
 std::vector<ServerId> missingFrom(const ServerTable &table,
                                   const std::vector<ServerRecord> &present) {
   std::vector<ServerId> missing;
-  for (const auto &[id, known] : table.Servers)
-    if (std::ranges::none_of(present, [&](const ServerRecord &it) {
-          return it.Id == known.Record.Id;
-        }))
-      missing.push_back(id);
+  for (const auto &known : table.Servers) {
+    bool isPresent = std::ranges::any_of(
+        present, [&](const ServerRecord &it) { return it.Id == known.first; });
+    if (!isPresent)
+      missing.push_back(known.first);
+  }
   return missing;
 }
 
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -189,7 +189,7 @@
 MessageReader<R>::MessageReader(const MessageLimits &limits,
                                 std::function<void(std::string_view)> onBody)
     : Limits(limits) {
-  Parser.OnBody = std::move(onBody);
+  Parser.OnBody.swap(onBody);
   Parser.eager(true);
   Parser.header_limit(limits.MaxHeadBytes);
   Parser.body_limit(limits.MaxBodyBytes);
--- a/src/include/greengagespar/direct/exchange.h
+++ b/src/include/greengagespar/direct/exchange.h
@@ -34,6 +34,24 @@
   Deadline Due; ///< When the caller or the route gives up.
 };
 
+namespace detail {
+
+/// The attempt in progress.
+struct Attempt {
+  ServerRecord Server;
+  std::unique_ptr<HttpClientConnection> Connection;
+  Clock::time_point SentAt;
+  Clock::time_point HeardAt;
+  std::optional<Clock::time_point> EventAt; ///< Of its last event.
+  HttpHead Head;
+  AnswerFacts Answer;
+  bool HasHead = false;
+  bool Relays = false; ///< Its events are passed on as they come.
+  std::string Body;
+};
+
+} // namespace detail
+
 /// One request on its way.
 class Exchange {
 public:
@@ -50,20 +68,6 @@
   const AcceptedCall &call() const { return Call; }
 
 private:
-  /// The attempt in progress.
-  struct Attempt {
-    ServerRecord Server;
-    std::unique_ptr<HttpClientConnection> Connection;
-    Clock::time_point SentAt;
-    Clock::time_point HeardAt;
-    std::optional<Clock::time_point> EventAt; ///< Of its last event.
-    HttpHead Head;
-    AnswerFacts Answer;
-    bool HasHead = false;
-    bool Relays = false; ///< Its events are passed on as they come.
-    std::string Body;
-  };
-
   void submit();
   void send(const ServerRecord &server);
   std::string requestText(const ServerRecord &server) const;
@@ -92,7 +96,7 @@
   AcceptedCall Call;
   HttpRequestMessage Request;
   std::shared_ptr<HttpReply> Reply;
-  std::optional<Attempt> Now;
+  std::optional<detail::Attempt> Now; ///< The attempt in progress.
   std::vector<ServerId> Tried;
   EventRelay Stream;
   bool HasBegun = false; ///< The caller has the head of a stream.
--- a/testsuite/direct/site.cpp
+++ b/testsuite/direct/site.cpp
@@ -20,7 +20,8 @@
   sockaddr_in name{};
   name.sin_family = AF_INET;
   name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  bind(fd, reinterpret_cast<sockaddr *>(&name), sizeof(name));
+  if (bind(fd, reinterpret_cast<sockaddr *>(&name), sizeof(name)) != 0)
+    throw std::runtime_error("no free port");
   socklen_t size = sizeof(name);
   getsockname(fd, reinterpret_cast<sockaddr *>(&name), &size);
   close(fd);
