One driver of expert maps at a time while entries stop and start

Hypotheses: too few servers (no: one left at 18 s); too few entries (no: two connections in a hundred failed); experts out of step. The log: at 11.02 s the driving entry was asked to stop and went on planning, since a leaving entry counted itself first; at 11.06 and 11.11 s two more began to drive, one of them just started and without knowledge of its peers. The three deposed each other until 28 s: 36 plans, no switch. Ruled out: the lease numbers (all three began with 1, the ballots differ by process). Change: an entry that leaves, or has started less than 2 s ago, stands behind all others (positionAmong).

--- a/src/direct/direct_entry.cpp
+++ b/src/direct/direct_entry.cpp
@@ -11,6 +11,9 @@
 
 using std::chrono::milliseconds;
 
+// A starting entry drives no expert map until it may have heard of its peers.
+constexpr milliseconds MeetPeers{2000};
+
 // How often waiting calls and old connections are looked at.
 constexpr milliseconds BusyTick{20};
 constexpr milliseconds IdleTick{200};
@@ -128,11 +131,8 @@
 MapKeeperHooks DirectEntry::mapHooks() {
   MapKeeperHooks hooks;
   hooks.Position = [this] {
-    const auto &members = Peers.view().Members;
-    return static_cast<std::size_t>(
-        std::ranges::count_if(members, [this](const auto &it) {
-          return takesWork(it.second) && it.first < Settings.Link;
-        }));
+    bool takesPart = !LeavingSince && Clock::now() - StartedAt > MeetPeers;
+    return positionAmong(Peers.view(), takesPart);
   };
   hooks.OnState = [this](const Address &agent, const wire::RankState &state) {
     noteRank(agent, state.open());
@@ -183,6 +183,7 @@
 }
 
 Result<void> DirectEntry::start() {
+  StartedAt = Clock::now();
   BOOST_LEAF_CHECK(Requests.listen(Settings.Listen));
   BOOST_LEAF_CHECK(ReadyEdge.listen(Settings.Ready));
   BOOST_LEAF_CHECK(DirectoryEdge.listen(Settings.Directory));
--- a/src/host/member.cpp
+++ b/src/host/member.cpp
@@ -209,4 +209,13 @@
   return count;
 }
 
+std::size_t positionAmong(const MemberView &view, bool takesPart) {
+  auto before = std::ranges::count_if(view.Members, [&](const auto &it) {
+    bool isOther = it.first != view.Self;
+    return isOther && takesWork(it.second) &&
+           (!takesPart || it.first < view.Self);
+  });
+  return static_cast<std::size_t>(before) + (takesPart ? 0 : 1);
+}
+
 } // namespace greengagespar
--- a/src/host/member_test.cpp
+++ b/src/host/member_test.cpp
@@ -198,4 +198,17 @@
   BOOST_TEST(sweepMembers(view, limit).Silent.size() == 17u);
 }
 
+BOOST_AUTO_TEST_CASE(position_ofFirstLiveEntry_isZeroForIt) {
+  BOOST_TEST(positionAmong(View, true) == 0U);
+  View.Self = link(0, 2);
+  BOOST_TEST(positionAmong(View, true) == 2U);
+  mergeMember(View, leaving(row(0, 0, 1, 2)), Now);
+  BOOST_TEST(positionAmong(View, true) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(position_whileStartingOrLeaving_isBehindAllOthers) {
+  BOOST_TEST(positionAmong(View, false) ==
+             std::size_t{DataCentres * EntriesEach});
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/include/greengagespar/direct/direct_entry.h
+++ b/src/include/greengagespar/direct/direct_entry.h
@@ -70,6 +70,7 @@
   std::unordered_map<CallId, std::unique_ptr<Exchange>> Open;
   std::vector<std::unique_ptr<Exchange>> Ended;
   std::uint64_t NextCall = 0;
+  Clock::time_point StartedAt{};
   std::optional<Clock::time_point> LeavingSince;
   bool IsDraining = false;
   std::mt19937_64 Random;
--- a/src/route/admission.cpp
+++ b/src/route/admission.cpp
@@ -329,8 +329,8 @@
 }
 
 std::optional<PlacedCall> placeNext(Admission &admission,
-                                   const ServerChooser &choose, bool allowLong,
-                                   Clock::time_point now) {
+                                    const ServerChooser &choose, bool allowLong,
+                                    Clock::time_point now) {
   PassedOver passed;
   while (passed.size() < MaxPassedOver) {
     const QueuedCall *call = peekNext(admission.Queue, now, allowLong, passed);
