Multiply as sizes in the test of positions

Ruled out: an exception from the linter. Change: one operand is a size. Conclusion: no code of the programs changed.

--- a/src/host/member_test.cpp
+++ b/src/host/member_test.cpp
@@ -208,7 +208,7 @@
 
 BOOST_AUTO_TEST_CASE(position_whileStartingOrLeaving_isBehindAllOthers) {
   BOOST_TEST(positionAmong(View, false) ==
-             std::size_t{DataCentres * EntriesEach});
+             std::size_t{DataCentres} * EntriesEach);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
