Split the calls of a rank's server from the process beside it

rank_agent.cpp had two jobs. RankServerClient makes the calls; RankAgent keeps the switch. A process that did not run for 600 ms starts over.

--- a/src/direct/rank_agent.cpp
+++ b/src/direct/rank_agent.cpp
@@ -16,11 +16,6 @@
 constexpr milliseconds IdlePoll{300};
 constexpr milliseconds BusyPoll{25};
 
-// The server is on the same host and answers in a few ms; an order without an
-// answer by then is looked for in its state.
-constexpr milliseconds CallTimeout{100};
-constexpr milliseconds ConnectTimeout{100};
-
 // An entry that has not asked for so long is told nothing any more.
 constexpr milliseconds WatcherKept{5000};
 
@@ -31,8 +26,10 @@
 // settle it; a driver that lives needs a few ms.
 constexpr milliseconds SettleAfter{500};
 
-constexpr int StatusOk = 200;
-constexpr int StatusAccepted = 202;
+// A process that did not run for so long starts over: entries may have settled
+// its switch at its server meanwhile. Twice what the slowest poll needs.
+constexpr milliseconds FrozenFor{600};
+
 constexpr std::size_t MaxMapsKept = 4;
 
 // The number of experts of a layer: each is on some rank.
@@ -85,13 +82,13 @@
 RankAgent::RankAgent(event_base *loop, zmq::context_t &context,
                      const RankAgentSettings &settings,
                      const RankDialect &dialect)
-    : Loop(loop), Settings(settings),
-      Dialect(dialect), Self{settings.Name, newIncarnation(), Generation{}},
+    : Loop(loop),
+      Settings(settings), Self{settings.Name, newIncarnation(), Generation{}},
       Link(loop, context, Self,
            [this](const PeerId &from, const wire::Envelope &envelope) {
              onEnvelope(from, envelope);
            }),
-      Poll(loop, [this] { poll(); }), CallLimit(loop, [this] { endCall(0); }) {}
+      Calls(loop, settings.Server, dialect), Poll(loop, [this] { poll(); }) {}
 
 Result<void> RankAgent::start() {
   BOOST_LEAF_CHECK(Link.bind(Settings.Link));
@@ -109,67 +106,37 @@
 }
 
 void RankAgent::reload(const RankAgentSettings &settings) {
-  if (Settings.Server != settings.Server)
-    Connection.reset();
-  Settings.Server = settings.Server;
+  Calls.setServer(settings.Server);
   logInfo(Part::Group,
-          LogLine("reload").add("server", Settings.Server.Value).text());
-}
-
-// Calls of the server.
-
-void RankAgent::get(const std::string &target,
-                    std::function<void(int, std::string)> done) {
-  call({"GET " + target + " HTTP/1.1\r\nHost: " + Settings.Server.Value +
-            "\r\n\r\n",
-        std::move(done)});
+          LogLine("reload").add("server", settings.Server.Value).text());
 }
 
-void RankAgent::call(ServerCall call) {
-  Calls.push_back(std::move(call));
-  startCall();
-}
+// The rank's state.
 
-void RankAgent::startCall() {
-  if (IsCalling || Calls.empty())
-    return;
-  IsCalling = true;
-  Body.clear();
-  Status = 0;
-  bool isUsable = Connection && Connection->isReusable() &&
-                  Clock::now() < Connection->usableUntil();
-  if (!isUsable)
-    Connection = std::make_unique<HttpClientConnection>(Loop, Settings.Server,
-                                                        ConnectTimeout);
-  ExchangeEvents events;
-  events.OnHead = [this](const HttpHead &head) {
-    Status = head.Status;
-    return true;
-  };
-  events.OnBody = [this](std::string_view piece) { Body.append(piece); };
-  events.OnEnd = [this](ExchangeEnd how, std::string_view) {
-    endCall(how == ExchangeEnd::Complete ? Status : 0);
-  };
-  Connection->send(Calls.front().Text, false, std::move(events));
-  CallLimit.start(CallTimeout);
+// Forgets what this process promised and began. Entries have to ask it anew.
+void RankAgent::startOver(const RankServerState &state) {
+  Switch = makeRank(state.Self, newIncarnation(), rankLimits());
+  Work.reset();
+  Maps.clear();
+  PrepareSent = {};
+  Cancelled = {};
+  OwnPlaces.clear();
 }
 
-void RankAgent::endCall(int status) {
-  if (!IsCalling)
-    return;
-  CallLimit.stop();
-  IsCalling = false;
-  if (status == 0)
-    Connection.reset();
-  ServerCall done = std::move(Calls.front());
-  Calls.pop_front();
-  done.Done(status, std::move(Body));
-  startCall();
+void RankAgent::reviewPause(Clock::time_point now) {
+  bool hasPaused = PolledAt && now - *PolledAt > FrozenFor;
+  if (hasPaused)
+    logWarning(Part::Group,
+               LogLine("paused").addMs("for_ms", now - *PolledAt).text());
+  if (hasPaused && Server && Switch) {
+    startOver(*Server);
+    IsFirstRead = true;
+  }
+  PolledAt = now;
 }
 
-// The rank's state.
-
 void RankAgent::poll() {
+  reviewPause(Clock::now());
   if (!IsPolling && !Work) {
     IsPolling = true;
     readState([this] { IsPolling = false; });
@@ -185,24 +152,13 @@
 }
 
 void RankAgent::readState(std::function<void()> done) {
-  get(Dialect.StateTarget,
-      [this, done = std::move(done)](int status, std::string body) {
-        recoverFrom(
-            [&]() -> Result<void> {
-              if (status != StatusOk)
-                return fail(ErrorKind::EndpointFailed,
-                            "the server's state can't be read, status " +
-                                std::to_string(status));
-              BOOST_LEAF_AUTO(state, Dialect.ReadState(body));
-              takeState(state);
-              return {};
-            },
-            [&](const Error &e) {
-              logDebug(Part::Group, e.Message);
-              IsFresh = false;
-            });
-        done();
-      });
+  Calls.readState([this, done = std::move(done)](
+                      const std::optional<RankServerState> &state) {
+    IsFresh = state.has_value();
+    if (state)
+      takeState(*state);
+    done();
+  });
 }
 
 void RankAgent::takeState(const RankServerState &state) {
@@ -210,7 +166,6 @@
                  Server->Epoch != state.Epoch || Server->Self != state.Self;
   bool isTurned = Server && Server->IsOpen != state.IsOpen;
   Server = state;
-  IsFresh = true;
   if (isTurned)
     tellWatchers(false);
   if (isOther && !state.Group.empty()) {
@@ -222,16 +177,11 @@
                 .add("map", static_cast<std::int64_t>(state.InUse.Value))
                 .text());
     // What an earlier epoch promised or began is void.
-    Switch = makeRank(state.Self, newIncarnation(), rankLimits());
-    Work.reset();
-    Maps.clear();
-    PrepareSent = {};
-    Cancelled = {};
+    startOver(state);
     LastStep = {};
-    OwnPlaces.clear();
   }
   if (IsFirstRead)
-    LastStep = lastStepBefore(state);
+    LastStep = std::max(LastStep, lastStepBefore(state));
   IsFirstRead = false;
   if (!Switch || Work)
     return;
@@ -282,37 +232,21 @@
   }
 }
 
-// The counts of all layers tell how many experts there are.
-void RankAgent::readExperts() {
-  get(Dialect.CountsTarget, [this](int status, const std::string &body) {
-    recoverFrom(
-        [&]() -> Result<void> {
-          if (status != StatusOk || OwnPlaces.empty())
-            return {};
-          BOOST_LEAF_AUTO(counts, Dialect.ReadCounts(body));
-          Experts = counts.size() / OwnPlaces.size();
-          return {};
-        },
-        [](const Error &e) { logWarning(Part::Group, e.Message); });
+void RankAgent::readOwnPlaces() {
+  OwnPlacesOf = Server->InUse;
+  OwnPlaces.clear();
+  Calls.readPlaces([this](const std::vector<std::vector<Expert>> &places) {
+    OwnPlaces = places;
+    if (Experts == 0)
+      readExperts();
   });
 }
 
-void RankAgent::readOwnPlaces() {
-  OwnPlacesOf = Server->InUse;
-  get(Dialect.PlacesTarget, [this](int status, const std::string &body) {
-    recoverFrom(
-        [&]() -> Result<void> {
-          if (status != StatusOk)
-            return fail(ErrorKind::EndpointFailed, "own experts unknown");
-          BOOST_LEAF_ASSIGN(OwnPlaces, Dialect.ReadPlaces(body));
-          if (Experts == 0)
-            readExperts();
-          return {};
-        },
-        [&](const Error &e) {
-          OwnPlaces.clear();
-          logWarning(Part::Group, e.Message);
-        });
+// The counts of all layers tell how many experts there are.
+void RankAgent::readExperts() {
+  Calls.readCounts([this](const std::vector<std::uint64_t> &counts) {
+    if (!OwnPlaces.empty())
+      Experts = counts.size() / OwnPlaces.size();
   });
 }
 
@@ -395,34 +329,16 @@
     places = map->second;
   else if (order.Kind == ServerMapOrder::Prepare)
     places = fencePlaces(OwnPlaces, Server->Self, Server->Size, Experts);
-  std::string body = Dialect.WriteOrder(order, places);
-  std::string text = "POST " + Dialect.OrderTarget +
-                     " HTTP/1.1\r\nHost: " + Settings.Server.Value +
-                     "\r\nContent-Type: application/json\r\nContent-Length: " +
-                     std::to_string(body.size()) + "\r\n\r\n" + body;
-  auto sentAt = Clock::now();
-  call(
-      {std::move(text), [this, order, sentAt](int status, const std::string &) {
-         logInfo(Part::Group,
-                 LogLine("map_order")
-                     .add("order", static_cast<std::int64_t>(order.Kind))
-                     .add("map", static_cast<std::int64_t>(order.Map.Value))
-                     .add("step", static_cast<std::int64_t>(order.Step.Value))
-                     .add("epoch", static_cast<std::int64_t>(order.Epoch))
-                     .add("status", status)
-                     .addMs("took_ms", Clock::now() - sentAt)
-                     .text());
-         if (!Work)
-           return;
-         bool isPrepare = order.Kind == ServerMapOrder::Prepare;
-         bool isTaken = status == StatusOk || status == StatusAccepted;
-         if (isPrepare && isTaken) {
-           // The copy takes a while; its end shows in the state.
-           PrepareSent = order.Map;
-           return endWork(false);
-         }
-         readState([this] { stepWork(); });
-       }});
+  Calls.give(order, places, [this, order](bool isTaken) {
+    if (!Work)
+      return;
+    if (order.Kind == ServerMapOrder::Prepare && isTaken) {
+      // The copy takes a while; its end shows in the state.
+      PrepareSent = order.Map;
+      return endWork(false);
+    }
+    readState([this] { stepWork(); });
+  });
 }
 
 void RankAgent::endWork(bool refused) {
@@ -450,32 +366,15 @@
   // What was read before the server went away says nothing of now.
   if (!Server || !IsFresh)
     return;
-  if (ask.with_places()) {
-    get(Dialect.PlacesTarget, [this, to](int status, const std::string &body) {
-      recoverFrom(
-          [&]() -> Result<void> {
-            if (status != StatusOk)
-              return {};
-            BOOST_LEAF_AUTO(places, Dialect.ReadPlaces(body));
-            sendState(to, {}, places);
-            return {};
-          },
-          [](const Error &e) { logWarning(Part::Group, e.Message); });
-    });
-    return;
-  }
+  if (ask.with_places())
+    return Calls.readPlaces(
+        [this, to](const std::vector<std::vector<Expert>> &places) {
+          sendState(to, {}, places);
+        });
   if (!ask.with_counts())
     return sendState(to, {}, {});
-  get(Dialect.CountsTarget, [this, to](int status, const std::string &body) {
-    recoverFrom(
-        [&]() -> Result<void> {
-          if (status != StatusOk)
-            return {};
-          BOOST_LEAF_AUTO(counts, Dialect.ReadCounts(body));
-          sendState(to, counts, {});
-          return {};
-        },
-        [](const Error &e) { logWarning(Part::Group, e.Message); });
+  Calls.readCounts([this, to](const std::vector<std::uint64_t> &counts) {
+    sendState(to, counts, {});
   });
 }
 
--- /dev/null
+++ b/src/direct/rank_server_client.cpp
@@ -0,0 +1,153 @@
+#include "greengagespar/direct/rank_server_client.h"
+
+#include "greengagespar/base/log.h"
+#include "greengagespar/base/log_output.h"
+
+namespace greengagespar {
+
+namespace {
+
+constexpr int StatusOk = 200;
+constexpr int StatusAccepted = 202;
+
+// Reads the body of an answer with \p read; null, after a log line, when it
+// can't be read.
+template <class T>
+std::optional<T> readBody(int status, const std::string &body,
+                          Result<T> (*read)(std::string_view),
+                          std::string_view what, LogLevel level) {
+  std::optional<T> out;
+  recoverFrom(
+      [&]() -> Result<void> {
+        if (status != StatusOk)
+          return fail(ErrorKind::EndpointFailed,
+                      "status " + std::to_string(status));
+        BOOST_LEAF_AUTO(value, read(body));
+        out = std::move(value);
+        return {};
+      },
+      [&](const Error &e) {
+        logMessage(Part::Group, level,
+                   LogLine("server_unreadable")
+                       .add("what", what)
+                       .add("why", e.Message)
+                       .text());
+      });
+  return out;
+}
+
+} // namespace
+
+RankServerClient::RankServerClient(event_base *loop, Address server,
+                                   const RankDialect &dialect)
+    : Loop(loop), Server(std::move(server)), Dialect(dialect),
+      Limit(loop, [this] { end(0); }) {}
+
+void RankServerClient::setServer(const Address &server) {
+  if (Server != server)
+    Connection.reset();
+  Server = server;
+}
+
+void RankServerClient::readState(
+    std::function<void(const std::optional<RankServerState> &)> done) {
+  get(Dialect.StateTarget, [this, done = std::move(done)](
+                               int status, const std::string &body) {
+    done(readBody(status, body, Dialect.ReadState, "state", LogLevel::Debug));
+  });
+}
+
+void RankServerClient::readCounts(
+    std::function<void(const std::vector<std::uint64_t> &)> done) {
+  get(Dialect.CountsTarget,
+      [this, done = std::move(done)](int status, const std::string &body) {
+        if (auto it = readBody(status, body, Dialect.ReadCounts, "counts",
+                               LogLevel::Warning))
+          done(*it);
+      });
+}
+
+void RankServerClient::readPlaces(
+    std::function<void(const std::vector<std::vector<Expert>> &)> done) {
+  get(Dialect.PlacesTarget,
+      [this, done = std::move(done)](int status, const std::string &body) {
+        if (auto it = readBody(status, body, Dialect.ReadPlaces, "places",
+                               LogLevel::Warning))
+          done(*it);
+      });
+}
+
+void RankServerClient::give(const RankServerOrder &order,
+                            const RankPlaces &places,
+                            std::function<void(bool)> done) {
+  std::string body = Dialect.WriteOrder(order, places);
+  std::string text = "POST " + Dialect.OrderTarget +
+                     " HTTP/1.1\r\nHost: " + Server.Value +
+                     "\r\nContent-Type: application/json\r\nContent-Length: " +
+                     std::to_string(body.size()) + "\r\n\r\n" + body;
+  auto sentAt = Clock::now();
+  add({std::move(text), [this, order, sentAt, done = std::move(done)](
+                            int status, const std::string &) {
+         logInfo(Part::Group,
+                 LogLine("map_order")
+                     .add("server", Server.Value)
+                     .add("order", static_cast<std::int64_t>(order.Kind))
+                     .add("map", static_cast<std::int64_t>(order.Map.Value))
+                     .add("step", static_cast<std::int64_t>(order.Step.Value))
+                     .add("epoch", static_cast<std::int64_t>(order.Epoch))
+                     .add("status", status)
+                     .addMs("took_ms", Clock::now() - sentAt)
+                     .text());
+         done(status == StatusOk || status == StatusAccepted);
+       }});
+}
+
+void RankServerClient::get(const std::string &target,
+                           std::function<void(int, std::string)> done) {
+  add({"GET " + target + " HTTP/1.1\r\nHost: " + Server.Value + "\r\n\r\n",
+       std::move(done)});
+}
+
+void RankServerClient::add(Call call) {
+  Calls.push_back(std::move(call));
+  startNext();
+}
+
+void RankServerClient::startNext() {
+  if (IsCalling || Calls.empty())
+    return;
+  IsCalling = true;
+  Body.clear();
+  Status = 0;
+  bool isUsable = Connection && Connection->isReusable() &&
+                  Clock::now() < Connection->usableUntil();
+  if (!isUsable)
+    Connection =
+        std::make_unique<HttpClientConnection>(Loop, Server, RankCallTimeout);
+  ExchangeEvents events;
+  events.OnHead = [this](const HttpHead &head) {
+    Status = head.Status;
+    return true;
+  };
+  events.OnBody = [this](std::string_view piece) { Body.append(piece); };
+  events.OnEnd = [this](ExchangeEnd how, std::string_view) {
+    end(how == ExchangeEnd::Complete ? Status : 0);
+  };
+  Connection->send(Calls.front().Text, false, std::move(events));
+  Limit.start(RankCallTimeout);
+}
+
+void RankServerClient::end(int status) {
+  if (!IsCalling)
+    return;
+  Limit.stop();
+  IsCalling = false;
+  if (status == 0)
+    Connection.reset();
+  Call ended = std::move(Calls.front());
+  Calls.pop_front();
+  ended.Done(status, std::move(Body));
+  startNext();
+}
+
+} // namespace greengagespar
--- a/src/include/greengagespar/direct/rank_agent.h
+++ b/src/include/greengagespar/direct/rank_agent.h
@@ -8,11 +8,10 @@
 
 #include "greengagespar/base/schema.h"
 #include "greengagespar/direct/map_messages.h"
+#include "greengagespar/direct/rank_server_client.h"
 #include "greengagespar/group/rank.h"
-#include "greengagespar/http/client.h"
 #include "greengagespar/link/link.h"
 #include "greengagespar/store/timer.h"
-#include <deque>
 #include <map>
 
 namespace greengagespar {
@@ -46,23 +45,12 @@
   void reload(const RankAgentSettings &settings);
 
 private:
-  /// A call of the server. Calls are made one at a time.
-  struct ServerCall {
-    std::string Text;
-    std::function<void(int status, std::string body)> Done;
-  };
   /// An entry that asked for the state lately.
   struct Watcher {
     PeerId At;
     Clock::time_point AskedAt;
   };
 
-  void get(const std::string &target,
-           std::function<void(int, std::string)> done);
-  void call(ServerCall call);
-  void startCall();
-  void endCall(int status);
-
   void onEnvelope(const PeerId &from, const wire::Envelope &envelope);
   void answerState(const PeerId &to, const wire::RankAsk &ask);
   void sendState(const PeerId &to, const std::vector<std::uint64_t> &counts,
@@ -73,6 +61,8 @@
   void readOwnPlaces();
   void readExperts();
   void poll();
+  void reviewPause(Clock::time_point now);
+  void startOver(const RankServerState &state);
   void readState(std::function<void()> done);
   void takeState(const RankServerState &state);
   void act(const std::vector<RankAction> &actions);
@@ -86,14 +76,9 @@
 
   event_base *Loop;
   RankAgentSettings Settings;
-  const RankDialect &Dialect;
   LinkIdentity Self;
   LinkServer Link;
-  std::unique_ptr<HttpClientConnection> Connection;
-  std::deque<ServerCall> Calls;
-  std::string Body;
-  int Status = 0;
-  bool IsCalling = false;
+  RankServerClient Calls;
   std::optional<RankServerState> Server; ///< As it was last read.
   bool IsFresh = false;                  ///< The last read succeeded.
   std::optional<RankState> Switch;       ///< Set while the rank is in a group.
@@ -110,8 +95,8 @@
   StepNumber LastStep; ///< The last one that was armed for.
   std::optional<Clock::time_point> HeldSince;
   bool IsPolling = false;
+  std::optional<Clock::time_point> PolledAt;
   Timer Poll;
-  Timer CallLimit;
 };
 
 } // namespace greengagespar
