--- a/src/direct/map_keeper.cpp
+++ b/src/direct/map_keeper.cpp
@@ -160,10 +160,9 @@
 } // namespace
 
 MapKeeper::MapKeeper(event_base *loop, zmq::context_t &context,
-                     const LinkIdentity &self, const RankDialect &dialect,
-                     MapKeeperHooks hooks)
-    : Loop(loop), Context(context), Self(self), Dialect(dialect),
-      Hooks(std::move(hooks)), Ticker(loop, [this] { tick(); }) {
+                     const LinkIdentity &self, MapKeeperHooks hooks)
+    : Loop(loop), Context(context), Self(self), Hooks(std::move(hooks)),
+      Ticker(loop, [this] { tick(); }) {
   Ticker.start(IdleTick);
 }
 
@@ -240,7 +239,6 @@
     group.Engine = Engine;
     group.Ranks.assign(state.size(), {});
     group.Driver.reset();
-    group.AtServers.clear();
     group.SettleWanted.reset();
     group.Loads = makeLoadTable(shapeOf(group), DemandHalfLife);
     group.PeriodCounts.assign(group.Loads.Loads.size(), 0);
@@ -275,20 +273,18 @@
   recoverFrom(
       [&]() -> Result<void> {
         BOOST_LEAF_AUTO(report, readMapReport(message));
-        takeReport(report.Epoch, report.Report);
+        HighestLease =
+            std::max(HighestLease, report.Report.Promised.Lease.Value);
+        for (auto &[name, group] : Groups)
+          if (group.Epoch == report.Epoch && group.Driver)
+            apply(name, group,
+                  decideDriver(*group.Driver, ReportCame{report.Report},
+                               Clock::now()));
         return {};
       },
       [](const Error &e) { logWarning(Part::Group, e.Message); });
 }
 
-void MapKeeper::takeReport(std::uint64_t epoch, const RankReport &report) {
-  HighestLease = std::max(HighestLease, report.Promised.Lease.Value);
-  for (auto &[name, group] : Groups)
-    if (group.Epoch == epoch && group.Driver)
-      apply(name, group,
-            decideDriver(*group.Driver, ReportCame{report}, Clock::now()));
-}
-
 void MapKeeper::drive(const std::string &name, KeptGroup &group,
                       Clock::time_point now) {
   std::size_t position = Hooks.Position();
@@ -368,15 +364,10 @@
         writeMapResume(group.Epoch, group.Driver->Number);
     agent->second->send(envelope);
   }
-  for (auto &[rank, decision] : group.AtServers)
-    if (decision && decision->order().Map == group.Driver->Map)
-      decision->resume();
 }
 
 void MapKeeper::send(KeptGroup &group, const MapOrder &order) {
   const KnownRank &rank = group.Ranks[indexOf(order.To)];
-  if (goesToServer(order, rank.HeardAt, Clock::now()))
-    sendToServer(group, order);
   auto agent = Agents.find(rank.Agent);
   if (agent == Agents.end())
     return;
@@ -390,24 +381,6 @@
   agent->second->send(envelope);
 }
 
-// The order goes to the rank's process as well: it may only be slow.
-void MapKeeper::sendToServer(KeptGroup &group, const MapOrder &order) {
-  const KnownRank &rank = group.Ranks[indexOf(order.To)];
-  auto &decision = group.AtServers[order.To];
-  bool isUnderWay =
-      decision && !decision->isIdle() && decision->order() == order;
-  std::optional<Address> server = Hooks.ServerOf(rank.Agent);
-  if (isUnderWay || !server)
-    return;
-  RemoteGoal goal{order, group.Epoch, rank.Places, group.Engine.Experts};
-  decision = std::make_unique<RemoteDecision>(
-      Loop, *server, Dialect, std::move(goal),
-      [this, epoch = group.Epoch](const MapOrder &it,
-                                  const RankServerState &state) {
-        takeReport(epoch, reportOfServer(it, state));
-      });
-}
-
 void MapKeeper::endPeriod(const std::string &name, KeptGroup &group,
                           Clock::time_point now) {
   auto length =
@@ -447,9 +420,6 @@
           .text());
   if (!isMove)
     return;
-  std::erase_if(group.AtServers, [](const auto &it) {
-    return !it.second || it.second->isIdle();
-  });
   group.NextPlaces = placesOf(next.Next);
   group.SwitchAt = Clock::now();
   apply(name, group, decideDriver(*group.Driver, SwitchWanted{}, Clock::now()));
--- a/src/include/greengagespar/direct/direct_entry.h
+++ b/src/include/greengagespar/direct/direct_entry.h
@@ -43,7 +43,6 @@
   ServerPool &poolOf(const ServiceId &service);
   void shareRetries();
   void findAgents();
-  const EndpointView *serverBeside(const Address &agent) const;
   void noteRank(const Address &agent, bool isOpen);
   MapKeeperHooks mapHooks();
   PeerLinksHooks peerHooks();
--- a/src/include/greengagespar/direct/map_keeper.h
+++ b/src/include/greengagespar/direct/map_keeper.h
@@ -8,7 +8,6 @@
 
 #include "greengagespar/base/clock.h"
 #include "greengagespar/direct/map_messages.h"
-#include "greengagespar/direct/remote_decision.h"
 #include "greengagespar/direct/site.h"
 #include "greengagespar/group/driver.h"
 #include "greengagespar/group/planner.h"
@@ -44,8 +43,6 @@
   Clock::time_point PeriodFrom{};
   RankPlaces NextPlaces;        ///< The map that a switch leads to.
   Clock::time_point SwitchAt{}; ///< When the last switch began.
-  /// Decisions for ranks whose processes are silent.
-  std::map<Rank, std::unique_ptr<RemoteDecision>> AtServers;
 };
 
 /// What the keeper needs of its owner.
@@ -54,8 +51,6 @@
   std::function<std::size_t()> Position;
   /// A rank told how busy its server is.
   std::function<void(const Address &agent, const wire::RankState &)> OnState;
-  /// The server beside which the process at \p agent runs, if it is known.
-  std::function<std::optional<Address>(const Address &agent)> ServerOf;
 };
 
 /// The keeper of one process.
@@ -63,7 +58,7 @@
 public:
   /// Precondition: all arguments outlive the keeper.
   MapKeeper(event_base *loop, zmq::context_t &context, const LinkIdentity &self,
-            const RankDialect &dialect, MapKeeperHooks hooks);
+            MapKeeperHooks hooks);
 
   /// Takes the processes beside the servers of groups. \p engine: how these
   /// servers work.
@@ -80,8 +75,6 @@
   void apply(const std::string &name, KeptGroup &group,
              const std::vector<DriverAction> &actions);
   void send(KeptGroup &group, const MapOrder &order);
-  void sendToServer(KeptGroup &group, const MapOrder &order);
-  void takeReport(std::uint64_t epoch, const RankReport &report);
   void resume(KeptGroup &group);
   void endPeriod(const std::string &name, KeptGroup &group,
                  Clock::time_point now);
@@ -90,7 +83,6 @@
   event_base *Loop;
   zmq::context_t &Context;
   const LinkIdentity &Self;
-  const RankDialect &Dialect;
   MapKeeperHooks Hooks;
   EngineProfile Engine;
   std::map<Address, std::unique_ptr<LinkClient>> Agents;
