--- a/src/direct/direct_entry.cpp
+++ b/src/direct/direct_entry.cpp
@@ -97,9 +97,10 @@
                 [this](const HttpRequestMessage &request,
                        const std::shared_ptr<HttpReply> &reply) {
                   if (request.Head.Target == "/metrics")
-                    return answerMetrics(reply);
+                    return sendMetrics(*reply, renderMetrics());
                   answerEdge(Dialect.ClassifyCall(request.Head), reply);
                 }),
+      MetricsAddress(loop, [this] { return renderMetrics(); }),
       DirectoryEdge(loop, {},
                     [this](const HttpRequestMessage &request,
                            const std::shared_ptr<HttpReply> &reply) {
@@ -199,6 +200,7 @@
   StartedAt = Clock::now();
   BOOST_LEAF_CHECK(Requests.listen(Settings.Listen));
   BOOST_LEAF_CHECK(ReadyEdge.listen(Settings.Ready));
+  MetricsAddress.listen(Settings.Metrics);
   BOOST_LEAF_CHECK(DirectoryEdge.listen(Settings.Directory));
   Peers.addSeeds(Settings.Peers);
   BOOST_LEAF_CHECK(Peers.start());
@@ -363,7 +365,7 @@
                    Dialect.WriteAddresses(entries, Settings.AddressKeep));
 }
 
-void DirectEntry::answerMetrics(const std::shared_ptr<HttpReply> &reply) {
+std::string DirectEntry::renderMetrics() {
   setGauge(Numbers, {"greengagespar_configuration_version"},
            static_cast<double>(Self.Settings.Value));
   setGauge(Numbers, {"greengagespar_requests_open"},
@@ -383,8 +385,7 @@
              {"greengagespar_server_connections", {{"service", id.Value}}},
              static_cast<double>(pool->opened()));
   }
-  reply->sendWhole(StatusOk, {{"Content-Type", "text/plain; version=0.0.4"}},
-                   renderPrometheus(Numbers));
+  return renderPrometheus(Numbers);
 }
 
 void DirectEntry::reject(const CallFacts &facts,
--- a/src/direct/direct_settings.cpp
+++ b/src/direct/direct_settings.cpp
@@ -29,6 +29,8 @@
             "Address that other entries connect to."),
       field("store", &S::Store, ipPort(), required,
             "Address of the platform's object store."),
+      field("metrics", &S::Metrics, ipPort(), optional,
+            "Address that shows this process's metrics."),
       field("rank_port", &S::RankPort, wholeNumber("port", {0, 65535}),
             optional,
             "Link port of the processes beside the ranks of groups, on their "
--- a/src/direct/rank_agent.cpp
+++ b/src/direct/rank_agent.cpp
@@ -54,6 +54,8 @@
             "Address that entries connect to."),
       field("server", &S::Server, ipPort(), Presence::Required,
             "Address of the rank's server on this host."),
+      field("metrics", &S::Metrics, ipPort(), Presence::Optional,
+            "Address that shows this process's metrics."),
       field("log_lines_per_second", &S::LogLinesPerSecond,
             wholeNumber("lines", {1, 100000}), Presence::Optional,
             "Most log lines in a second; more are counted and left out."),
@@ -80,6 +82,7 @@
                      const RankDialect &dialect)
     : Loop(loop),
       Settings(settings), Self{settings.Name, newIncarnation(), Generation{}},
+      MetricsAddress(loop, [this] { return renderMetrics(); }),
       Link(loop, context, Self,
            [this](const PeerId &from, const wire::Envelope &envelope) {
              onEnvelope(from, envelope);
@@ -88,6 +91,7 @@
 
 Result<void> RankAgent::start() {
   BOOST_LEAF_CHECK(Link.bind(Settings.Link));
+  MetricsAddress.listen(Settings.Metrics);
   poll();
   logInfo(Part::Group, LogLine("start")
                            .add("name", Settings.Name.Value)
@@ -128,6 +132,8 @@
   Calls.readState([this, done = std::move(done)](
                       const std::optional<RankServerState> &state) {
     IsFresh = state.has_value();
+    countUp(Numbers, {"greengagespar_server_reads_total",
+                      {{"read", IsFresh ? "yes" : "no"}}});
     if (state)
       takeState(*state);
     done();
@@ -307,7 +313,15 @@
     places = fencePlaces(OwnPlaces, Server->Self, Server->Size, Experts);
   if (order.Kind == ServerMapOrder::Go)
     noteGo(LastArm, *Work, order.Step);
-  Calls.give(order, places, [this, order](bool isTaken) {
+  auto sentAt = Clock::now();
+  Calls.give(order, places, [this, order, sentAt](bool isTaken) {
+    auto now = Clock::now();
+    countUp(Numbers, {"greengagespar_map_orders_total",
+                      {{"order", std::string(serverOrderName(order.Kind))},
+                       {"taken", isTaken ? "yes" : "no"}}});
+    observe(Numbers, {"greengagespar_map_order_ms"},
+            std::chrono::duration<double, std::milli>(now - sentAt).count(),
+            now);
     if (!Work)
       return;
     if (order.Kind == ServerMapOrder::Prepare && isTaken) {
@@ -358,6 +372,26 @@
   });
 }
 
+std::string RankAgent::renderMetrics() {
+  setGauge(Numbers, {"greengagespar_watchers"},
+           static_cast<double>(Watchers.size()));
+  setGauge(Numbers, {"greengagespar_server_read_lately"}, IsFresh ? 1 : 0);
+  if (Server) {
+    setGauge(Numbers, {"greengagespar_group_open"}, Server->IsOpen ? 1 : 0);
+    setGauge(Numbers, {"greengagespar_group_epoch"},
+             static_cast<double>(Server->Epoch));
+    setGauge(Numbers, {"greengagespar_step"},
+             static_cast<double>(Server->Step.Value));
+    setGauge(Numbers, {"greengagespar_map_in_use"},
+             static_cast<double>(Server->InUse.Value));
+    setGauge(Numbers, {"greengagespar_step_held"}, Server->Held ? 1 : 0);
+    setGauge(Numbers, {"greengagespar_server_running"}, Server->Running);
+    setGauge(Numbers, {"greengagespar_server_waiting"}, Server->Waiting);
+    setGauge(Numbers, {"greengagespar_server_pace"}, Server->Pace);
+  }
+  return renderPrometheus(Numbers);
+}
+
 void RankAgent::fillState(wire::RankState &out) const {
   out.set_group(Server->Group);
   out.set_epoch(Server->Epoch);
--- a/src/include/greengagespar/direct/direct_entry.h
+++ b/src/include/greengagespar/direct/direct_entry.h
@@ -8,6 +8,7 @@
 #include "greengagespar/direct/direct_settings.h"
 #include "greengagespar/direct/exchange.h"
 #include "greengagespar/direct/map_keeper.h"
+#include "greengagespar/direct/metrics_edge.h"
 #include "greengagespar/direct/site_follower.h"
 #include "greengagespar/link/settings_pulls.h"
 #include "greengagespar/peers/peer_links.h"
@@ -33,7 +34,7 @@
   void onRequest(HttpRequestMessage request, std::shared_ptr<HttpReply> reply);
   void answerEdge(EdgeCall call, const std::shared_ptr<HttpReply> &reply);
   void answerAddresses(const std::shared_ptr<HttpReply> &reply);
-  void answerMetrics(const std::shared_ptr<HttpReply> &reply);
+  std::string renderMetrics();
   void reject(const CallFacts &facts, const std::shared_ptr<HttpReply> &reply,
               int status, std::string_view reason);
   std::optional<Deadline> dueOf(const CallFacts &facts, const Route &route,
@@ -66,6 +67,7 @@
   MapKeeper Maps;
   HttpEdge Requests;
   HttpEdge ReadyEdge;
+  MetricsEdge MetricsAddress;
   HttpEdge DirectoryEdge;
   std::map<ServiceId, std::unique_ptr<ServerPool>> Pools;
   std::unordered_map<CallId, std::unique_ptr<Exchange>> Open;
--- a/src/include/greengagespar/direct/direct_settings.h
+++ b/src/include/greengagespar/direct/direct_settings.h
@@ -17,6 +17,7 @@
   Address Directory;       ///< For questions which entries to connect to.
   Address Link;            ///< For links from other entries.
   Address Store;           ///< The platform's object store.
+  Address Metrics;         ///< For readers of metrics; empty: none.
   int RankPort = 0; ///< Link port of the processes beside ranks; 0: none.
   std::vector<Address> Peers;            ///< Link addresses of some entries.
   std::chrono::milliseconds Grace{8000}; ///< From a stop to its forced end.
--- a/src/include/greengagespar/direct/rank_agent.h
+++ b/src/include/greengagespar/direct/rank_agent.h
@@ -8,9 +8,11 @@
 
 #include "greengagespar/base/schema.h"
 #include "greengagespar/direct/map_messages.h"
+#include "greengagespar/direct/metrics_edge.h"
 #include "greengagespar/direct/rank_server_client.h"
 #include "greengagespar/group/rank.h"
 #include "greengagespar/link/link.h"
+#include "greengagespar/report/metrics.h"
 #include "greengagespar/store/timer.h"
 #include <map>
 
@@ -18,9 +20,10 @@
 
 /// What a rank's process learns from its settings file. Plain value.
 struct RankAgentSettings {
-  HostId Name;    ///< Unique among all processes.
-  Address Link;   ///< For links from entries.
-  Address Server; ///< The rank's server on this host; empty: none.
+  HostId Name;     ///< Unique among all processes.
+  Address Link;    ///< For links from entries.
+  Address Server;  ///< The rank's server on this host; empty: none.
+  Address Metrics; ///< For readers of metrics; empty: none.
   int LogLinesPerSecond = 200;
 };
 
@@ -69,12 +72,15 @@
   void stepWork();
   void giveOrder(const RankServerOrder &order);
   void endWork(bool refused);
+  std::string renderMetrics();
   void fillState(wire::RankState &out) const;
   void tellWatchers(bool wantsSettlement);
 
   event_base *Loop;
   RankAgentSettings Settings;
   LinkIdentity Self;
+  Metrics Numbers;
+  MetricsEdge MetricsAddress;
   LinkServer Link;
   RankServerClient Calls;
   std::optional<RankServerState> Server; ///< As it was last read.
--- a/src/include/greengagespar/direct/rank_server.h
+++ b/src/include/greengagespar/direct/rank_server.h
@@ -67,6 +67,9 @@
 /// The orders that a server takes.
 enum class ServerMapOrder { Prepare, Arm, Disarm, Hold, Go };
 
+/// Returns the name of an order for logs and metrics. Thread safe.
+std::string_view serverOrderName(ServerMapOrder order);
+
 /// One order to the server.
 struct RankServerOrder {
   ServerMapOrder Kind = ServerMapOrder::Go;
--- a/testsuite/direct/path_test.cpp
+++ b/testsuite/direct/path_test.cpp
@@ -164,4 +164,19 @@
                            "outcome=\"answered\"") != std::string::npos);
 }
 
+BOOST_AUTO_TEST_CASE(metrics_atAnAddressOfTheirOwn_areServed) {
+  Settings.Metrics = freeAddress();
+  startEntry();
+  BOOST_TEST(askAt(Settings.Metrics, "/metrics")
+                 .Body.find("greengagespar_configuration_version 1") !=
+             std::string::npos);
+  BOOST_TEST(askAt(Settings.Metrics, "/").Head.Status == 404);
+}
+
+BOOST_AUTO_TEST_CASE(metrics_whoseAddressIsTaken_areLeftOut) {
+  Settings.Metrics = Objects.at();
+  startEntry();
+  BOOST_TEST(askAt(Settings.Ready, "/-/ready").Head.Status == 200);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
