The entry that has run longest drives the expert maps

Ruled out: reports of load between entries.

Change: order by the time of start, then address. Test: position_whenAnotherStartsAnew_isOneLess (failing before).

--- a/src/direct/direct_entry.cpp
+++ b/src/direct/direct_entry.cpp
@@ -133,7 +133,7 @@
   MapKeeperHooks hooks;
   hooks.Position = [this] {
     bool takesPart = !LeavingSince && Clock::now() - StartedAt > MeetPeers;
-    return positionAmong(Peers.view(), takesPart);
+    return positionAmong(Peers.view(), Self.Life, takesPart);
   };
   hooks.OnState = [this](const Address &agent, const wire::RankState &state) {
     noteRank(agent, state.open());
--- a/src/host/member.cpp
+++ b/src/host/member.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <set>
 #include <string>
+#include <tuple>
 #include <utility>
 
 namespace greengagespar {
@@ -209,11 +210,13 @@
   return count;
 }
 
-std::size_t positionAmong(const MemberView &view, bool takesPart) {
+std::size_t positionAmong(const MemberView &view, Incarnation life,
+                          bool takesPart) {
   auto before = std::ranges::count_if(view.Members, [&](const auto &it) {
     bool isOther = it.first != view.Self;
-    return isOther && takesWork(it.second) &&
-           (!takesPart || it.first < view.Self);
+    bool isOlder =
+        std::tie(it.second.Row.Life, it.first) < std::tie(life, view.Self);
+    return isOther && takesWork(it.second) && (!takesPart || isOlder);
   });
   return static_cast<std::size_t>(before) + (takesPart ? 0 : 1);
 }
--- a/src/host/member_test.cpp
+++ b/src/host/member_test.cpp
@@ -199,15 +199,27 @@
 }
 
 BOOST_AUTO_TEST_CASE(position_ofFirstLiveEntry_isZeroForIt) {
-  BOOST_TEST(positionAmong(View, true) == 0U);
+  BOOST_TEST(positionAmong(View, {1}, true) == 0U);
   View.Self = link(0, 2);
-  BOOST_TEST(positionAmong(View, true) == 2U);
+  BOOST_TEST(positionAmong(View, {1}, true) == 2U);
   mergeMember(View, leaving(row(0, 0, 1, 2)), Now);
-  BOOST_TEST(positionAmong(View, true) == 1U);
+  BOOST_TEST(positionAmong(View, {1}, true) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(position_ofOneThatStartsAnew_isBehindOlderOnes) {
+  BOOST_TEST(positionAmong(View, {2}, true) ==
+             std::size_t{DataCentres} * EntriesEach - 1);
+}
+
+BOOST_AUTO_TEST_CASE(position_whenAnotherStartsAnew_isOneLess) {
+  View.Self = link(0, 2);
+  BOOST_TEST(positionAmong(View, {1}, true) == 2U);
+  mergeMember(View, row(0, 1, 2, 1), Now);
+  BOOST_TEST(positionAmong(View, {1}, true) == 1U);
 }
 
 BOOST_AUTO_TEST_CASE(position_whileStartingOrLeaving_isBehindAllOthers) {
-  BOOST_TEST(positionAmong(View, false) ==
+  BOOST_TEST(positionAmong(View, {1}, false) ==
              std::size_t{DataCentres} * EntriesEach);
 }
 
--- a/src/include/greengagespar/host/member.h
+++ b/src/include/greengagespar/host/member.h
@@ -145,11 +145,12 @@
 /// changes of \p team: the first at once, the others later if still needed.
 std::vector<Address> watcherOrder(const TeamId &team, const MemberView &view);
 
-/// Returns how many live entries stand before this one in order of link
-/// address, so that exactly one of them is at 0 once all views agree. With \p
-/// takesPart false, as while it starts or leaves, this one stands behind all
-/// others.
-std::size_t positionAmong(const MemberView &view, bool takesPart);
+/// Returns how many live entries have run for longer than this one, which began
+/// as \p life, so that exactly one of them is at 0 once all views agree, and
+/// one that starts takes nobody's place. With \p takesPart false, as while it
+/// starts or leaves, this one stands behind all others.
+std::size_t positionAmong(const MemberView &view, Incarnation life,
+                          bool takesPart);
 
 /// How far the live processes have come with the settings.
 struct InForce {
