Log what ranks answer to orders of a switch, and what a settlement waits for

The logs could not tell whether a rank confirmed an order without carrying it out, never received it, or was overruled by another settlement.

map_report: each answer of a rank's process with the state of its server that decided it. rank_refused: a refused order with the phase of the switch, at most five a second for each group. ranks_silent: the phase, the map and the ranks that are waited for. Metrics of an entry: greengagespar_switch_phase_ms and greengagespar_switches. No decision is changed.

--- a/src/direct/direct_entry.cpp
+++ b/src/direct/direct_entry.cpp
@@ -402,6 +402,7 @@
              {"greengagespar_server_connections", {{"service", id.Value}}},
              static_cast<double>(pool->connectionsOpened()));
   }
+  Maps.recordMetrics(Counters, Clock::now());
   return renderPrometheus(Counters);
 }
 
--- a/src/direct/map_coordinator.cpp
+++ b/src/direct/map_coordinator.cpp
@@ -158,6 +158,17 @@
   return rank.Places.empty() || rank.PlacesMap < rank.InUse;
 }
 
+// Returns the indices of \p ranks, separated by commas.
+std::string joinRanks(const std::vector<Rank> &ranks) {
+  std::string text;
+  for (Rank it : ranks) {
+    if (!text.empty())
+      text += ',';
+    text += std::to_string(indexOf(it));
+  }
+  return text;
+}
+
 bool isSteady(const CoordinatedGroup &group) {
   return isDriving(group) && group.Driver->Phase == DriverPhase::Steady;
 }
@@ -288,16 +299,58 @@
         HighestLease =
             std::max(HighestLease, report.Report.Promised.Lease.Value);
         for (auto &[name, group] : Groups)
-          if (group.Epoch == report.Epoch && group.Driver)
+          if (group.Epoch == report.Epoch && group.Driver) {
+            if (!report.Report.Accepted)
+              logRefusal(name, group, report.Report);
             performActions(name, group,
                            decideDriver(*group.Driver,
                                         ReportReceived{report.Report},
                                         Clock::now()));
+          }
         return {};
       },
       [](const Error &e) { logWarning(Part::Group, e.Message); });
 }
 
+// Logs a refused order. The driver repeats an order that it can't give up, so
+// that the lines are limited.
+void MapCoordinator::logRefusal(const std::string &name,
+                                const CoordinatedGroup &group,
+                                const RankReport &report) {
+  logLimited(
+      RefusalLog, name, Clock::now(), Part::Group, LogLevel::Warning,
+      LogLine("rank_refused")
+          .add("group", name)
+          .add("order", orderKindName(report.InReplyTo))
+          .add("phase", driverPhaseName(group.Driver->Phase))
+          .add("rank", static_cast<std::int64_t>(indexOf(report.From)))
+          .add("map", static_cast<std::int64_t>(report.Map.Value))
+          .add("lease", static_cast<std::int64_t>(report.Number.Lease.Value))
+          .add("promised_lease",
+               static_cast<std::int64_t>(report.Promised.Lease.Value))
+          .text());
+}
+
+void MapCoordinator::recordMetrics(Metrics &metrics,
+                                   Clock::time_point now) const {
+  for (const auto &[name, group] : Groups) {
+    bool isOpen = group.Driver && !isSteady(group) &&
+                  group.Driver->Phase != DriverPhase::Stopped;
+    setGauge(metrics, {"greengagespar_switch_phase_ms", {{"group", name}}},
+             isOpen ? std::chrono::duration<double, std::milli>(
+                          now - group.Driver->PhaseSince)
+                          .count()
+                    : 0);
+    for (const auto &[outcome, n] : group.SwitchesEnded)
+      setGauge(metrics,
+               {"greengagespar_switches",
+                {{"group", name},
+                 {"outcome",
+                  outcome == Decision::Release ? "in_use" : "cancelled"}}},
+               static_cast<double>(n));
+  }
+}
+
 void MapCoordinator::drive(const std::string &name, CoordinatedGroup &group,
                            Clock::time_point now) {
   std::size_t position = Hooks.Position();
@@ -347,6 +400,7 @@
     if (const auto *order = std::get_if<SendOrder>(&it)) {
       send(name, group, order->Order);
     } else if (const auto *ended = std::get_if<SwitchEnded>(&it)) {
+      ++group.SwitchesEnded[ended->Outcome];
       logInfo(Part::Group,
               LogLine("switch_ended")
                   .add("group", name)
@@ -362,11 +416,15 @@
         sendResume(group);
       NextRequestAt = {};
     } else if (const auto *failed = std::get_if<GroupFailed>(&it)) {
-      logWarning(Part::Group,
-                 LogLine("ranks_silent")
-                     .add("group", name)
-                     .add("n", static_cast<std::int64_t>(failed->Ranks.size()))
-                     .text());
+      logWarning(
+          Part::Group,
+          LogLine("ranks_silent")
+              .add("group", name)
+              .add("phase", driverPhaseName(group.Driver->Phase))
+              .add("map", static_cast<std::int64_t>(group.Driver->Map.Value))
+              .add("n", static_cast<std::int64_t>(failed->Ranks.size()))
+              .add("ranks", joinRanks(failed->Ranks))
+              .text());
     }
   }
 }
--- a/src/direct/rank_agent.cpp
+++ b/src/direct/rank_agent.cpp
@@ -294,10 +294,33 @@
   }
 }
 
+// Logs a report with the server's state that decided it.
+void RankAgent::logReport(const RankReport &report) const {
+  LogLine line("map_report");
+  line.add("to", orderKindName(report.InReplyTo))
+      .add("accepted", report.Accepted ? "yes" : "no")
+      .add("map", static_cast<std::int64_t>(report.Map.Value))
+      .add("lease", static_cast<std::int64_t>(report.Number.Lease.Value));
+  if (Server) {
+    auto numberOf = [](const auto &it) {
+      return it ? std::to_string(it->Value) : "none";
+    };
+    line.add("at_step", static_cast<std::int64_t>(Server->Step.Value))
+        .add("map_in_use", static_cast<std::int64_t>(Server->InUse.Value))
+        .add("prepared_map", numberOf(Server->Prepared))
+        .add("armed_map",
+             Server->Armed ? std::to_string(Server->Armed->Map.Value) : "none")
+        .add("held_step", numberOf(Server->Held))
+        .add("fresh", IsFresh ? "yes" : "no");
+  }
+  logInfo(Part::Group, line.text());
+}
+
 void RankAgent::sendReport(const RankReport &report) {
   auto requester = Requesters.find(report.Number);
   if (requester == Requesters.end())
     return;
+  logReport(report);
   wire::Envelope envelope;
   *envelope.mutable_map_report() =
       writeMapReport({report, Server ? Server->Epoch : 0});
--- a/src/group/driver.cpp
+++ b/src/group/driver.cpp
@@ -302,6 +302,40 @@
 
 } // namespace
 
+std::string_view orderKindName(OrderKind kind) {
+  switch (kind) {
+  case OrderKind::Promise:
+    return "promise";
+  case OrderKind::Prepare:
+    return "prepare";
+  case OrderKind::Arm:
+    return "arm";
+  case OrderKind::Decide:
+    return "decide";
+  }
+  return "unknown";
+}
+
+std::string_view driverPhaseName(DriverPhase phase) {
+  switch (phase) {
+  case DriverPhase::Settling:
+    return "settling";
+  case DriverPhase::Steady:
+    return "steady";
+  case DriverPhase::Preparing:
+    return "preparing";
+  case DriverPhase::Confirming:
+    return "confirming";
+  case DriverPhase::Arming:
+    return "arming";
+  case DriverPhase::Deciding:
+    return "deciding";
+  case DriverPhase::Stopped:
+    return "stopped";
+  }
+  return "unknown";
+}
+
 DriverState makeDriver(const Ballot &number, std::size_t ranks,
                        SteadyTime leaseEnd, const DriverLimits &limits,
                        SteadyTime now) {
--- a/src/include/greengagespar/direct/map_coordinator.h
+++ b/src/include/greengagespar/direct/map_coordinator.h
@@ -11,12 +11,14 @@
 #define GREENGAGESPAR_DIRECT_MAP_COORDINATOR_H
 
 #include "greengagespar/base/clock.h"
+#include "greengagespar/base/log.h"
 #include "greengagespar/direct/map_messages.h"
 #include "greengagespar/direct/rank_server_client.h"
 #include "greengagespar/direct/site.h"
 #include "greengagespar/group/driver.h"
 #include "greengagespar/group/planner.h"
 #include "greengagespar/link/link.h"
+#include "greengagespar/report/metrics.h"
 #include "greengagespar/store/timer.h"
 #include <functional>
 #include <map>
@@ -51,6 +53,8 @@
   Clock::time_point PeriodStart{};
   RankPlaces NextPlaces; ///< The map that the latest switch leads to.
   Clock::time_point SwitchStartedAt{}; ///< When the latest switch began.
+  /// Number of switches that ended here, by outcome.
+  std::map<Decision, std::uint64_t> SwitchesEnded;
   /// Client of the server of HoldingRank. The driver sends the order to hold
   /// itself. If the agent sent it and its host stopped right after that, the
   /// hold would block the whole group.
@@ -85,12 +89,19 @@
   void setAgents(const std::vector<Address> &agents,
                  const EngineProfile &engine);
 
+  /// Sets in \p metrics, for each group, how long the phase of the switch or
+  /// settlement in progress has lasted (0: none), and the numbers of switches
+  /// that ended.
+  void recordMetrics(Metrics &metrics, Clock::time_point now) const;
+
 private:
   void tick();
   void requestStates(Clock::time_point now);
   void onEnvelope(const Address &agent, const wire::Envelope &envelope);
   void onState(const Address &agent, const wire::RankState &state);
   void onReport(const wire::MapReport &message);
+  void logRefusal(const std::string &name, const CoordinatedGroup &group,
+                  const RankReport &report);
   void drive(const std::string &name, CoordinatedGroup &group,
              Clock::time_point now);
   void performActions(const std::string &name, CoordinatedGroup &group,
@@ -114,6 +125,7 @@
   std::map<Address, std::unique_ptr<LinkClient>> Agents;
   std::map<std::string, CoordinatedGroup> Groups;
   std::uint64_t HighestLease = 0;
+  LogLimiter RefusalLog{5, std::chrono::seconds(1), 64, {}}; ///< By group.
   Clock::time_point NextRequestAt{};
   Timer Ticker;
 };
--- a/src/include/greengagespar/direct/rank_agent.h
+++ b/src/include/greengagespar/direct/rank_agent.h
@@ -87,6 +87,7 @@
   void readState(std::function<void()> done);
   void handleState(const RankServerState &state);
   void performActions(const std::vector<RankAction> &actions);
+  void logReport(const RankReport &report) const;
   void sendReport(const RankReport &report);
   void startWork(const MapOrder &order);
   void continueWork();
--- a/src/include/greengagespar/group/driver.h
+++ b/src/include/greengagespar/group/driver.h
@@ -25,6 +25,7 @@
 #include "greengagespar/group/rank.h"
 #include <chrono>
 #include <optional>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -73,6 +74,10 @@
   Stopped,  ///< The driver sends no more orders.
 };
 
+/// Returns the name of \p phase for logs and metrics, such as "arming". Thread
+/// safe.
+std::string_view driverPhaseName(DriverPhase phase);
+
 /// What a driver knows of a rank.
 struct RankView {
   bool HasAnswered = false; ///< The rank has accepted the order of this phase.
--- a/src/include/greengagespar/group/messages.h
+++ b/src/include/greengagespar/group/messages.h
@@ -21,6 +21,7 @@
 #include <compare>
 #include <cstdint>
 #include <optional>
+#include <string_view>
 
 namespace greengagespar {
 
@@ -66,6 +67,9 @@
   Decide,  ///< Apply the outcome.
 };
 
+/// Returns the name of \p kind for logs, such as "arm". Thread safe.
+std::string_view orderKindName(OrderKind kind);
+
 /// An order to the endpoint process of one rank. All kinds are idempotent.
 struct MapOrder {
   OrderKind Kind = OrderKind::Promise;
