Arm the rank that holds the step instead of taking its hold for the armed map

Cause: engineMapOf reported a held step as an armed map, which a settlement needs. The agent of rank 0 used the same value to decide whether an order to arm was done. If it had read its server between the driver's hold and the order to arm, it confirmed the order and armed nothing. The others were armed and released, but rank 0 refuses to release an unarmed map, rightly; each settlement found the release with the others and met the same refusal, for good. The driver asks all ranks once more just before it holds the step, and each order makes an agent read its server 25 ms later: the larger the group, the longer the round, the more often the read falls into the gap.

Class: one value for two facts, a cautious assumption that was read as a proof.

Change: EngineMap::IsHoldOnly tells a hold from an armed map. An order to arm is done only when the map is armed, and allowed when its step is held. The wire is unchanged. spec/hold.pml had it right (a rank confirms only when armed), so it could not show the fault; mutant ARM_CONFIRMED_BY_HOLD is refused now.

Tests: hold_answeredLate_switchEndsAndPassesGoOn (an entry, three agents, servers), arm_ofARankThatAlreadyHolds_isConfirmedOnlyOnceArmed and switches_withOrdersInTransit_goOnAndNeverMixMaps failed before and pass now. The fixture delivered an order in the turn of the hold, so that no read came in between; orders may now be in transit for several turns.

--- a/spec/hold.pml
+++ b/spec/hold.pml
@@ -1,4 +1,4 @@
-/* mutants: ARM_BEFORE_HOLD NO_FENCE RESUME_BEFORE_ALL_CANCELLED HOLDER_RELEASED_FIRST */
+/* mutants: ARM_BEFORE_HOLD NO_FENCE RESUME_BEFORE_ALL_CANCELLED HOLDER_RELEASED_FIRST ARM_CONFIRMED_BY_HOLD */
 /*
  * The orders of one map switch at the servers of three ranks, where the server
  * of rank 0 holds the step for all (src/direct/rank_server.cpp). map.pml shows
@@ -128,7 +128,11 @@
   do
   :: atomic { ACCEPTS_DRIVER(r) && !armed[r] && !stepBegun &&
               prepared[r] == MAP && (r != HOLDER || held) -> sendArm(r) }
+#ifdef ARM_CONFIRMED_BY_HOLD
+  :: ACCEPTS_DRIVER(r) && (armed[r] || (r == HOLDER && held)) -> break
+#else
   :: ACCEPTS_DRIVER(r) && armed[r] -> break
+#endif
   :: !ACCEPTS_DRIVER(r) -> goto ended
   :: goto refused
   od
--- a/src/direct/rank_server.cpp
+++ b/src/direct/rank_server.cpp
@@ -203,6 +203,7 @@
   bool isCancelled = !state.Armed && pending <= history.Cancelled;
   if ((state.Armed || state.Held) && !isCancelled) {
     map.Stage = MapStage::Armed;
+    map.IsHoldOnly = !state.Armed;
     map.Pending = pending;
     map.Step = state.Armed ? state.Armed->Step : *state.Held;
     return map;
--- a/src/direct/rank_server_test.cpp
+++ b/src/direct/rank_server_test.cpp
@@ -19,6 +19,12 @@
   int AtTurn = 0;
 };
 
+/// An order of the driver that its agent receives at a later turn.
+struct OrderInTransit {
+  MapOrder Order;
+  int AtTurn = 0;
+};
+
 /// One rank: its server and its agent.
 struct SimRank {
   RankServerState Server;
@@ -41,6 +47,7 @@
   std::vector<SimRank> Ranks{Size};
   std::optional<DriverState> Driver;
   std::vector<DelayedOrder> DelayedOrders;
+  std::vector<OrderInTransit> OrdersInTransit;
   std::mt19937_64 Rng;
   SteadyTime Now{};
   std::uint64_t Lease = 0;
@@ -51,6 +58,8 @@
   int Switches = 0;
   double DelayedShare = 0;
   double DeathShare = 0;
+  /// Most turns for which an order of the driver is in transit to its agent.
+  int MaxTransitTurns = 0;
   MapNumber HoldRequestedFor; ///< Map of the driver's latest order to hold.
   /// The rank whose agent neither acts nor receives; empty: none.
   std::optional<std::size_t> PausedRank;
@@ -73,6 +82,7 @@
     }
     Driver.reset();
     DelayedOrders.clear();
+    OrdersInTransit.clear();
     PausedRank.reset();
     HoldRequestedFor = {};
     MixedPasses = 0;
@@ -180,7 +190,7 @@
   void performDriverActions(const std::vector<DriverAction> &actions) {
     for (const DriverAction &it : actions) {
       if (const auto *order = std::get_if<SendOrder>(&it)) {
-        handleOrder(indexOf(order->Order.To), order->Order);
+        transmit(order->Order);
       } else if (const auto *ended = std::get_if<SwitchEnded>(&it)) {
         Switches += ended->Outcome == Decision::Release ? 1 : 0;
         if (ended->Outcome == Decision::Cancel)
@@ -189,15 +199,37 @@
     }
   }
 
-  void handleOrder(std::size_t r, const MapOrder &order) {
+  // Sends an order to the agent of its rank. Before HoldingRank is armed, the
+  // driver has its server hold the step.
+  void transmit(const MapOrder &order) {
+    std::size_t r = indexOf(order.To);
     if (PausedRank == r)
       return;
-    SimRank &rank = Ranks[r];
     bool needsHold = order.Kind == OrderKind::Arm && order.To == HoldingRank;
     if (needsHold && HoldRequestedFor != order.Map) {
       HoldRequestedFor = order.Map;
-      sendOrder(r, {ServerMapOrder::Hold, rank.Server.Epoch, {}, order.Step});
+      sendOrder(r,
+                {ServerMapOrder::Hold, Ranks[r].Server.Epoch, {}, order.Step});
     }
+    if (MaxTransitTurns == 0)
+      return handleOrder(r, order);
+    std::uniform_int_distribution<int> turns(1, MaxTransitTurns);
+    OrdersInTransit.push_back({order, Turn + turns(Rng)});
+  }
+
+  void deliverOrders() {
+    for (const OrderInTransit &it : std::exchange(OrdersInTransit, {})) {
+      if (it.AtTurn > Turn)
+        OrdersInTransit.push_back(it);
+      else
+        handleOrder(indexOf(it.Order.To), it.Order);
+    }
+  }
+
+  void handleOrder(std::size_t r, const MapOrder &order) {
+    if (PausedRank == r)
+      return;
+    SimRank &rank = Ranks[r];
     if (mayHaveBeenHeld(order, rank.LastArm))
       return;
     if (order.Kind == OrderKind::Arm)
@@ -289,6 +321,7 @@
       else
         DelayedOrders.push_back(it);
     }
+    deliverOrders();
     for (std::size_t r = 0; r < Size; ++r) {
       if (chance(DeathShare))
         restart(r);
@@ -440,6 +473,70 @@
   }
 }
 
+// Guards against a group that is held for good: the agent of HoldingRank read
+// the hold before it received the order to arm, took the hold for the armed
+// map and confirmed the order without arming its server.
+BOOST_AUTO_TEST_CASE(arm_ofARankThatAlreadyHolds_isConfirmedOnlyOnceArmed) {
+  begin(1);
+  SimRank &rank = Ranks[0];
+  rank.Server.Prepared = MapNumber{1024};
+  rank.Server.Held = StepNumber{5};
+  decideRank(rank.Process, EngineRead{engineMapOf(rank.Server, {})}, Now);
+  MapOrder order;
+  order.To = HoldingRank;
+  decideRank(rank.Process, OrderReceived{order}, Now);
+  order.Kind = OrderKind::Arm;
+  order.Process = rank.Process.Process;
+  order.Map = {1024};
+  order.Step = {5};
+  auto actions = decideRank(rank.Process, OrderReceived{order}, Now);
+  BOOST_REQUIRE(actions.size() == 1U);
+  BOOST_TEST(std::holds_alternative<OrderEngine>(actions[0]));
+  rank.Server.Armed = ArmedMap{{1024}, {5}};
+  actions =
+      decideRank(rank.Process, EngineRead{engineMapOf(rank.Server, {})}, Now);
+  BOOST_REQUIRE(actions.size() == 1U);
+  BOOST_REQUIRE(std::holds_alternative<SendReport>(actions[0]));
+  BOOST_TEST(std::get<SendReport>(actions[0]).Report.Accepted);
+}
+
+// Guards against a switch that never ends although nothing has failed: orders
+// take some time to arrive, and agents read their servers in between.
+BOOST_AUTO_TEST_CASE(switches_withOrdersInTransit_goOnAndNeverMixMaps) {
+  for (MaxTransitTurns = 1; MaxTransitTurns <= 6; ++MaxTransitTurns)
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+      play(seed, 600);
+      std::uint64_t before = Ranks[0].Server.Step.Value;
+      int switches = std::exchange(Switches, 0);
+      for (int i = 0; i < 300; ++i)
+        turn();
+      BOOST_TEST(MixedPasses == 0, "seed " << seed);
+      BOOST_TEST(switches > 0, "seed " << seed);
+      BOOST_TEST(Switches > 0, "seed " << seed);
+      BOOST_TEST(Ranks[0].Server.Step.Value > before + 20, "seed " << seed);
+    }
+}
+
+// The same with faults, which end before the group has to go on.
+BOOST_AUTO_TEST_CASE(group_withOrdersInTransit_goesOnAfterFaults) {
+  MaxTransitTurns = 4;
+  for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+    DelayedShare = 0.3;
+    DeathShare = 0.02;
+    play(seed, 400);
+    BOOST_TEST(MixedPasses == 0, "seed " << seed);
+    DelayedShare = 0;
+    DeathShare = 0;
+    for (int i = 0; i < 200; ++i)
+      turn();
+    std::uint64_t before = Ranks[0].Server.Step.Value;
+    for (int i = 0; i < 300; ++i)
+      turn();
+    BOOST_TEST(MixedPasses == 0, "seed " << seed);
+    BOOST_TEST(Ranks[0].Server.Step.Value > before + 20, "seed " << seed);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(cancel_ofAnArmedRank_disarmsFencesAndKeepsItsHold) {
   begin(1);
   SimRank &rank = Ranks[0];
--- a/src/group/rank.cpp
+++ b/src/group/rank.cpp
@@ -25,6 +25,12 @@
   return map.Stage == stage && map.Pending == number;
 }
 
+// Returns whether the engine will not enter the order's step, because the
+// order's map is armed for it or is prepared and the step is held.
+bool isArmedFor(const EngineMap &map, const MapOrder &order) {
+  return isPending(map, order.Map, MapStage::Armed) && map.Step == order.Step;
+}
+
 // Returns whether the engine's state shows that the order was carried out.
 bool isDone(const EngineMap &map, const MapOrder &order, bool cancelsEarlier) {
   switch (order.Kind) {
@@ -34,7 +40,7 @@
     return isPending(map, order.Map, MapStage::Prepared) ||
            isPending(map, order.Map, MapStage::Armed);
   case OrderKind::Arm:
-    return isPending(map, order.Map, MapStage::Armed) && map.Step == order.Step;
+    return isArmedFor(map, order) && !map.IsHoldOnly;
   case OrderKind::Decide:
     if (order.Outcome == Decision::Release)
       return map.InForce == order.Map;
@@ -56,11 +62,12 @@
   case OrderKind::Prepare:
     return !decided && order.Map > map.InForce && map.Stage != MapStage::Armed;
   case OrderKind::Arm:
-    return !decided && isPending(map, order.Map, MapStage::Prepared) &&
-           order.Step > map.Current;
+    return !decided && order.Step > map.Current &&
+           (isPending(map, order.Map, MapStage::Prepared) ||
+            (map.IsHoldOnly && isArmedFor(map, order)));
   case OrderKind::Decide:
     return order.Outcome == Decision::Cancel ||
-           isPending(map, order.Map, MapStage::Armed);
+           (isPending(map, order.Map, MapStage::Armed) && !map.IsHoldOnly);
   }
   return false;
 }
--- a/src/include/greengagespar/direct/rank_server.h
+++ b/src/include/greengagespar/direct/rank_server.h
@@ -235,9 +235,9 @@
 
 /// Returns the server's state in the form that decideRank requires. The map of
 /// an armed rank is in force once the rank has been released, which can't be
-/// undone. A hold without an armed map counts as armed, so that a settlement
-/// releases it: it may remain from a switch whose process has died. The hold of
-/// a cancelled map does not count as armed.
+/// undone. A hold without an armed map is reported as armed with IsHoldOnly, so
+/// that a settlement releases it: it may remain from a switch whose process has
+/// died. The hold of a cancelled map is not reported.
 EngineMap engineMapOf(const RankServerState &state, const RankHistory &history);
 
 /// The HTTP calls of a rank's server in the form that a platform defines. All
--- a/src/include/greengagespar/group/messages.h
+++ b/src/include/greengagespar/group/messages.h
@@ -99,6 +99,10 @@
   MapStage Stage = MapStage::None; ///< Of Pending.
   StepNumber Step;                 ///< First step with the armed map.
   StepNumber Current;              ///< The step that the engine is in.
+  /// Stage is Armed because the engine holds Step, but no map is armed. A
+  /// settlement resolves such a hold like an armed map; an order to arm is not
+  /// done yet. Not part of a report on the wire.
+  bool IsHoldOnly = false;
 
   bool operator==(const EngineMap &) const = default;
 };
--- a/testsuite/direct/map_test.cpp
+++ b/testsuite/direct/map_test.cpp
@@ -28,6 +28,18 @@
   }
 }
 
+// Guards against a group that is held for good: the server of HoldingRank holds
+// the step for a while before the agent receives the order to arm, and the
+// agent reads the state in between.
+BOOST_AUTO_TEST_CASE(hold_answeredLate_switchEndsAndPassesGoOn) {
+  Ranks[0]->LateAnsweredOperation = "hold";
+  startEntry();
+  BOOST_TEST(runUntil([&] { return hasSwitched(); }));
+  std::uint64_t before = Step;
+  BOOST_TEST(runUntil([&] { return Step > before + 50; }));
+  BOOST_TEST(MixedPasses == 0);
+}
+
 // One rank applies its orders late, so that the other ranks are ahead of it.
 BOOST_AUTO_TEST_CASE(orders_appliedLate_neverMixMaps) {
   startEntry();
--- a/testsuite/direct/rank_site.cpp
+++ b/testsuite/direct/rank_site.cpp
@@ -137,7 +137,16 @@
         Ok, fields,
         json::serialize(picked(target.find('?') != std::string::npos)));
   json::object order = json::parse(request.Body).as_object();
-  if (order.at("operation").as_string() != DelayedOperation.c_str())
+  const json::string &kind = order.at("operation").as_string();
+  if (kind == LateAnsweredOperation.c_str()) {
+    int status = applyOrder(order);
+    DelayedOrders.push_back(
+        std::make_unique<Timer>(Loop, [reply, status, fields] {
+          reply->sendWhole(status, fields, "{}");
+        }));
+    return DelayedOrders.back()->start(AnswerDelay);
+  }
+  if (kind != DelayedOperation.c_str())
     return reply->sendWhole(applyOrder(order), fields, "{}");
   DelayedOrders.push_back(
       std::make_unique<Timer>(Loop, [this, order] { applyOrder(order); }));
--- a/testsuite/direct/rank_site.h
+++ b/testsuite/direct/rank_site.h
@@ -37,6 +37,11 @@
   std::string DelayedOperation;
   std::chrono::milliseconds OrderDelay{300};
 
+  /// The server applies orders with this operation at once and answers them
+  /// after AnswerDelay. Empty: the server answers all at once.
+  std::string LateAnsweredOperation;
+  std::chrono::milliseconds AnswerDelay{60};
+
 private:
   struct ArmedMap {
     std::uint64_t Map = 0;
