Count the report of a rank only for the group of its agent

Cause: a report names rank, epoch and ballot, but no group, and the coordinator gave each report to the drivers of all groups with that epoch. A driver has a ballot of its own; the settlers of several groups in one entry all start with the highest lease seen, round 0 and the same process, and have the same ballot. So ranks of one group answered for ranks of another: an outcome was chosen before all ranks had promised, and a cancellation counted as accepted by all while ranks were still armed, after which the hold was released.

Class: an answer matched by a key that is not unique over its senders. Searched for elsewhere: reports are the only messages of ranks that are matched by ballot; state messages name their group.

Change: a report counts for the group in which its sender is the agent of that rank (isReportOf). The wire is unchanged.

Tests had one group only.

--- a/src/direct/map_coordinator.cpp
+++ b/src/direct/map_coordinator.cpp
@@ -154,6 +154,16 @@
          group.Driver->Phase != DriverPhase::Stopped;
 }
 
+// Returns whether \p report, received from \p agent, is about a rank of
+// \p group. Settlements of several groups by one entry can have the same
+// ballot, and a report doesn't name its group.
+bool isReportOf(const CoordinatedGroup &group, const Address &agent,
+                const DirectMapReport &report) {
+  std::size_t rank = indexOf(report.Report.From);
+  return report.Epoch == group.Epoch && rank < group.Ranks.size() &&
+         group.Ranks[rank].Agent == agent;
+}
+
 bool needsPlaces(const KnownRank &rank) {
   return rank.Places.empty() || rank.PlacesMap < rank.InUse;
 }
@@ -240,7 +250,7 @@
   if (envelope.has_rank_state())
     onState(agent, envelope.rank_state());
   else if (envelope.has_map_report())
-    onReport(envelope.map_report());
+    onReport(agent, envelope.map_report());
 }
 
 void MapCoordinator::onState(const Address &agent,
@@ -292,14 +302,15 @@
   rank.Counts = std::move(counts);
 }
 
-void MapCoordinator::onReport(const wire::MapReport &message) {
+void MapCoordinator::onReport(const Address &agent,
+                              const wire::MapReport &message) {
   recoverFrom(
       [&]() -> Result<void> {
         BOOST_LEAF_AUTO(report, readMapReport(message));
         HighestLease =
             std::max(HighestLease, report.Report.Promised.Lease.Value);
         for (auto &[name, group] : Groups)
-          if (group.Epoch == report.Epoch && group.Driver) {
+          if (group.Driver && isReportOf(group, agent, report)) {
             if (!report.Report.Accepted)
               logRefusal(name, group, report.Report);
             performActions(name, group,
--- a/src/include/greengagespar/direct/map_coordinator.h
+++ b/src/include/greengagespar/direct/map_coordinator.h
@@ -99,7 +99,7 @@
   void requestStates(Clock::time_point now);
   void onEnvelope(const Address &agent, const wire::Envelope &envelope);
   void onState(const Address &agent, const wire::RankState &state);
-  void onReport(const wire::MapReport &message);
+  void onReport(const Address &agent, const wire::MapReport &message);
   void logRefusal(const std::string &name, const CoordinatedGroup &group,
                   const RankReport &report);
   void drive(const std::string &name, CoordinatedGroup &group,
--- a/testsuite/direct/rank_site.cpp
+++ b/testsuite/direct/rank_site.cpp
@@ -21,13 +21,13 @@
   return from.at(name).to_number<std::uint64_t>();
 }
 
+} // namespace
+
 Address rankAddress(std::size_t rank, const Address &samePort) {
   std::string port = samePort.Value.substr(samePort.Value.rfind(':'));
   return {"127.0.0." + std::to_string(rank + 2) + port};
 }
 
-} // namespace
-
 FakeRank::FakeRank(event_base *loop, std::size_t self, std::size_t size,
                    Address at)
     : Loop(loop), Self(self), Size(size), At(std::move(at)),
@@ -57,6 +57,15 @@
   Prepared.reset();
 }
 
+void FakeRank::leaveArmed(std::uint64_t map, std::uint64_t step,
+                          bool holdsStep) {
+  Highest = map;
+  Prepared = map;
+  Armed = ArmedMap{map, step};
+  if (holdsStep)
+    Held = step;
+}
+
 int FakeRank::prepare(const json::object &order) {
   std::uint64_t map = numberAt(order, "version");
   if (Armed || map <= Highest)
@@ -116,7 +125,7 @@
           {"armed", Armed ? json::value(armed) : json::value(nullptr)},
           {"held", orNull(Held)},
           {"group",
-           {{"name", "g"}, {"epoch", 1}, {"rank", Self}, {"state", "open"}}}};
+           {{"name", Group}, {"epoch", 1}, {"rank", Self}, {"state", "open"}}}};
 }
 
 json::object FakeRank::picked(bool withLists) const {
--- a/testsuite/direct/rank_site.h
+++ b/testsuite/direct/rank_site.h
@@ -12,6 +12,10 @@
 
 namespace greengagespar::site {
 
+/// Returns an address on the host of \p rank with the port of \p samePort.
+/// Rank 0 is on 127.0.0.2.
+Address rankAddress(std::size_t rank, const Address &samePort);
+
 /// The server of one rank. It follows the platform's documented rules for maps:
 /// versions only rise, at most one map is armed and at most one step is held.
 class FakeRank {
@@ -26,11 +30,15 @@
   std::uint64_t inUse() const { return InUse; }
   /// Returns the map in use as JSON text; "first" before the first switch.
   const std::string &mapInUse() const { return SerializedMaps.at(InUse); }
+  /// Puts the server into the state that a driver leaves which dies after it
+  /// has armed the rank with \p map for \p step.
+  void leaveArmed(std::uint64_t map, std::uint64_t step, bool holdsStep);
   /// Begins \p step: switches to the map that is armed for it, if any, and
   /// counts far more tokens for one expert than for each of the others.
   void beginPass(std::uint64_t step);
 
   std::size_t PreferredExpert = 0; ///< The expert with the most tokens.
+  std::string Group = "g";         ///< Name of the rank's group.
 
   /// The server doesn't answer orders with this operation and applies them
   /// after OrderDelay. Empty: the server delays no order.
