Spread silence between entries, so that many notice it as fast as few

What callers saw: entries went on sending callers to hosts that were off.

Cause: an entry waits for a row of each process. With more than seven others the rows come round more seldom, and the limit grew by 167 ms for each of them: 2 s + 40 x 167 ms = 8.7 s for 47 entries, and 67 s at the target of 390. Entries that exchange digests with the silent one each 500 ms waited as long, and told nobody.

Class: a limit that grows with the size of the fleet where a bound is promised.

Change: a process that has been a partner for the whole limit gets no addition. A process that falls silent is reported at once with its last row, marked silent; whoever knows a newer row ignores that. docs/design/03 had this as the way to take at the target size. New field in link.proto; processes without it ignore the row, since it is not newer.

Tests: entry_offAmongMany_isNamedByNobodyAfterSeconds (48 entries in 4 data centres on one loop, two of them end, nobody names them after 5 s) failed before and passes now; mergeMember_silentRows_countUnlessANewerRowIsKnown, mergeMember_silentRowOfAnUnknownProcess_isNotLive, sweepMembers_partner_isNotGivenMoreTimeForItsFleet are new.

--- a/src/host/member.cpp
+++ b/src/host/member.cpp
@@ -30,15 +30,39 @@
   return MergeOutcome::Renewed;
 }
 
+// Returns how long the row of \p member may be the newest one.
 std::chrono::milliseconds memberTimeout(const MemberView &view,
-                                        const Member &member) {
+                                        const Member &member,
+                                        Clock::time_point now) {
   const MemberLimits &limits = view.Limits;
+  bool isNear = member.Row.DataCentre == view.DataCentre;
+  auto timeout = isNear ? limits.NearTimeout : limits.FarTimeout;
+  if (member.PartnerSince && now - *member.PartnerSince > timeout)
+    return timeout;
   std::size_t beyondDigest =
       view.Members.size() -
       std::min(view.Members.size(), limits.DigestRows + 1);
-  bool isNear = member.Row.DataCentre == view.DataCentre;
-  return (isNear ? limits.NearTimeout : limits.FarTimeout) +
-         limits.TimeoutPerMember * static_cast<int>(beyondDigest);
+  return timeout + limits.TimeoutPerMember * static_cast<int>(beyondDigest);
+}
+
+// Merges a report that the process of \p row is silent. Adopts its heartbeat,
+// so that delayed rows up to it do not make the process live again.
+MergeOutcome mergeSilence(MemberView &view, MemberRow row,
+                          Clock::time_point now) {
+  row.IsSilent = false;
+  auto it = view.Members.find(row.Link);
+  if (it == view.Members.end()) {
+    view.Members[row.Link] = {row, MemberState::Unresponsive, now};
+    return MergeOutcome::Ignored;
+  }
+  Member &known = it->second;
+  if (row.Link == view.Self || isNewer(known.Row, row))
+    return MergeOutcome::Ignored;
+  bool wasUnresponsive = known.State == MemberState::Unresponsive;
+  if (row.ProcessIncarnation == known.Row.ProcessIncarnation)
+    row.Leaving = row.Leaving || known.Row.Leaving;
+  known = {row, MemberState::Unresponsive, known.LastReceivedAt};
+  return wasUnresponsive ? MergeOutcome::Ignored : MergeOutcome::FellSilent;
 }
 
 std::vector<Address> liveEntriesOf(const DataCentreId &dataCentre,
@@ -67,6 +91,8 @@
 
 MergeOutcome mergeMember(MemberView &view, const MemberRow &row,
                          Clock::time_point now) {
+  if (row.IsSilent)
+    return mergeSilence(view, row, now);
   auto it = view.Members.find(row.Link);
   if (it == view.Members.end()) {
     view.Members[row.Link] = {row, stateOf(row), now};
@@ -84,7 +110,7 @@
       row.ProcessIncarnation == known.Row.ProcessIncarnation;
   bool wasLeaving = isSameIncarnation && known.Row.Leaving;
   Generation settings = known.Row.Settings;
-  known = {row, stateOf(row), now};
+  known = {row, stateOf(row), now, known.PartnerSince};
   if (wasLeaving) {
     known.Row.Leaving = true;
     known.State = MemberState::Leaving;
@@ -94,6 +120,17 @@
   return outcome;
 }
 
+void recordPartners(MemberView &view, const std::vector<Address> &partners,
+                    Clock::time_point now) {
+  std::set<Address> chosen(partners.begin(), partners.end());
+  for (auto &[address, member] : view.Members) {
+    if (!chosen.contains(address))
+      member.PartnerSince.reset();
+    else if (!member.PartnerSince)
+      member.PartnerSince = now;
+  }
+}
+
 SweepOutcome sweepMembers(MemberView &view, Clock::time_point now) {
   SweepOutcome outcome;
   for (auto it = view.Members.begin(); it != view.Members.end();) {
@@ -106,7 +143,7 @@
       continue;
     }
     if (!isSelf && member.State != MemberState::Unresponsive &&
-        age > memberTimeout(view, member)) {
+        age > memberTimeout(view, member, now)) {
       member.State = MemberState::Unresponsive;
       outcome.Unresponsive.push_back(it->first);
     }
--- a/src/host/member_test.cpp
+++ b/src/host/member_test.cpp
@@ -56,6 +56,11 @@
   return row;
 }
 
+MemberRow silent(MemberRow row) {
+  row.IsSilent = true;
+  return row;
+}
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(Members, ViewFixture)
@@ -89,6 +94,46 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(mergeMember_silentRows_countUnlessANewerRowIsKnown) {
+  mergeMember(View, row(1, 1, 1, 5), Now);
+  BOOST_TEST((mergeMember(View, silent(row(1, 1, 1, 4)), Now) ==
+              MergeOutcome::Ignored));
+  BOOST_TEST((state(1, 1) == MemberState::Live));
+  BOOST_TEST((mergeMember(View, silent(row(1, 1, 1, 7)), Now) ==
+              MergeOutcome::FellSilent));
+  BOOST_TEST((state(1, 1) == MemberState::Unresponsive));
+  // Rows that were on their way when the process fell silent.
+  BOOST_TEST(
+      (mergeMember(View, row(1, 1, 1, 7), Now) == MergeOutcome::Ignored));
+  BOOST_TEST((mergeMember(View, silent(row(1, 1, 1, 7)), Now) ==
+              MergeOutcome::Ignored));
+  BOOST_TEST(
+      (mergeMember(View, row(1, 1, 1, 8), Now) == MergeOutcome::Returned));
+  BOOST_TEST((mergeMember(View, silent(row(0, 0, 1, 99)), Now) ==
+              MergeOutcome::Ignored));
+  BOOST_TEST((state(0, 0) == MemberState::Live));
+}
+
+BOOST_AUTO_TEST_CASE(mergeMember_silentRowOfAnUnknownProcess_isNotLive) {
+  MemberRow unknown = silent(row(9, 9, 1, 5));
+  BOOST_TEST((mergeMember(View, unknown, Now) == MergeOutcome::Ignored));
+  BOOST_TEST((state(9, 9) == MemberState::Unresponsive));
+  BOOST_TEST(
+      (mergeMember(View, row(9, 9, 1, 5), Now) == MergeOutcome::Ignored));
+}
+
+BOOST_AUTO_TEST_CASE(sweepMembers_partner_isNotGivenMoreTimeForItsFleet) {
+  View.Limits.NearTimeout = View.Limits.FarTimeout = 2000ms;
+  View.Limits.DigestRows = 1;
+  View.Limits.TimeoutPerMember = 1000ms;
+  recordPartners(View, {link(1, 1), link(2, 1)}, Now);
+  recordPartners(View, {link(1, 1)}, Now + 100ms);
+  // A partner that has just been chosen need not have sent its row yet.
+  recordPartners(View, {link(1, 1), link(3, 1)}, Now + 1500ms);
+  SweepOutcome outcome = sweepMembers(View, Now + 2600ms);
+  BOOST_TEST((outcome.Unresponsive == std::vector{link(1, 1)}));
+}
+
 BOOST_AUTO_TEST_CASE(mergeMember_rowAboutSelf_changesNothing) {
   BOOST_TEST((mergeMember(View, leaving(row(0, 0, 1, 50)), Now) ==
               MergeOutcome::Ignored));
--- a/src/include/greengagespar/host/member.h
+++ b/src/include/greengagespar/host/member.h
@@ -40,6 +40,9 @@
   std::uint64_t Heartbeat = 0; ///< The process itself raises it.
   bool Leaving = false;
   Generation Settings; ///< Of the settings in force at the process.
+  /// The row does not renew the process: its sender reports that this is the
+  /// last row it knows, and that no newer one arrived in time.
+  bool IsSilent = false;
 };
 
 /// The newest row of one process and when it arrived.
@@ -47,6 +50,9 @@
   MemberRow Row;
   MemberState State = MemberState::Live;
   Clock::time_point LastReceivedAt; ///< When Row arrived.
+  /// Since when the process has been a partner, which sends a row in each
+  /// round; empty: it is none.
+  std::optional<Clock::time_point> PartnerSince = std::nullopt;
 };
 
 /// Timeouts of rows.
@@ -57,7 +63,8 @@
   /// The same for other data centres, whose rows other processes pass on.
   std::chrono::milliseconds FarTimeout{15000};
   /// Added to both timeouts for each other process beyond DigestRows, because
-  /// the more processes there are the less often the row of each is sent.
+  /// the more processes there are the less often the row of each is sent. Not
+  /// added for a process that has been a partner for the whole timeout.
   std::chrono::milliseconds TimeoutPerMember{0};
   /// Rows of other processes in one digest.
   std::size_t DigestRows = 0;
@@ -88,16 +95,24 @@
   Renewed,
   /// The process is leaving; before this row it was live or unresponsive.
   StartedLeaving,
+  /// Another process reports that it received no newer row in time; before that
+  /// the process was live or leaving.
+  FellSilent,
   Returned, ///< The process was unresponsive and no longer is.
   Replaced, ///< The address has a later incarnation; the old one has ended.
 };
 
 /// Merges a row received at \p now into the view. A row about this process that
 /// was sent by another process does not change the view: the outcome is
-/// Replaced when the row is of a later incarnation, and Ignored otherwise.
+/// Replaced when the row is of a later incarnation, and Ignored otherwise. A
+/// silent row marks the process as unresponsive unless a newer row is known.
 MergeOutcome mergeMember(MemberView &view, const MemberRow &row,
                          Clock::time_point now);
 
+/// Records in the view which processes are partners from \p now on.
+void recordPartners(MemberView &view, const std::vector<Address> &partners,
+                    Clock::time_point now);
+
 /// What a sweep changed in the view.
 struct SweepOutcome {
   std::vector<Address> Unresponsive; ///< Became unresponsive.
--- a/src/include/greengagespar/peers/peer_links.h
+++ b/src/include/greengagespar/peers/peer_links.h
@@ -31,6 +31,9 @@
 /// Most rows of other processes in one digest, without urgent ones and rows
 /// that correct the receiver.
 inline constexpr std::size_t DigestRows = 6;
+/// Most urgent rows in one digest: of processes that have just started to leave
+/// or have become unresponsive.
+inline constexpr std::size_t UrgentRows = 24;
 /// Most processes in the view of an entry, and most seeds.
 inline constexpr std::size_t MaxMembers = 4096;
 inline constexpr std::size_t MaxSeeds = 1024;
@@ -99,6 +102,7 @@
   void sweep(Clock::time_point now);
   bool sendDigest(const Address &partner);
   void fillDigest(wire::Members &message, bool wantsAnswer);
+  void addUrgent(const Address &member);
   Peer &open(const Address &address);
   void closeUnused(Clock::time_point now);
   void onRequest(const PeerId &from, const wire::Envelope &envelope);
@@ -120,8 +124,8 @@
   std::set<Address> Seeds;
   std::vector<Address> Partners;
   std::vector<Address> Unsent; ///< Partners without a digest in this round.
-  /// Processes that have started to leave; their rows go into every digest
-  /// until the next round is sent.
+  /// Processes that have started to leave or have become unresponsive; their
+  /// rows go into every digest until the next round is sent.
   std::set<Address> Urgent;
   std::uint64_t Rounds = 0;
   Clock::time_point NextRound;
--- a/src/link/member_message.cpp
+++ b/src/link/member_message.cpp
@@ -16,6 +16,7 @@
   message.set_generation(row.Settings.Value);
   message.set_is_endpoint(row.Role == MemberRole::Endpoint);
   message.set_leaving(row.Leaving);
+  message.set_silent(row.IsSilent);
 }
 
 std::optional<MemberRow> readMember(const wire::Member &message) {
@@ -34,6 +35,7 @@
   row.ProcessIncarnation = {message.incarnation()};
   row.Heartbeat = message.heartbeat();
   row.Leaving = message.leaving();
+  row.IsSilent = message.silent();
   row.Settings = {message.generation()};
   return row;
 }
--- a/src/peers/peer_links.cpp
+++ b/src/peers/peer_links.cpp
@@ -73,6 +73,7 @@
   sweep(now);
   bool renew = ++Rounds % RenewEvery == 0;
   Partners = choosePartners(View, Seeds, Partners, renew, Limits, Rng);
+  recordPartners(View, Partners, now);
   Unsent.clear();
   for (const Address &it : Partners)
     if (!sendDigest(it))
@@ -83,9 +84,11 @@
 
 void PeerLinks::sweep(Clock::time_point now) {
   SweepOutcome outcome = sweepMembers(View, now);
-  for (const Address &it : outcome.Unresponsive)
+  for (const Address &it : outcome.Unresponsive) {
     logWarning(Part::Host, "entry " + View.Members[it].Row.Host.Value + " at " +
                                it.Value + " is silent");
+    addUrgent(it);
+  }
   // A forgotten entry becomes a seed, so that this entry continues to try it.
   addSeeds(outcome.Forgotten);
   if (!outcome.Unresponsive.empty())
@@ -103,8 +106,17 @@
   for (const MemberRow &it : nextDigest(View, DigestRows))
     writeMember(it, *message.add_members());
   for (const Address &it : Urgent)
-    if (auto found = View.Members.find(it); found != View.Members.end())
-      writeMember(found->second.Row, *message.add_members());
+    if (auto found = View.Members.find(it); found != View.Members.end()) {
+      MemberRow row = found->second.Row;
+      row.IsSilent = found->second.State == MemberState::Unresponsive;
+      writeMember(row, *message.add_members());
+    }
+}
+
+// Has the row of \p member sent in all digests until the next round.
+void PeerLinks::addUrgent(const Address &member) {
+  if (Urgent.size() < UrgentRows)
+    Urgent.insert(member);
 }
 
 bool PeerLinks::send(const Address &peer, wire::Envelope &envelope) {
@@ -189,14 +201,17 @@
   MergeOutcome outcome = mergeMember(View, row, Clock::now());
   if (!isMembershipChange(outcome))
     return false;
+  bool isSilent = outcome == MergeOutcome::FellSilent;
+  std::string_view state = isSilent      ? " is reported as silent"
+                           : row.Leaving ? " is leaving"
+                                         : " is live";
   logInfo(Part::Host, "entry " + row.Host.Value + " at " + row.Link.Value +
-                          (row.Leaving ? " is leaving" : " is live"));
-  if (outcome != MergeOutcome::StartedLeaving)
+                          std::string(state));
+  if (outcome != MergeOutcome::StartedLeaving && !isSilent)
     return true;
   // The row is passed on at once, so that no more callers are directed to the
-  // leaving entry.
-  if (Urgent.size() < DigestRows)
-    Urgent.insert(row.Link);
+  // entry.
+  addUrgent(row.Link);
   NextRound = {};
   return true;
 }
--- a/src/peers/peer_links_test.cpp
+++ b/src/peers/peer_links_test.cpp
@@ -30,17 +30,20 @@
 
   // Binds \p address. Returns false when another process uses it.
   bool start(EventLoop &loop, zmq::context_t &context, const Address &address,
-             Incarnation life) {
+             Incarnation life, const DataCentreId &dataCentre = {"a"},
+             const MemberLimits &memberLimits = {},
+             const PartnerLimits &partnerLimits = {}) {
     Self = {{"entry"}, life, {3}};
     MemberView view;
     view.Self = address;
-    view.DataCentre = {"a"};
+    view.DataCentre = dataCentre;
+    view.Limits = memberLimits;
     PeerLinksHooks hooks;
-    hooks.OwnRow = [this] {
+    hooks.OwnRow = [this, dataCentre, address] {
       MemberRow row;
       row.Host = Self.Name;
-      row.DataCentre = {"a"};
-      row.Callers = {"127.0.0.1:1"};
+      row.DataCentre = dataCentre;
+      row.Callers = address;
       row.ProcessIncarnation = Self.ProcessIncarnation;
       row.Leaving = Leaving;
       return row;
@@ -56,7 +59,7 @@
       Self.ProcessIncarnation = {it.Value + 1};
     };
     Links = std::make_unique<PeerLinks>(loop.base(), context, Self, view,
-                                        std::move(hooks));
+                                        std::move(hooks), partnerLimits);
     return recoverFrom(
         [&]() -> Result<bool> {
           BOOST_LEAF_CHECK(Links->start());
@@ -71,9 +74,66 @@
   }
 };
 
-struct PeersFixture {
+struct LoopFixture {
   EventLoop Loop;
   zmq::context_t Context{1};
+
+  bool runUntil(const std::function<bool()> &condition,
+                std::chrono::milliseconds timeout = Timeout) {
+    auto end = Clock::now() + timeout;
+    while (!condition() && Clock::now() < end) {
+      timeval pause{0, 5000};
+      event_base_loopexit(Loop.base(), &pause);
+      event_base_loop(Loop.base(), 0);
+    }
+    return condition();
+  }
+};
+
+/// Four data centres with twelve entries each, all on one loop. The limits are
+/// those of direct mode.
+struct FleetFixture : LoopFixture {
+  static constexpr std::size_t DataCentres = 4;
+  static constexpr std::size_t Entries = 48;
+  std::vector<Node> Nodes{Entries};
+  std::vector<Address> Addresses;
+
+  FleetFixture() {
+    MemberLimits members;
+    members.NearTimeout = members.FarTimeout = std::chrono::seconds(2);
+    PartnerLimits partners;
+    partners.Far = 8;
+    std::string port = std::to_string(firstPort());
+    for (std::size_t i = 0; i < Entries; ++i) {
+      Address address{"127.0.1."};
+      address.Value.append(std::to_string(i + 1)).append(1, ':').append(port);
+      Addresses.push_back(address);
+      DataCentreId dataCentre;
+      dataCentre.Value.assign(1, static_cast<char>('a' + i % DataCentres));
+      BOOST_REQUIRE(Nodes[i].start(Loop, Context, Addresses[i], {100 + i},
+                                   dataCentre, members, partners));
+      Nodes[i].Links->addSeeds({Addresses[0], Addresses[i / 2]});
+    }
+  }
+
+  // Returns how many entries name entry \p i to callers.
+  std::size_t countNaming(std::size_t i) const {
+    return static_cast<std::size_t>(
+        std::ranges::count_if(Nodes, [&](const Node &it) {
+          const Member *member = it.Links ? it.member(Addresses[i]) : nullptr;
+          return member && acceptsWork(*member);
+        }));
+  }
+
+  bool allKnowAll() const {
+    for (std::size_t i = 0; i < Entries; ++i)
+      if (countNaming(i) < Entries)
+        return false;
+    return true;
+  }
+};
+
+struct PeersFixture : LoopFixture {
   Node One;
   Node Two;
   Address FirstAddress;
@@ -96,16 +156,6 @@
     BOOST_FAIL("no free port");
     return {};
   }
-
-  bool runUntil(const std::function<bool()> &condition) {
-    auto end = Clock::now() + Timeout;
-    while (!condition() && Clock::now() < end) {
-      timeval pause{0, 5000};
-      event_base_loopexit(Loop.base(), &pause);
-      event_base_loop(Loop.base(), 0);
-    }
-    return condition();
-  }
 };
 
 } // namespace
@@ -145,3 +195,23 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(FleetSuite, FleetFixture)
+
+// Guards against entries that send callers to a host that has been off for
+// seconds: with many entries each of them waited for a row that comes seldom.
+BOOST_AUTO_TEST_CASE(entry_offAmongMany_isNamedByNobodyAfterSeconds) {
+  constexpr std::chrono::seconds maxNamed{5};
+  BOOST_REQUIRE(runUntil([&] { return allKnowAll(); }, Timeout * 4));
+  // Longer than the timeout of a partner.
+  runUntil([] { return false; }, std::chrono::milliseconds(2500));
+  for (std::size_t i : {17U, 30U})
+    Nodes[i].Links.reset();
+  BOOST_TEST(runUntil(
+      [&] { return countNaming(17) == 0 && countNaming(30) == 0; }, maxNamed));
+  for (std::size_t i = 0; i < Entries; ++i)
+    if (Nodes[i].Links)
+      BOOST_TEST(countNaming(i) == Entries - 2, "entry " << i);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
