End an exchange whose server sends on without coming to an answer

What callers would see: such a server kept a connection, and the entry's processor, busy until the deadline, 8 s for streams.

Cause: interim answers and answers to other requests were skipped without a limit, and comments, empty lines or known events in a stream counted as progress, so that neither the limit on bytes nor the one on silence applied.

Change: at most 256 KiB are skipped in one exchange; a line that fills the read buffer ends it; a stream may bring 1 MiB without a new event. An answer of a rank's server is at most 1 MiB. ServedBefore, which nothing read, is gone.

--- a/src/direct/event_relay.cpp
+++ b/src/direct/event_relay.cpp
@@ -53,18 +53,24 @@
     std::string_view event = rest.substr(0, n);
     rest.remove_prefix(n);
     auto id = idOf(event);
-    if (id && relay.LastId && *id <= *relay.LastId)
+    bool isNew = id && (!relay.LastId || *id > *relay.LastId);
+    relay.BytesWithoutEvent = isNew ? 0 : relay.BytesWithoutEvent + n;
+    if (id && !isNew)
       continue;
-    if (id)
+    if (isNew)
       relay.LastId = id;
     ++relay.EventCount;
     out.append(event);
   }
   relay.Partial.erase(0, relay.Partial.size() - rest.size());
-  relay.IsTooLong = relay.Partial.size() > MaxEventBytes;
+  relay.IsTooLong =
+      relay.Partial.size() + relay.BytesWithoutEvent > MaxEventBytes;
   return out;
 }
 
-void discardPartialEvent(EventRelay &relay) { relay.Partial.clear(); }
+void discardPartialEvent(EventRelay &relay) {
+  relay.Partial.clear();
+  relay.BytesWithoutEvent = 0;
+}
 
 } // namespace greengagespar
--- a/src/direct/event_relay_test.cpp
+++ b/src/direct/event_relay_test.cpp
@@ -37,6 +37,21 @@
              event(2) + event(3));
 }
 
+// Guards against a server that sends comments or known events without end.
+BOOST_AUTO_TEST_CASE(bytes_withoutANewEvent_areTooLong) {
+  for (const std::string &piece : {std::string(": none\n\n"), event(1)}) {
+    Relay = {};
+    extractNewEvents(Relay, event(1));
+    for (std::size_t n = 0; n < MaxEventBytes / 2; n += piece.size())
+      extractNewEvents(Relay, piece);
+    BOOST_TEST(!Relay.IsTooLong);
+    extractNewEvents(Relay, event(2));
+    for (std::size_t n = 0; n <= MaxEventBytes; n += piece.size())
+      extractNewEvents(Relay, piece);
+    BOOST_TEST(Relay.IsTooLong);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(event_withFirstLineOfVersions_keepsItsBytes) {
   std::string bytes = "x-weight-versions: 2\n" + event(1);
   BOOST_TEST(extractNewEvents(Relay, bytes) == bytes);
--- a/src/direct/rank_server_client.cpp
+++ b/src/direct/rank_server_client.cpp
@@ -7,6 +7,10 @@
 
 namespace {
 
+// Largest answer of a rank's server: the counts and places of some ten thousand
+// experts.
+constexpr std::size_t MaxAnswerBytes = std::size_t{1} << 20;
+
 constexpr int StatusOk = 200;
 constexpr int StatusAccepted = 202;
 
@@ -131,7 +135,11 @@
     Status = head.Status;
     return true;
   };
-  events.OnBody = [this](std::string_view piece) { Body.append(piece); };
+  events.OnBody = [this](std::string_view piece) {
+    Body.append(piece);
+    if (Body.size() > MaxAnswerBytes)
+      finishCall(0);
+  };
   events.OnEnd = [this](ExchangeEnd how, std::string_view) {
     finishCall(how == ExchangeEnd::Complete ? Status : 0);
   };
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -30,7 +30,12 @@
 
 constexpr int MillisPerSecond = 1000;
 constexpr int MicrosPerMilli = 1000;
+// Most bytes that are read before the reader has used any of them, as those of
+// a line of a chunked body.
 constexpr std::size_t MaxReadAhead = std::size_t{256} * 1024;
+// Most bytes of interim answers and of answers to other requests that are
+// skipped in one exchange.
+constexpr std::size_t MaxSkippedBytes = std::size_t{256} * 1024;
 
 MessageLimits answerLimits() {
   MessageLimits limits;
@@ -70,7 +75,7 @@
   bool HeadSeen = false;
   /// Skips an interim answer, or an answer that belongs to another request.
   bool IsSkipping = false;
-  bool ServedBefore = false;
+  std::size_t SkippedBytes = 0; ///< In this exchange.
 
   ~ClientState() {
     if (ConnectTimer)
@@ -81,6 +86,7 @@
 
   void read();
   bool readAnswer(std::string_view bytes, std::size_t &used);
+  bool refuseEndless(std::size_t size, std::size_t used);
   void complete();
   void end(ExchangeEnd how, std::string_view why);
   void resetReader();
@@ -182,18 +188,28 @@
     end(ExchangeEnd::Broken, "the bytes are no answer");
     return false;
   }
+  if (refuseEndless(bytes.size(), used))
+    return false;
   return used > 0 || state == ReadState::Complete;
 }
 
+// Ends the exchange when the server sends on and on without coming to an answer
+// to this request. \p size: bytes received and not used before; \p used: those
+// of them that were used now. Returns whether it has ended the exchange.
+bool ClientState::refuseEndless(std::size_t size, std::size_t used) {
+  if (IsSkipping)
+    SkippedBytes += used;
+  bool isTooMuchSkipped = SkippedBytes > MaxSkippedBytes;
+  bool isStuck = used == 0 && size >= MaxReadAhead;
+  if (!isTooMuchSkipped && !isStuck)
+    return false;
+  end(ExchangeEnd::Broken, "the bytes do not come to an answer");
+  return true;
+}
+
 void ClientState::complete() {
-  if (IsSkipping) {
-    // After an answer to another request, the order of later answers on this
-    // connection can't be trusted.
-    if (Reader->head().Status >= 200)
-      ServedBefore = true;
-    resetReader();
-    return;
-  }
+  if (IsSkipping)
+    return resetReader();
   LastHead = Reader->head();
   InExchange = false;
   IdleSince = Clock::now();
@@ -201,7 +217,6 @@
   bool hasFraming = LastHead.IsChunked || LastHead.Length || IsHead;
   if (!isSent || !hasFraming || closesAfter(LastHead))
     IsUnusable = true;
-  ServedBefore = true;
   auto done = std::move(Events.OnEnd);
   Events = {};
   done(ExchangeEnd::Complete, "");
@@ -267,6 +282,7 @@
   S->Events = std::move(events);
   S->IsHead = isHead;
   S->InExchange = true;
+  S->SkippedBytes = 0;
   S->resetReader();
   bufferevent_write(S->Stream, request.data(), request.size());
 }
--- a/src/include/greengagespar/direct/event_relay.h
+++ b/src/include/greengagespar/direct/event_relay.h
@@ -13,8 +13,9 @@
 
 namespace greengagespar {
 
-/// Largest event. A server that sends more bytes without ending an event is
-/// faulty.
+/// Largest event. A server that sends more bytes without a new event is faulty,
+/// also when they are whole events without an id, such as comments, or were
+/// extracted before.
 inline constexpr std::size_t MaxEventBytes = std::size_t{1} << 20;
 
 /// State of one caller's stream across all servers that worked on it.
@@ -22,7 +23,9 @@
   std::string Partial; ///< Bytes received after the last whole event.
   std::optional<std::uint64_t> LastId; ///< Id of the last event extracted.
   std::uint64_t EventCount = 0;        ///< Number of events extracted.
-  bool IsTooLong = false;              ///< An event exceeds MaxEventBytes.
+  /// Whole events without a new id since the last one that had one, in bytes.
+  std::size_t BytesWithoutEvent = 0;
+  bool IsTooLong = false; ///< More than MaxEventBytes came without a new event.
 };
 
 /// Adds \p bytes of the server's stream and returns, byte for byte, the whole
--- a/testsuite/direct/site.cpp
+++ b/testsuite/direct/site.cpp
@@ -112,6 +112,7 @@
   bufferevent *Stream = nullptr;
   std::unique_ptr<RequestReader> Reader;
   std::string Body;
+  std::string Endless; ///< Sent whenever the output is empty.
   bool IsClosed = false;
 
   ~Connection() { bufferevent_free(Stream); }
@@ -146,10 +147,21 @@
     if (answer.SendsNothing)
       return;
     bufferevent_write(it.Stream, answer.Bytes.data(), answer.Bytes.size());
+    it.Endless = answer.Endless;
     if (answer.Closes || answer.Resets)
       end(it, answer.Resets);
   }
 
+  static void onWritten(bufferevent *stream, void *arg) {
+    constexpr std::size_t burstBytes = std::size_t{64} * 1024;
+    auto *it = static_cast<FakeServer::Connection *>(arg);
+    if (it->IsClosed || it->Endless.empty())
+      return;
+    for (std::size_t n = 0; n < burstBytes; n += it->Endless.size())
+      bufferevent_write(stream, it->Endless.data(), it->Endless.size());
+    it->Owner->EndlessBytes += burstBytes;
+  }
+
   static void end(FakeServer::Connection &it, bool resets) {
     bufferevent_flush(it.Stream, EV_WRITE, BEV_FINISHED);
     evutil_socket_t fd = bufferevent_getfd(it.Stream);
@@ -183,7 +195,7 @@
     it->Owner = server;
     it->Stream =
         bufferevent_socket_new(server->Loop, fd, BEV_OPT_CLOSE_ON_FREE);
-    bufferevent_setcb(it->Stream, onRead, nullptr, onEvent, it.get());
+    bufferevent_setcb(it->Stream, onRead, onWritten, onEvent, it.get());
     bufferevent_enable(it->Stream, EV_READ | EV_WRITE);
     server->Open.push_back(std::move(it));
   }
--- a/testsuite/direct/site.h
+++ b/testsuite/direct/site.h
@@ -81,6 +81,9 @@
   bool Closes = false;       ///< Closes the connection after the bytes.
   bool Resets = false;       ///< Resets the connection after the bytes.
   bool SendsNothing = false; ///< Sends nothing, and keeps the connection open.
+  /// Sent again and again after Bytes until the other side closes the
+  /// connection; empty: nothing.
+  std::string Endless = {};
 };
 
 /// A server that sends scripted bytes as its answers.
@@ -101,8 +104,9 @@
 
   std::vector<HttpRequestMessage> Requests;
   Script Respond;
-  int Connections = 0; ///< Connections accepted so far.
-  int Closed = 0;      ///< Connections that the other side closed.
+  int Connections = 0;          ///< Connections accepted so far.
+  int Closed = 0;               ///< Connections that the other side closed.
+  std::size_t EndlessBytes = 0; ///< Bytes of endless answers that were sent.
 
   /// Sends \p bytes on the newest connection.
   void sendMore(std::string_view bytes);
