Bound what evhttp reads of an answer that never ends

An engine, a plain service or something in place of the platform whose head, trailer or chunk line never ends used up the memory of the process: evhttp limits bodies only, unless it is told otherwise. 20 to 200 MB were taken in 2 s by the test.

Change: heads of at most 64 KiB, and a read buffer of at most one answer.

Tests: answer_withoutEnd_takesBoundedMemoryAndIsCut (an endpoint's upstream) failed in five of seven cases before, answer_withoutEnd_failsWithBoundedMemory (the store's client) in one of five; none now. A chunk line without end is cut when the call is cancelled at its deadline.

--- a/src/endpoint/upstream.cpp
+++ b/src/endpoint/upstream.cpp
@@ -3,6 +3,7 @@
 #include "greengagespar/base/http_method.h"
 
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
@@ -15,6 +16,9 @@
 // How many connections without a request are kept open.
 constexpr std::size_t MaxIdleConnections = 64;
 
+// Largest head of an answer.
+constexpr std::size_t MaxHeadBytes = std::size_t{64} * 1024;
+
 std::string text(evbuffer *buf) {
   std::string out(evbuffer_get_length(buf), '\0');
   evbuffer_copyout(buf, out.data(), out.size());
@@ -70,6 +74,10 @@
       evhttp_connection_base_new(Base, nullptr, Host.c_str(), Port);
   evhttp_connection_set_max_body_size(connection,
                                       static_cast<ev_ssize_t>(MaxAnswerBytes));
+  evhttp_connection_set_max_headers_size(connection, MaxHeadBytes);
+  // evhttp has no limit on a line of a chunked body.
+  bufferevent_setwatermark(evhttp_connection_get_bufferevent(connection),
+                           EV_READ, 0, MaxAnswerBytes + MaxHeadBytes);
   return connection;
 }
 
--- a/src/store/http_pool.cpp
+++ b/src/store/http_pool.cpp
@@ -23,6 +23,9 @@
 
 namespace {
 
+// Largest head of an answer.
+constexpr std::size_t MaxHeadBytes = std::size_t{64} * 1024;
+
 struct ConnectionDeleter {
   void operator()(evhttp_connection *it) const { evhttp_connection_free(it); }
 };
@@ -244,6 +247,10 @@
       Loop, nullptr, Host.c_str(), static_cast<ev_uint16_t>(Port)));
   evhttp_connection_set_max_body_size(
       connection.get(), static_cast<ev_ssize_t>(Options.MaxAnswerBytes));
+  evhttp_connection_set_max_headers_size(connection.get(), MaxHeadBytes);
+  // evhttp has no limit on a line of a chunked body.
+  bufferevent_setwatermark(evhttp_connection_get_bufferevent(connection.get()),
+                           EV_READ, 0, Options.MaxAnswerBytes + MaxHeadBytes);
   return connection;
 }
 
