Do not order an armed server to prepare the next map

A released map comes into use a few steps later, and the driver plans the next one meanwhile.

Change: no order while the server is armed; the driver's next order, 60 ms later, tries again.

Test: prepare_ofAnArmedServer_sendsNoOrder failed before and passes now.

--- a/src/direct/rank_server.cpp
+++ b/src/direct/rank_server.cpp
@@ -29,6 +29,10 @@
 RankServerAction prepare(const MapOrder &goal, const RankServerState &state) {
   if (state.Prepared == goal.Map || isArmedWith(state, goal.Map))
     return done();
+  // The server refuses to prepare a map until it has begun the step that it is
+  // armed for. The driver repeats its order until then.
+  if (state.Armed)
+    return refused();
   return send(ServerMapOrder::Prepare, goal.Map, {}, state);
 }
 
--- a/src/direct/rank_server_test.cpp
+++ b/src/direct/rank_server_test.cpp
@@ -570,6 +570,20 @@
   BOOST_TEST(!carryOut(rank, delayedArm));
 }
 
+// Guards against an agent that sends a map again and again, 24 times for each
+// order of the driver, to a server that refuses it while it is armed.
+BOOST_AUTO_TEST_CASE(prepare_ofAnArmedServer_sendsNoOrder) {
+  begin(1);
+  RankServerState server = Ranks[1].Server;
+  server.Prepared = MapNumber{1024};
+  server.Armed = ArmedMap{{1024}, {5}};
+  RankWork work{RankTask::Prepare, {}};
+  work.Goal.Map = {2048};
+  BOOST_TEST(bool(decideRankServer(work, server).What == Kind::Refused));
+  server.Armed.reset();
+  BOOST_TEST(bool(decideRankServer(work, server).What == Kind::Send));
+}
+
 BOOST_AUTO_TEST_CASE(arm_ofTheHoldingRank_needsItsHold) {
   begin(1);
   RankServerState server = Ranks[1].Server;
