Test that a group goes on after all processes lose power in a switch

The entry and all agents of a group end while ranks are armed and start again together; only servers and store keep their state. Passes go on, a later map comes into use, no pass is mixed.

--- a/testsuite/direct/map_test.cpp
+++ b/testsuite/direct/map_test.cpp
@@ -40,6 +40,30 @@
   BOOST_TEST(MixedPasses == 0);
 }
 
+// All processes lose power in the midst of a switch and start again at the same
+// moment; only the servers and the platform's store keep their state.
+BOOST_AUTO_TEST_CASE(allProcesses_powerLostDuringSwitch_groupGoesOn) {
+  startEntry();
+  for (std::size_t armed : {0U, 2U}) {
+    BOOST_REQUIRE(runUntil([&] { return Ranks[armed]->isArmed(); }));
+    Entry.reset();
+    for (auto &it : Agents)
+      it.reset();
+    runFor(100ms);
+    for (std::size_t r = 0; r < Size; ++r)
+      startAgent(r);
+    startEntry();
+    std::uint64_t before = Step;
+    std::uint64_t map = Ranks[0]->inUse();
+    for (auto &it : Ranks)
+      it->PreferredExpert = (it->PreferredExpert + 2) % FakeRank::Experts;
+    BOOST_TEST(runUntil([&] { return Step > before + 50; }));
+    BOOST_TEST(
+        runUntil([&] { return Ranks[0]->inUse() > map && hasSwitched(); }));
+    BOOST_TEST(MixedPasses == 0);
+  }
+}
+
 // One rank applies its orders late, so that the other ranks are ahead of it.
 BOOST_AUTO_TEST_CASE(orders_appliedLate_neverMixMaps) {
   startEntry();
