Let clang-tidy read the test of endless answers

HttpPoolOptions is no constant expression for clang 14, so the bound of the test is a constant that is computed at the start. No value is changed.

--- a/src/store/endless_answer_test.cpp
+++ b/src/store/endless_answer_test.cpp
@@ -11,7 +11,7 @@
 
 // The largest answer that the client accepts, and what the kernel's socket
 // buffers hold.
-constexpr std::size_t MaxBytesTaken =
+const std::size_t MaxBytesTaken =
     HttpPoolOptions().MaxAnswerBytes + (std::size_t{10} << 20);
 
 struct EndlessCase {
