Refuse a request at once that a leaving entry can't finish

Cause: a leaving entry serves callers with old addresses until its grace time is over, whatever they ask for.

Change: a stream is refused when less than 4.8 s are left, a whole answer when less than 1 s is: not run, come back after 50 ms, to another entry.

Tests: stream_toAnEntryThatEndsSoon_isRefusedAtOnce failed before (it was served 200 and would have been cut) and passes now; leavingEntry_servesWhatEndsBeforeIt is new.

--- a/src/direct/attempts.cpp
+++ b/src/direct/attempts.cpp
@@ -26,4 +26,9 @@
   return {NextStep::SendAgain, "again"};
 }
 
+bool canServeBeforeEnd(RequestKind kind, Clock::duration untilEnd) {
+  return untilEnd >=
+         (kind == RequestKind::Stream ? StreamDuration : WholeAnswerDuration);
+}
+
 } // namespace greengagespar
--- a/src/direct/attempts_test.cpp
+++ b/src/direct/attempts_test.cpp
@@ -65,4 +65,11 @@
   BOOST_TEST(bool(step(it, AttemptEnd::DidNotRun) == NextStep::Refuse));
 }
 
+BOOST_AUTO_TEST_CASE(leavingEntry_servesWhatEndsBeforeIt) {
+  BOOST_TEST(canServeBeforeEnd(RequestKind::Stream, 7s));
+  BOOST_TEST(!canServeBeforeEnd(RequestKind::Stream, 4s));
+  BOOST_TEST(canServeBeforeEnd(RequestKind::Idempotent, 4s));
+  BOOST_TEST(!canServeBeforeEnd(RequestKind::AtMostOnce, 500ms));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/direct/direct_entry.cpp
+++ b/src/direct/direct_entry.cpp
@@ -43,6 +43,8 @@
 // Time after which a caller may try an entry again that is not ready: a
 // starting entry has its configuration by then.
 constexpr milliseconds NotReadyRetryAfter{500};
+// Time after which a caller may try another entry when this one leaves.
+constexpr milliseconds OtherEntryRetryAfter{50};
 
 // An entry counts as unresponsive when its peers have received nothing from it
 // for this long, so that callers are not sent to an entry that has been down
@@ -248,6 +250,12 @@
   Peers.announce();
 }
 
+// Returns when a leaving entry ends at the latest.
+// Precondition: the entry is leaving.
+Clock::time_point DirectEntry::endsAt() const {
+  return *LeavingSince + (Settings.Grace - GraceMargin);
+}
+
 void DirectEntry::tickLeaving(Clock::time_point now) {
   auto since = now - *LeavingSince;
   if (!IsDraining && since > LeaveLinger) {
@@ -256,7 +264,7 @@
   }
   bool isQuiet =
       IsDraining && OpenExchanges.empty() && RequestListener.connections() == 0;
-  if (!isQuiet && since < Settings.Grace - GraceMargin)
+  if (!isQuiet && now < endsAt())
     return;
   logInfo(Part::Entry,
           LogLine("stop")
@@ -408,7 +416,7 @@
 
 void DirectEntry::reject(const CallMetadata &facts,
                          const std::shared_ptr<HttpReply> &reply, int status,
-                         std::string_view reason) {
+                         std::string_view reason, milliseconds retryAfter) {
   logInfo(Part::Call,
           LogLine("answer")
               .add("id", facts.RequestId)
@@ -421,9 +429,8 @@
                      {{"kind", "none"},
                       {"outcome", "rejected"},
                       {"reason", std::string(reason)}}});
-  auto retry =
-      status == StatusUnavailable ? NotReadyRetryAfter : milliseconds{0};
-  reply->sendWhole(status, Dialect.WriteOwnAnswer(facts.RequestId, retry), "");
+  reply->sendWhole(status, Dialect.WriteOwnAnswer(facts.RequestId, retryAfter),
+                   "");
 }
 
 std::optional<Deadline> DirectEntry::deadlineOf(const CallMetadata &facts,
@@ -443,7 +450,8 @@
   CallMetadata facts = Dialect.ReadCall(request.Head);
   auto table = Site.table();
   if (!table)
-    return reject(facts, reply, StatusUnavailable, "no_configuration");
+    return reject(facts, reply, StatusUnavailable, "no_configuration",
+                  NotReadyRetryAfter);
   const Route *route = findRoute(*table, facts.Host, request.Head.Target);
   if (!route)
     return reject(facts, reply, StatusNotFound, "no_route");
@@ -452,13 +460,18 @@
     return reject(facts, reply, StatusUnauthorized, "unknown_key");
   if (facts.RequestId.empty())
     return reject(facts, reply, StatusBadRequest, "no_request_id");
+  if (LeavingSince && !canServeBeforeEnd(route->Kind, endsAt() - now))
+    return reject(facts, reply, StatusUnavailable, "leaving",
+                  OtherEntryRetryAfter);
   auto deadline = deadlineOf(facts, *route, now);
   if (!deadline)
-    return reject(facts, reply, StatusUnavailable, "no_time");
+    return reject(facts, reply, StatusUnavailable, "no_time",
+                  NotReadyRetryAfter);
   std::uniform_real_distribution<double> draw(0, 1);
   const ServiceId *service = pickService(*route, draw(Random));
   if (!service)
-    return reject(facts, reply, StatusUnavailable, "no_service");
+    return reject(facts, reply, StatusUnavailable, "no_service",
+                  NotReadyRetryAfter);
   AcceptedCall call{CallId{Self.ProcessIncarnation, ++NextCall},
                     std::move(facts),
                     table,
--- a/src/include/greengagespar/direct/attempts.h
+++ b/src/include/greengagespar/direct/attempts.h
@@ -6,6 +6,7 @@
 #define GREENGAGESPAR_DIRECT_ATTEMPTS_H
 
 #include "greengagespar/base/clock.h"
+#include "greengagespar/direct/site.h"
 #include <cstdint>
 #include <string_view>
 
@@ -51,6 +52,15 @@
 /// Decides what follows an attempt that ended with \p end.
 NextDecision decideNext(const AttemptHistory &history, AttemptEnd end);
 
+/// Time that a usual stream, or a whole answer, needs from its request to its
+/// end while the system is busy.
+inline constexpr std::chrono::milliseconds StreamDuration{4800};
+inline constexpr std::chrono::milliseconds WholeAnswerDuration{1000};
+
+/// Returns whether an entry that ends in \p untilEnd can still serve a new
+/// request of \p kind. If not, another entry should.
+bool canServeBeforeEnd(RequestKind kind, Clock::duration untilEnd);
+
 } // namespace greengagespar
 
 #endif // GREENGAGESPAR_DIRECT_ATTEMPTS_H
--- a/src/include/greengagespar/direct/direct_entry.h
+++ b/src/include/greengagespar/direct/direct_entry.h
@@ -40,7 +40,8 @@
   std::string renderMetrics();
   void reject(const CallMetadata &facts,
               const std::shared_ptr<HttpReply> &reply, int status,
-              std::string_view reason);
+              std::string_view reason,
+              std::chrono::milliseconds retryAfter = {});
   std::optional<Deadline> deadlineOf(const CallMetadata &facts,
                                      const Route &route,
                                      Clock::time_point now) const;
@@ -57,6 +58,7 @@
   void pullFrom(const Address &peer, Generation at);
   bool isReady() const;
   void tick();
+  Clock::time_point endsAt() const;
   void tickLeaving(Clock::time_point now);
   void scheduleDestruction(CallId id);
 
--- a/testsuite/direct/trouble_test.cpp
+++ b/testsuite/direct/trouble_test.cpp
@@ -55,6 +55,27 @@
   BOOST_TEST(findField(response.Head.Fields, "Retry-After") != nullptr);
 }
 
+// Guards against a stream that a leaving entry accepts from a caller with old
+// addresses and cuts when it ends: the caller could have gone elsewhere.
+BOOST_AUTO_TEST_CASE(stream_toAnEntryThatEndsSoon_isRefusedAtOnce) {
+  FakeServer &drafter = addServer("helper", [](const auto &it) {
+    return FakeAnswer{streamHead(it) + chunk(eventText(1))};
+  });
+  addServer("ledger", [](const auto &it) { return ok(it); });
+  Settings.Grace = 6s;
+  startEntry();
+  // A call in progress keeps the entry from ending early.
+  auto first = send("GET", "/draft/1");
+  BOOST_REQUIRE(runUntil([&] { return !drafter.Requests.empty(); }));
+  Entry->leave();
+  runFor(1s);
+  Reply response = sendAndWait("GET", "/draft/2");
+  BOOST_TEST(response.Head.Status == 503);
+  BOOST_TEST(findField(response.Head.Fields, "Retry-After") != nullptr);
+  BOOST_TEST(drafter.Requests.size() == 1U);
+  BOOST_TEST(sendAndWait("GET", "/status/1").Head.Status == 200);
+}
+
 BOOST_AUTO_TEST_CASE(address_reusedByAnotherServer_isAvoided) {
   addServer("ledger", [](const auto &it) {
     return FakeAnswer{signedAnswer(it, 421, "")};
