--- a/testsuite/direct/map_test.cpp
+++ b/testsuite/direct/map_test.cpp
@@ -45,7 +45,12 @@
 BOOST_AUTO_TEST_CASE(allProcesses_powerLostDuringSwitch_groupGoesOn) {
   startEntry();
   for (std::size_t armed : {0U, 2U}) {
+    // The shift makes a switch necessary.
+    for (auto &it : Ranks)
+      it->PreferredExpert = (it->PreferredExpert + 2) % FakeRank::Experts;
     BOOST_REQUIRE(runUntil([&] { return Ranks[armed]->isArmed(); }));
+    std::uint64_t map = Ranks[0]->inUse();
+    std::uint64_t before = Step;
     Entry.reset();
     for (auto &it : Agents)
       it.reset();
@@ -53,10 +58,6 @@
     for (std::size_t r = 0; r < Size; ++r)
       startAgent(r);
     startEntry();
-    std::uint64_t before = Step;
-    std::uint64_t map = Ranks[0]->inUse();
-    for (auto &it : Ranks)
-      it->PreferredExpert = (it->PreferredExpert + 2) % FakeRank::Experts;
     BOOST_TEST(runUntil([&] { return Step > before + 50; }));
     BOOST_TEST(
         runUntil([&] { return Ranks[0]->inUse() > map && hasSwitched(); }));
