Log the parts of a prompt and the server that an answer blames

The dialect reads both fields now; the parts are bounded to 64 a request, in the log to 8 of 24 bytes. No decision uses them.

--- a/src/direct/exchange.cpp
+++ b/src/direct/exchange.cpp
@@ -38,6 +38,10 @@
 // advanced by then.
 constexpr milliseconds MinRetryAfter{50};
 
+// Parts of a prompt in one log line, and bytes of each.
+constexpr std::size_t MaxLoggedParts = 8;
+constexpr std::size_t MaxLoggedPartBytes = 24;
+
 constexpr int StatusOk = 200;
 constexpr int FirstFailure = 500;
 constexpr int StatusBadGateway = 502;
@@ -56,6 +60,18 @@
   return "";
 }
 
+// Returns \p parts for a log line, separated by commas, at most
+// MaxLoggedParts of them and MaxLoggedPartBytes of each.
+std::string describeParts(const std::vector<std::string> &parts) {
+  std::string text;
+  for (std::size_t i = 0; i < std::min(parts.size(), MaxLoggedParts); ++i) {
+    if (i > 0)
+      text.push_back(',');
+    text.append(parts[i], 0, MaxLoggedPartBytes);
+  }
+  return text;
+}
+
 } // namespace
 
 Exchange::Exchange(ExchangeContext &context, ServerPool &pool,
@@ -201,6 +217,7 @@
     Pool.recordPause(now - *CurrentAttempt->LastEventAt,
                      Call.MatchedRoute->LongestPause);
   CurrentAttempt->LastEventAt = now;
+  ++CurrentAttempt->Events;
   if (!HasSentHead) {
     HasSentHead = true;
     FirstEventAt = now;
@@ -281,8 +298,12 @@
       .add("why", why)
       .add("status", CurrentAttempt->Head.Status)
       .addMs("took_ms", now - CurrentAttempt->SentAt)
+      .addMs("silent_ms", now - CurrentAttempt->LastReceivedAt)
       .add("runs", Runs)
       .add("events", static_cast<std::int64_t>(Stream.EventCount))
+      .add("events_here", CurrentAttempt->Events)
+      .add("parts", describeParts(Call.Facts.SharedParts))
+      .add("failed_server", CurrentAttempt->Answer.FailedServer.Value)
       .add("next", next.Reason);
   logInfo(Part::Route, line.text());
   countUp(*Context.Counters,
--- a/src/include/greengagespar/direct/exchange.h
+++ b/src/include/greengagespar/direct/exchange.h
@@ -49,6 +49,7 @@
   Clock::time_point LastReceivedAt; ///< SentAt until the answer begins.
   /// When this server's last event was received; empty before its first one.
   std::optional<Clock::time_point> LastEventAt;
+  int Events = 0; ///< Events that this server has sent.
   HttpHead Head;
   AnswerMetadata Answer;
   bool HasHead = false;
--- a/src/include/greengagespar/direct/site.h
+++ b/src/include/greengagespar/direct/site.h
@@ -117,8 +117,15 @@
   std::optional<std::uint64_t> LastEventId;
   int PromptTokens = 0;
   int MaxAnswerTokens = 0;
+  /// Identifiers of the parts of the prompt that other requests may share, in
+  /// order, without duplicates; at most MaxSharedParts.
+  std::vector<std::string> SharedParts;
 };
 
+/// Most parts of one prompt that the entry keeps track of; further parts are
+/// ignored.
+inline constexpr std::size_t MaxSharedParts = 64;
+
 /// What the entry adds to a caller's request when it sends it to a server.
 struct SendMetadata {
   ServerId Server;       ///< Any other server refuses the request.
@@ -136,6 +143,9 @@
   bool DidNotRun = false;     ///< The server did not run the request.
   bool IsOtherServer = false; ///< Another server has the address now.
   bool IsEventStream = false;
+  /// The server that the answer reports as failed or wrong; empty: none. In a
+  /// group it is another one than the server that answers.
+  ServerId FailedServer;
 };
 
 /// What a call to one of the entry's addresses is for.
