Test that one part of a prompt ends few servers, on several entries

Three entries before twelve stand-ins that end as they begin to answer a request with one part in its prompt, whatever its neighbours; single servers and a group whose other ranks stall for 1.5 s and then break their calls off. The rule allows three more such requests after the fifth crash.

--- /dev/null
+++ b/testsuite/direct/crash_test.cpp
@@ -0,0 +1,232 @@
+#include "site.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <random>
+
+using namespace greengagespar;
+using namespace greengagespar::site;
+using namespace std::chrono_literals;
+
+namespace {
+
+// A server ends when it begins to answer a request with this part.
+constexpr const char *CrashingPart = "bad00";
+
+// The rule of the users' platform: after the fifth crash, at most three more
+// requests with the part reach a server.
+constexpr int MostCrashes = 8;
+
+// Time for which a group stalls when one of its ranks has ended, before the
+// others break their calls off, and for which it stays closed afterwards.
+constexpr auto StallTime = 1500ms;
+constexpr auto FormTime = 300ms;
+// Time after which a server that has ended is replaced.
+constexpr auto RestartTime = 200ms;
+
+// Returns \p text followed by \p number.
+std::string numbered(std::string text, std::uint64_t number) {
+  return text.append(std::to_string(number));
+}
+
+/// Several entries before servers of the service "helper" that end under
+/// requests with CrashingPart. The servers are single ones or one group, whose
+/// ranks stall together.
+struct CrashFixture : SiteFixture {
+  struct EntryProcess {
+    DirectSettings Settings;
+    std::unique_ptr<DirectEntry> Process;
+  };
+
+  std::vector<EntryProcess> Entries;
+  std::vector<std::unique_ptr<FakeServer>> Ended;
+  std::vector<Clock::time_point> RestartAt;
+  std::vector<std::unique_ptr<Call>> Calls;
+  std::mt19937_64 Rng{7};
+  bool IsGroup = false;
+  int Crashes = 0;
+  int BadArrived = 0; ///< Requests with CrashingPart that reached servers.
+  Clock::time_point StalledUntil{};
+  Clock::time_point ClosedUntil{};
+
+  void addServers(int count) {
+    for (int i = 0; i < count; ++i)
+      addHelper();
+  }
+
+  void addHelper() {
+    std::string id = numbered("h-", ++NextServer);
+    Servers.push_back(std::make_unique<FakeServer>(
+        Loop.base(), id,
+        [this, id](const HttpRequestMessage &it) { return respond(id, it); }));
+    Objects.put("servers", id, Servers.back()->entry("helper"));
+  }
+
+  FakeAnswer respond(const std::string &id, const HttpRequestMessage &request) {
+    const std::string *parts =
+        findField(request.Head.Fields, "X-Prompt-Prefix");
+    bool isBad = parts && parts->find(CrashingPart) != std::string::npos;
+    BadArrived += isBad ? 1 : 0;
+    auto now = Clock::now();
+    if (now < StalledUntil)
+      return {.SendsNothing = true};
+    if (now < ClosedUntil)
+      return {signedAnswer(request, 503, "", "X-Not-Executed: 1\r\n")};
+    if (isBad) {
+      crash(id);
+      return {.Bytes = streamHead(request), .Closes = true};
+    }
+    return {streamHead(request) + chunk(eventText(1)) + chunk(eventText(2)) +
+            chunk(eventText(3)) + "0\r\n\r\n"};
+  }
+
+  // Ends the server \p id after its answer: it is replaced later by another
+  // one. The group's other ranks stall.
+  void crash(const std::string &id) {
+    ++Crashes;
+    if (IsGroup) {
+      StalledUntil = Clock::now() + StallTime;
+      ClosedUntil = StalledUntil + FormTime;
+    }
+    CrashedIds.push_back(id);
+  }
+
+  // Does what is due: ends crashed servers, replaces them, breaks off stalled
+  // calls.
+  void step() {
+    runFor(2ms);
+    auto now = Clock::now();
+    for (const std::string &id : std::exchange(CrashedIds, {})) {
+      auto it = std::ranges::find_if(
+          Servers, [&](const auto &server) { return server->id() == id; });
+      if (it == Servers.end())
+        continue;
+      (*it)->stopListening();
+      (*it)->closeAll(false);
+      Ended.push_back(std::move(*it));
+      Servers.erase(it);
+      Objects.remove("servers", id);
+      RestartAt.push_back(now + RestartTime);
+    }
+    if (std::erase_if(RestartAt, [&](auto at) { return now >= at; }) > 0)
+      addServers(static_cast<int>(12 - Servers.size() - RestartAt.size()));
+    if (StalledUntil != Clock::time_point{} && now >= StalledUntil) {
+      StalledUntil = {};
+      for (auto &server : Servers)
+        server->closeAll(true);
+    }
+  }
+
+  void steps(std::chrono::milliseconds time) {
+    for (auto end = Clock::now() + time; Clock::now() < end;)
+      step();
+  }
+
+  void startEntries(int count) {
+    for (int i = 0; i < count; ++i)
+      startOne();
+    steps(1200ms); // They find each other.
+  }
+
+  void startOne() {
+    EntryProcess entry;
+    entry.Settings = Settings;
+    entry.Settings.Name = {numbered("entry-", Entries.size() + 1)};
+    entry.Settings.Listen = freeAddress();
+    entry.Settings.Ready = freeAddress();
+    entry.Settings.Directory = freeAddress();
+    entry.Settings.Link = freeAddress();
+    for (const EntryProcess &it : Entries)
+      entry.Settings.Peers.push_back(it.Settings.Link);
+    Entries.push_back(std::move(entry));
+    EntryProcess &added = Entries.back();
+    added.Process = std::make_unique<DirectEntry>(
+        Loop.base(), Context, added.Settings, platformDialect());
+    BOOST_REQUIRE(bool(added.Process->start()));
+    BOOST_REQUIRE(runUntil([&] {
+      return getFrom(added.Settings.Ready, "/-/ready").Head.Status == 200;
+    }));
+  }
+
+  // Sends a request with \p parts via the entry \p index. The last part is the
+  // request's own.
+  Call &sendParts(std::size_t index, const std::string &parts) {
+    Settings.Listen = Entries[index % Entries.size()].Settings.Listen;
+    std::string own = numbered("f", ++NextOwnPart);
+    Calls.push_back(send("POST", "/draft/1",
+                         "X-Api-Key: k1\r\nX-Deadline-Ms: 3000\r\n"
+                         "X-Prompt-Prefix: " +
+                             parts + "," + own + ":600\r\n"));
+    return *Calls.back();
+  }
+
+  // Returns \p parts with a common part of few before them.
+  std::string withFirst(const std::string &parts) {
+    std::string first = numbered("a", Rng() % 4).append(":40");
+    return parts.empty() ? first : first.append(",").append(parts);
+  }
+
+  // Sends sound requests for \p time through all entries, and requests with
+  // CrashingPart among them.
+  void sendMix(std::chrono::milliseconds time) {
+    auto end = Clock::now() + time;
+    for (std::size_t n = 0; Clock::now() < end; ++n) {
+      if (n % 4 == 0) {
+        std::string bad = std::string(CrashingPart) + ":300";
+        sendParts(Rng(), Rng() % 3 == 0 ? bad + ",c:9" : withFirst(bad));
+        ++BadSent;
+      }
+      sendParts(Rng(), withFirst(""));
+      steps(12ms);
+    }
+  }
+
+  // Returns the share of \p count sound requests that are served.
+  double servedShare(int count) {
+    std::vector<Call *> sent;
+    for (int i = 0; i < count; ++i) {
+      sent.push_back(&sendParts(Rng(), withFirst("")));
+      steps(5ms);
+    }
+    steps(300ms);
+    auto served = std::ranges::count_if(sent, [](const Call *it) {
+      return it->Response.IsDone && it->Response.Head.Status == 200;
+    });
+    return static_cast<double>(served) / count;
+  }
+
+  int BadSent = 0;
+  int NextServer = 0;
+  int NextOwnPart = 0;
+  std::vector<std::string> CrashedIds;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(CrashingParts, CrashFixture)
+
+// Guards against requests with one part in their prompts that end server after
+// server, because no entry remembers what they have in common.
+BOOST_AUTO_TEST_CASE(crashingPart_atSingleServers_endsFewServers) {
+  addServers(12);
+  startEntries(3);
+  sendMix(2500ms);
+  BOOST_TEST(BadSent > 20);
+  BOOST_TEST(Crashes <= MostCrashes);
+  BOOST_TEST(servedShare(40) >= 0.9);
+}
+
+// The same with one group: all ranks stall when one ends, and calls of sound
+// ranks break off too.
+BOOST_AUTO_TEST_CASE(crashingPart_atGroup_endsFewRanks) {
+  IsGroup = true;
+  addServers(12);
+  startEntries(3);
+  sendMix(22s);
+  BOOST_TEST(BadSent > 100);
+  BOOST_TEST(Crashes <= MostCrashes);
+  steps(StallTime + FormTime);
+  BOOST_TEST(servedShare(40) >= 0.9);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/testsuite/direct/site.cpp
+++ b/testsuite/direct/site.cpp
@@ -216,7 +216,12 @@
     throw std::runtime_error("the server can't listen");
 }
 
-FakeServer::~FakeServer() { evconnlistener_free(Listener); }
+FakeServer::~FakeServer() { stopListening(); }
+
+void FakeServer::stopListening() {
+  if (Listener)
+    evconnlistener_free(std::exchange(Listener, nullptr));
+}
 
 json::object FakeServer::entry(const std::string &service,
                                const std::string &state) const {
@@ -233,6 +238,12 @@
   ServerCallbacks::end(*Open.back(), resets);
 }
 
+void FakeServer::closeAll(bool resets) {
+  for (auto &it : Open)
+    if (!it->IsClosed)
+      ServerCallbacks::end(*it, resets);
+}
+
 std::string signedAnswer(const HttpRequestMessage &request, int status,
                          const std::string &body,
                          const std::string &moreFields) {
--- a/testsuite/direct/site.h
+++ b/testsuite/direct/site.h
@@ -112,6 +112,10 @@
   void sendMore(std::string_view bytes);
   /// Closes the newest connection; resets it if \p resets is set.
   void closeNewest(bool resets);
+  /// Closes all connections; resets them if \p resets is set.
+  void closeAll(bool resets);
+  /// Refuses new connections from now on.
+  void stopListening();
 
 private:
   struct Connection;
