Block parts of prompts that crash servers, by the evidence of all entries

Cause: entries bounded the attempts of one request, and nothing was remembered about what requests that ended servers had in common. The class: a retry policy whose memory is one request, under work that kills its worker (query of death). Evidence: the record's attempts end with status 200, no event, the connection closed at once, and next=again; none of them gets a second event.

Now a server that closes a connection within a second of its last bytes and before the second event makes the shared parts of that prompt suspects (ranks of a stalled group break off after 1.5 s of silence, so they blame nobody). A part that was answered of late is none. Suspects are sent one at a time by one entry, the first in the part's rendezvous order, and a request whose server ended goes to no second one unless all its parts are known to be sound. Three servers block the part, for ten minutes and twice as long after each further one; any answer clears it. Entries exchange crashes by id in their digests, at once when there is news: at most 16 rows of 8 crashes.

--- a/src/direct/direct_entry.cpp
+++ b/src/direct/direct_entry.cpp
@@ -1,7 +1,9 @@
 #include "greengagespar/direct/direct_entry.h"
 
+#include "greengagespar/base/hash.h"
 #include "greengagespar/base/log.h"
 #include "greengagespar/base/log_output.h"
+#include "greengagespar/direct/evidence_messages.h"
 #include <algorithm>
 #include <event2/event.h>
 
@@ -118,6 +120,9 @@
   Context.Loop = loop;
   Context.Dialect = &Dialect;
   Context.Counters = &Counters;
+  Context.Guard = &Guard;
+  Guard.MayTry = [this](PromptPartId part) { return mayTry(part); };
+  Guard.OnNews = [this] { Peers.announce(); };
   Context.OnEnded = [this](CallId id) { scheduleDestruction(id); };
 }
 
@@ -135,9 +140,30 @@
   hooks.OnLaterIncarnation = [this](Incarnation life) {
     Self.ProcessIncarnation = {life.Value + 1};
   };
+  hooks.AddToDigest = [this](wire::Members &digest) {
+    writeEvidence(evidenceRows(Guard.Evidence, Clock::now(), MaxEvidenceRows),
+                  digest);
+  };
+  hooks.OnDigest = [this](const wire::Members &digest) {
+    bool isNews = false;
+    for (const EvidenceRow &it : readEvidence(digest))
+      isNews = mergeEvidence(Guard.Evidence, it, Clock::now()) || isNews;
+    return isNews;
+  };
   return hooks;
 }
 
+// Whether this entry is the one of all that may try requests with \p part: the
+// first in the rendezvous order of the part.
+bool DirectEntry::mayTry(PromptPartId part) const {
+  std::vector<Address> entries;
+  for (const auto &[address, it] : Peers.view().Members)
+    if (acceptsWork(it))
+      entries.push_back(address);
+  auto order = rendezvousOrder(std::to_string(part.Value), entries);
+  return !order.empty() && order.front() == Settings.Link;
+}
+
 MapCoordinatorHooks DirectEntry::mapHooks() {
   MapCoordinatorHooks hooks;
   hooks.Position = [this] {
@@ -277,6 +303,7 @@
 void DirectEntry::tick() {
   auto now = Clock::now();
   Site.tick(now);
+  expireEvidence(Guard.Evidence, now);
   bool isWaiting = LeavingSince.has_value();
   for (auto &[id, pool] : Pools) {
     pool->tick(now);
@@ -399,6 +426,10 @@
            static_cast<double>(RequestListener.connections()));
   setGauge(Counters, {"greengagespar_store_calls"},
            static_cast<double>(totalSent(Site.storeCalls())));
+  setGauge(Counters, {"greengagespar_parts_with_crashes"},
+           static_cast<double>(Guard.Evidence.Parts.size()));
+  setGauge(Counters, {"greengagespar_parts_blocked"},
+           static_cast<double>(blockedParts(Guard.Evidence, Clock::now())));
   for (const auto &[id, pool] : Pools) {
     setGauge(Counters, {"greengagespar_waiting", {{"service", id.Value}}},
              static_cast<double>(pool->waiting()));
--- a/src/direct/exchange.cpp
+++ b/src/direct/exchange.cpp
@@ -3,6 +3,7 @@
 #include "greengagespar/base/log.h"
 #include "greengagespar/base/log_output.h"
 #include <algorithm>
+#include <utility>
 
 namespace greengagespar {
 
@@ -38,10 +39,6 @@
 // advanced by then.
 constexpr milliseconds MinRetryAfter{50};
 
-// Parts of a prompt in one log line, and bytes of each.
-constexpr std::size_t MaxLoggedParts = 8;
-constexpr std::size_t MaxLoggedPartBytes = 24;
-
 constexpr int StatusOk = 200;
 constexpr int FirstFailure = 500;
 constexpr int StatusBadGateway = 502;
@@ -60,24 +57,13 @@
   return "";
 }
 
-// Returns \p parts for a log line, separated by commas, at most
-// MaxLoggedParts of them and MaxLoggedPartBytes of each.
-std::string describeParts(const std::vector<std::string> &parts) {
-  std::string text;
-  for (std::size_t i = 0; i < std::min(parts.size(), MaxLoggedParts); ++i) {
-    if (i > 0)
-      text.push_back(',');
-    text.append(parts[i], 0, MaxLoggedPartBytes);
-  }
-  return text;
-}
-
 } // namespace
 
 Exchange::Exchange(ExchangeContext &context, ServerPool &pool,
                    AcceptedCall call, HttpRequestMessage request,
                    std::shared_ptr<HttpReply> reply)
     : Context(context), Pool(pool), Call(std::move(call)),
+      Parts(promptPartsOf(Call.Service, Call.Facts.SharedParts)),
       Request(std::move(request)), Reply(std::move(reply)),
       LimitTimer(context.Loop, [this] { onTimer(); }) {
   Stream.LastId = Call.Facts.LastEventId;
@@ -85,10 +71,16 @@
 }
 
 Exchange::~Exchange() {
+  leaveTrial();
   if (!HasEnded)
     Pool.withdraw(Call.Id);
 }
 
+void Exchange::leaveTrial() {
+  if (std::exchange(IsTrial, false))
+    endTrial(Context.Guard->Evidence, Parts.Ids);
+}
+
 bool Exchange::isRepeatable() const {
   return Call.MatchedRoute->Kind == RequestKind::Idempotent ||
          (Call.MatchedRoute->Kind == RequestKind::Stream &&
@@ -96,6 +88,9 @@
 }
 
 void Exchange::start() {
+  if (auto no =
+          checkParts(*Context.Guard, Parts, Call.Facts.RequestId, Clock::now()))
+    return refuse(no->Answer, no->Reason);
   recordFirstAttempt(Pool.budget());
   armTimer();
   submit();
@@ -148,8 +143,25 @@
   return out;
 }
 
+// Returns whether the request may be sent now; otherwise refuses it. Evidence
+// may have come while it waited for \p server.
+bool Exchange::passesGuard(const ServerRecord &server, Clock::time_point now) {
+  auto no = checkParts(*Context.Guard, Parts, Call.Facts.RequestId, now);
+  if (!no) {
+    IsTrial = startTrial(Context.Guard->Evidence, Parts.Ids, now);
+    return true;
+  }
+  PoolOutcome outcome;
+  outcome.IsAbandoned = true;
+  Pool.finished(Call.Id, server.Id, outcome);
+  refuse(no->Answer, no->Reason);
+  return false;
+}
+
 void Exchange::send(const ServerRecord &server) {
   auto now = Clock::now();
+  if (!passesGuard(server, now))
+    return;
   CurrentAttempt.emplace();
   CurrentAttempt->Server = server;
   CurrentAttempt->SentAt = now;
@@ -217,7 +229,8 @@
     Pool.recordPause(now - *CurrentAttempt->LastEventAt,
                      Call.MatchedRoute->LongestPause);
   CurrentAttempt->LastEventAt = now;
-  ++CurrentAttempt->Events;
+  if (++CurrentAttempt->Events == EventsBeyondBeginning)
+    reportSurvival(*Context.Guard, Parts, now);
   if (!HasSentHead) {
     HasSentHead = true;
     FirstEventAt = now;
@@ -261,10 +274,27 @@
   auto connection = std::move(CurrentAttempt->Connection);
   ServerRecord server = CurrentAttempt->Server;
   CurrentAttempt.reset();
+  leaveTrial();
   Pool.keep(server.Id, std::move(connection));
   Pool.finished(Call.Id, server.Id, outcome);
 }
 
+// Records that the server ended as it began to answer, if the attempt looks
+// like that. Returns whether it does.
+bool Exchange::noteCrash(AttemptEnd end, Clock::time_point now) {
+  BrokenAttempt attempt;
+  attempt.RequestId = Call.Facts.RequestId;
+  attempt.Server = CurrentAttempt->Server;
+  attempt.IsDisconnected =
+      end == AttemptEnd::Lost && CurrentAttempt->Connection->isClosedByServer();
+  attempt.Events = CurrentAttempt->Events;
+  attempt.Silence = now - CurrentAttempt->LastReceivedAt;
+  if (!looksLikeCrash(attempt))
+    return false;
+  reportCrash(*Context.Guard, Parts, attempt, now);
+  return true;
+}
+
 // Ends an attempt without an answer to forward, and then sends the request
 // again, refuses it or fails it, as decideNext() and the retry budget say.
 void Exchange::endAttempt(AttemptEnd end, std::string_view why) {
@@ -286,6 +316,13 @@
   // Without a connection the request reached no server, so the next attempt
   // takes nothing from the retry budget.
   bool isFree = end == AttemptEnd::NotConnected;
+  bool isCrash = noteCrash(end, now);
+  if (isCrash && !areKnownSound(Context.Guard->Evidence, Parts.Ids)) {
+    // Another server would end as well if a part of the prompt is the cause.
+    history.AllowedRuns = 0;
+    next = decideNext(history, end);
+    next.Reason = "server_ended";
+  }
   if (next.Step == NextStep::SendAgain && !isFree &&
       !spendRetryToken(Pool.budget(), HasSentHead)) {
     history.AllowedRuns = 0;
@@ -346,6 +383,8 @@
     removeHopByHopFields(fields);
     Reply->sendWhole(status, std::move(fields), CurrentAttempt->Body);
   }
+  if (status < FirstFailure)
+    reportSurvival(*Context.Guard, Parts, now);
   PoolOutcome outcome;
   if (status >= FirstFailure)
     outcome.Failure = ErrorKind::EndpointFailed;
--- /dev/null
+++ b/src/direct/part_guard.cpp
@@ -0,0 +1,110 @@
+#include "greengagespar/direct/part_guard.h"
+
+#include "greengagespar/base/log.h"
+#include "greengagespar/base/log_output.h"
+#include <algorithm>
+
+namespace greengagespar {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Parts of a prompt in one log line, and bytes of each.
+constexpr std::size_t MaxLoggedParts = 8;
+constexpr std::size_t MaxLoggedPartBytes = 24;
+
+std::string nameOf(const PromptParts &parts, PromptPartId id) {
+  auto it = std::ranges::find(parts.Ids, id);
+  if (it == parts.Ids.end())
+    return {};
+  return describeParts({parts.Names[static_cast<std::size_t>(
+      std::distance(parts.Ids.begin(), it))]});
+}
+
+// Returns the refusal for a request whose part is blocked. Its caller may come
+// back when the block ends; until then it would be refused again.
+PartRefusal refuseBlocked(const PartDecision &decision, Clock::time_point now) {
+  auto left = std::chrono::ceil<milliseconds>(*decision.Until - now);
+  return {{ErrorKind::Overloaded, left}, "crashing_part"};
+}
+
+} // namespace
+
+PromptParts promptPartsOf(const ServiceId &service,
+                          const std::vector<std::string> &names) {
+  PromptParts parts{names, {}};
+  for (const std::string &it : names)
+    parts.Ids.push_back(promptPartOf(service, it));
+  return parts;
+}
+
+std::string describeParts(const std::vector<std::string> &names) {
+  std::string text;
+  for (std::size_t i = 0; i < std::min(names.size(), MaxLoggedParts); ++i) {
+    if (i > 0)
+      text.push_back(',');
+    text.append(names[i], 0, MaxLoggedPartBytes);
+  }
+  return text;
+}
+
+std::optional<PartRefusal> checkParts(const PartGuard &guard,
+                                      const PromptParts &parts,
+                                      std::string_view id,
+                                      Clock::time_point now) {
+  PartDecision decision = decideParts(guard.Evidence, parts.Ids, now);
+  if (decision.State == PartState::Clear)
+    return std::nullopt;
+  bool isBlocked = decision.State == PartState::Blocked;
+  if (!isBlocked && !decision.Until && guard.MayTry(decision.Part))
+    return std::nullopt;
+  PartRefusal refusal =
+      isBlocked ? refuseBlocked(decision, now)
+                : PartRefusal{{ErrorKind::Overloaded, SuspectRetryAfter},
+                              "suspect_part"};
+  logInfo(Part::Route,
+          LogLine("part_refused")
+              .add("id", id)
+              .add("part", nameOf(parts, decision.Part))
+              .add("crashes", static_cast<std::int64_t>(decision.Crashes))
+              .add("state", isBlocked ? "blocked" : "suspect")
+              .addMs("for_ms", refusal.Answer.RetryAfter)
+              .text());
+  return refusal;
+}
+
+bool looksLikeCrash(const BrokenAttempt &attempt) {
+  return attempt.IsDisconnected && attempt.Events < EventsBeyondBeginning &&
+         attempt.Silence < CrashSilenceLimit;
+}
+
+void reportCrash(PartGuard &guard, const PromptParts &parts,
+                 const BrokenAttempt &attempt, Clock::time_point now) {
+  CrashId crash = crashOf(attempt.Server.Id, attempt.Server.StartedMs);
+  if (!recordCrash(guard.Evidence, parts.Ids, crash, now))
+    return;
+  PartDecision decision = decideParts(guard.Evidence, parts.Ids, now);
+  logWarning(Part::Route,
+             LogLine("crash_suspected")
+                 .add("id", attempt.RequestId)
+                 .add("server", attempt.Server.Id.Value)
+                 .add("parts", describeParts(parts.Names))
+                 .add("part", nameOf(parts, decision.Part))
+                 .add("crashes", static_cast<std::int64_t>(decision.Crashes))
+                 .add("blocked", decision.State == PartState::Blocked)
+                 .text());
+  guard.OnNews();
+}
+
+void reportSurvival(PartGuard &guard, const PromptParts &parts,
+                    Clock::time_point now) {
+  if (parts.Ids.empty() || !recordSurvival(guard.Evidence, parts.Ids, now))
+    return;
+  logInfo(
+      Part::Route,
+      LogLine("parts_cleared").add("parts", describeParts(parts.Names)).text());
+  guard.OnNews();
+}
+
+} // namespace greengagespar
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -71,6 +71,7 @@
   bool IsHead = false;
   bool IsConnected = false;
   bool IsUnusable = false; ///< Closed, or must not be used again.
+  bool IsClosedByServer = false;
   bool InExchange = false;
   bool HeadSeen = false;
   /// Skips an interim answer, or an answer that belongs to another request.
@@ -113,6 +114,7 @@
   keep->read();
   if (!keep->IsConnected)
     return keep->end(ExchangeEnd::NotConnected, "connection refused");
+  keep->IsClosedByServer = true;
   if ((what & BEV_EVENT_EOF) && keep->InExchange && keep->Reader) {
     keep->Reader->takeEnd();
     if (keep->HeadSeen && keep->Reader->state() == ReadState::Complete) {
@@ -292,6 +294,10 @@
          evbuffer_get_length(bufferevent_get_input(S->Stream)) == 0;
 }
 
+bool HttpClientConnection::isClosedByServer() const {
+  return S->IsClosedByServer;
+}
+
 Clock::time_point HttpClientConnection::usableUntil() const {
   return S->IdleSince + idleTimeOf(S->LastHead);
 }
--- a/src/include/greengagespar/base/ids.h
+++ b/src/include/greengagespar/base/ids.h
@@ -48,6 +48,11 @@
 /// microseconds since the epoch. For the same host or server, a higher value is
 /// a later incarnation.
 using Incarnation = NumberId<struct IncarnationTag>;
+/// A part that prompts of a service share, such as a system prompt: a hash of
+/// the service and the part.
+using PromptPartId = NumberId<struct PromptPartTag>;
+/// One end of a server's process: a hash of the server and its incarnation.
+using CrashId = NumberId<struct CrashTag>;
 /// The generation of the accepted settings of the whole system. It only
 /// increases.
 using Generation = NumberId<struct GenerationTag>;
--- a/src/include/greengagespar/direct/direct_entry.h
+++ b/src/include/greengagespar/direct/direct_entry.h
@@ -55,6 +55,7 @@
   MapCoordinatorHooks mapHooks();
   PeerLinksHooks peerHooks();
   MemberRow ownRow() const;
+  bool mayTry(PromptPartId part) const;
   void pullFrom(const Address &peer, Generation at);
   bool isReady() const;
   void tick();
@@ -67,6 +68,7 @@
   const SiteDialect &Dialect;
   LinkIdentity Self;
   Metrics Counters;
+  PartGuard Guard;
   ExchangeContext Context;
   SiteFollower Site;
   PeerLinks Peers;
--- a/src/include/greengagespar/direct/exchange.h
+++ b/src/include/greengagespar/direct/exchange.h
@@ -10,6 +10,7 @@
 
 #include "greengagespar/direct/attempts.h"
 #include "greengagespar/direct/event_relay.h"
+#include "greengagespar/direct/part_guard.h"
 #include "greengagespar/direct/route_table.h"
 #include "greengagespar/direct/server_pool.h"
 #include "greengagespar/report/metrics.h"
@@ -22,6 +23,7 @@
   event_base *Loop = nullptr;
   const SiteDialect *Dialect = nullptr;
   Metrics *Counters = nullptr;
+  PartGuard *Guard = nullptr;
   /// Reports to the owner that the exchange has ended. The exchange still runs
   /// during the call; the owner may destroy it after the call has returned.
   std::function<void(CallId)> OnEnded;
@@ -76,6 +78,7 @@
 
 private:
   void submit();
+  bool passesGuard(const ServerRecord &server, Clock::time_point now);
   void send(const ServerRecord &server);
   std::string requestText(const ServerRecord &server) const;
   bool onHead(const HttpHead &head);
@@ -83,6 +86,8 @@
   void onEnd(ExchangeEnd how, std::string_view why);
   void onAnswerComplete();
   void relayEvents(std::string_view piece);
+  void leaveTrial();
+  bool noteCrash(AttemptEnd end, Clock::time_point now);
   void endAttempt(AttemptEnd end, std::string_view why);
   void releaseServer(const PoolOutcome &outcome);
   void refuse(const Refusal &why, std::string_view reason);
@@ -101,6 +106,7 @@
   ExchangeContext &Context;
   ServerPool &Pool;
   AcceptedCall Call;
+  PromptParts Parts;
   HttpRequestMessage Request;
   std::shared_ptr<HttpReply> Reply;
   std::optional<detail::Attempt> CurrentAttempt; ///< Empty while waiting.
@@ -108,6 +114,7 @@
   EventRelay Stream;
   bool HasSentHead = false; ///< The caller was sent the head of a stream.
   bool HasEnded = false;
+  bool IsTrial = false; ///< Its suspect parts are on trial at a server.
   bool HasSwitchedServer = false; ///< It has left one unresponsive server.
   int Runs = 0;                   ///< See AttemptHistory.
   int Refusals = 0;               ///< See AttemptHistory.
--- /dev/null
+++ b/src/include/greengagespar/direct/part_guard.h
@@ -0,0 +1,92 @@
+/// \file
+/// Applies the evidence about parts of prompts that crash servers to the
+/// requests of one entry, and logs what it decides. Not thread safe: belongs to
+/// the thread of its loop.
+#ifndef GREENGAGESPAR_DIRECT_PART_GUARD_H
+#define GREENGAGESPAR_DIRECT_PART_GUARD_H
+
+#include "greengagespar/direct/site.h"
+#include "greengagespar/route/admission.h"
+#include "greengagespar/route/crash_evidence.h"
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace greengagespar {
+
+/// A server that broke a request's connection off ends its other ones, too, but
+/// at once; the other ranks of its group do so only after a stall of more than
+/// a second. So a server that has been silent for longer did not end now.
+inline constexpr std::chrono::milliseconds CrashSilenceLimit{1000};
+
+/// A server that has sent fewer events than this was still at the beginning of
+/// its answer.
+inline constexpr int EventsBeyondBeginning = 2;
+
+/// Time after which the caller of a request with a suspect part may try again:
+/// a trial has usually ended by then.
+inline constexpr std::chrono::milliseconds SuspectRetryAfter{1000};
+
+/// What the requests of one entry share.
+struct PartGuard {
+  CrashEvidence Evidence;
+  /// Whether this entry is the one that may try requests with a part.
+  std::function<bool(PromptPartId)> MayTry;
+  /// The evidence has changed in a way that other entries should know.
+  std::function<void()> OnNews;
+};
+
+/// The parts of one request's prompt.
+struct PromptParts {
+  std::vector<std::string> Names;
+  std::vector<PromptPartId> Ids;
+};
+
+/// Returns the parts of a request with \p names for \p service.
+PromptParts promptPartsOf(const ServiceId &service,
+                          const std::vector<std::string> &names);
+
+/// Returns the names of \p parts for a log line, separated by commas; bounded
+/// in number and length.
+std::string describeParts(const std::vector<std::string> &names);
+
+/// Why a request is not sent.
+struct PartRefusal {
+  Refusal Answer;
+  std::string_view Reason; ///< For the log.
+};
+
+/// Decides whether the request \p id with \p parts may be sent at \p now; empty
+/// when it may. Logs a refusal with the evidence.
+std::optional<PartRefusal> checkParts(const PartGuard &guard,
+                                      const PromptParts &parts,
+                                      std::string_view id,
+                                      Clock::time_point now);
+
+/// How an attempt on a server ended, as evidence about the parts of its prompt.
+struct BrokenAttempt {
+  std::string_view RequestId;
+  ServerRecord Server;
+  /// The server closed or reset the connection before its answer was complete.
+  bool IsDisconnected = false;
+  int Events = 0;             ///< Events that the server had sent.
+  Clock::duration Silence{0}; ///< Since its last bytes.
+};
+
+/// Whether \p attempt looks as if its server ended as it began to answer.
+bool looksLikeCrash(const BrokenAttempt &attempt);
+
+/// Records and logs that the server of \p attempt ended under a request with
+/// \p parts. Precondition: looksLikeCrash(\p attempt).
+void reportCrash(PartGuard &guard, const PromptParts &parts,
+                 const BrokenAttempt &attempt, Clock::time_point now);
+
+/// Records that a server answered a request with \p parts beyond its beginning.
+void reportSurvival(PartGuard &guard, const PromptParts &parts,
+                    Clock::time_point now);
+
+} // namespace greengagespar
+
+#endif // GREENGAGESPAR_DIRECT_PART_GUARD_H
--- a/src/include/greengagespar/http/client.h
+++ b/src/include/greengagespar/http/client.h
@@ -64,6 +64,9 @@
   /// announced that it will close it.
   bool isReusable() const;
 
+  /// Whether the server closed or reset the connection.
+  bool isClosedByServer() const;
+
   /// The time after which an idle connection must not be used again, because
   /// the server may close it. Valid once an answer was complete.
   Clock::time_point usableUntil() const;
--- a/src/include/greengagespar/peers/peer_links.h
+++ b/src/include/greengagespar/peers/peer_links.h
@@ -56,6 +56,11 @@
   /// this process's own, or equal to it with a higher heartbeat. This process
   /// must change to a later incarnation, otherwise peers ignore its rows.
   std::function<void(Incarnation life)> OnLaterIncarnation;
+  /// Adds what else peers should know to a digest; may be empty.
+  std::function<void(wire::Members &digest)> AddToDigest = {};
+  /// Reads what AddToDigest of a peer has added. Returns whether it is news,
+  /// which is then passed on at once; may be empty.
+  std::function<bool(const wire::Members &digest)> OnDigest = {};
 };
 
 /// Counters of the traffic that this entry has sent to other entries.
--- a/src/peers/peer_links.cpp
+++ b/src/peers/peer_links.cpp
@@ -111,6 +111,8 @@
       row.IsSilent = found->second.State == MemberState::Unresponsive;
       writeMember(row, *message.add_members());
     }
+  if (Hooks.AddToDigest)
+    Hooks.AddToDigest(message);
 }
 
 // Has the row of \p member sent in all digests until the next round.
@@ -183,6 +185,8 @@
     Hooks.OnGeneration(rows.front().Link, {envelope.generation()});
   if (changed)
     Hooks.OnChange();
+  if (Hooks.OnDigest && Hooks.OnDigest(envelope.members()))
+    NextRound = {};
 }
 
 bool PeerLinks::merge(const MemberRow &row) {
--- /dev/null
+++ b/src/route/crash_evidence.cpp
@@ -0,0 +1,313 @@
+#include "greengagespar/route/crash_evidence.h"
+
+#include "greengagespar/base/hash.h"
+#include <algorithm>
+#include <functional>
+#include <string>
+#include <utility>
+
+namespace greengagespar {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+bool isSound(const CrashEvidence &evidence, PromptPartId part) {
+  return std::ranges::any_of(
+      evidence.Sound, [&](const auto &parts) { return parts.contains(part); });
+}
+
+std::size_t countCrashes(const PartEvidence &part) {
+  return static_cast<std::size_t>(std::ranges::count_if(
+      part.Crashes, [](const auto &it) { return !it.second.IsCleared; }));
+}
+
+Clock::time_point lastCrashAt(const PartEvidence &part) {
+  Clock::time_point last{};
+  for (const auto &[id, crash] : part.Crashes)
+    last = std::max(last, crash.At);
+  return last;
+}
+
+// Returns until when a part with enough crashes is blocked.
+Clock::time_point blockedUntil(const CrashLimits &limits,
+                               const PartEvidence &part) {
+  std::chrono::minutes time = limits.BlockTime;
+  for (std::size_t n = countCrashes(part); n > limits.BlockAfter; --n)
+    time = std::min(2 * time, limits.MaxBlockTime);
+  return lastCrashAt(part) + time;
+}
+
+bool hasEnoughCrashes(const CrashEvidence &evidence, const PartEvidence &part) {
+  return countCrashes(part) >= evidence.Limits.BlockAfter;
+}
+
+bool isBlocked(const CrashEvidence &evidence, const PartEvidence &part,
+               Clock::time_point now) {
+  return hasEnoughCrashes(evidence, part) &&
+         now < blockedUntil(evidence.Limits, part);
+}
+
+// Whether each crash under `part` also happened under `other`.
+bool isExplainedBy(const PartEvidence &part, const PartEvidence &other) {
+  return std::ranges::all_of(part.Crashes, [&](const auto &it) {
+    auto same = other.Crashes.find(it.first);
+    return it.second.IsCleared ||
+           (same != other.Crashes.end() && !same->second.IsCleared);
+  });
+}
+
+// Whether another blocked part, which is none of `parts`, explains all crashes
+// under `id`: which of the two crashes servers is then unknown, and a request
+// with only one of them may be tried.
+bool isAmbiguous(const CrashEvidence &evidence, PromptPartId id,
+                 const std::vector<PromptPartId> &parts,
+                 Clock::time_point now) {
+  const PartEvidence &part = evidence.Parts.at(id);
+  return std::ranges::any_of(evidence.Parts, [&](const auto &it) {
+    return it.first != id &&
+           std::ranges::find(parts, it.first) == parts.end() &&
+           isBlocked(evidence, it.second, now) &&
+           isExplainedBy(part, it.second);
+  });
+}
+
+PartDecision decidePart(const CrashEvidence &evidence, PromptPartId id,
+                        const std::vector<PromptPartId> &parts,
+                        Clock::time_point now) {
+  auto it = evidence.Parts.find(id);
+  std::size_t crashes =
+      it == evidence.Parts.end() ? 0 : countCrashes(it->second);
+  if (crashes == 0)
+    return {};
+  const PartEvidence &part = it->second;
+  if (isBlocked(evidence, part, now) && !isAmbiguous(evidence, id, parts, now))
+    return {PartState::Blocked, id, crashes,
+            blockedUntil(evidence.Limits, part)};
+  PartDecision decision{PartState::Suspect, id, crashes, std::nullopt};
+  if (part.TrialUntil && now < *part.TrialUntil)
+    decision.Until = part.TrialUntil;
+  return decision;
+}
+
+bool isStronger(const PartDecision &a, const PartDecision &b) {
+  if (a.State != b.State)
+    return a.State > b.State;
+  return a.Until.has_value() && !b.Until;
+}
+
+bool isForgotten(const CrashEvidence &evidence, const PartEvidence &part,
+                 Clock::time_point now) {
+  auto until = hasEnoughCrashes(evidence, part)
+                   ? blockedUntil(evidence.Limits, part)
+                   : lastCrashAt(part);
+  return now - until > evidence.Limits.ForgetAfter;
+}
+
+bool clearCrashes(PartEvidence &part) {
+  bool isNews = false;
+  for (auto &[id, crash] : part.Crashes) {
+    isNews = isNews || !crash.IsCleared;
+    crash.IsCleared = true;
+  }
+  return isNews;
+}
+
+void recordSound(CrashEvidence &evidence, PromptPartId part,
+                 Clock::time_point now) {
+  auto &[newest, older] = evidence.Sound;
+  if (now - evidence.SoundSince >= evidence.Limits.SoundTime ||
+      newest.size() >= evidence.Limits.MaxSoundParts) {
+    // Parts that were answered longest ago make room first.
+    older = std::exchange(newest, {});
+    evidence.SoundSince = now;
+  }
+  newest.insert(part);
+}
+
+// Returns the evidence about `id`, added if there is none, for a crash at
+// `crashAt`. The part whose last crash is the oldest and that is not blocked
+// makes room. Null: there is no such part with an older crash.
+PartEvidence *findOrAddPart(CrashEvidence &evidence, PromptPartId id,
+                            Clock::time_point crashAt, Clock::time_point now) {
+  auto &parts = evidence.Parts;
+  if (auto it = parts.find(id); it != parts.end())
+    return &it->second;
+  if (parts.size() >= evidence.Limits.MaxParts) {
+    auto oldest = parts.end();
+    for (auto it = parts.begin(); it != parts.end(); ++it)
+      if (!isBlocked(evidence, it->second, now) &&
+          (oldest == parts.end() ||
+           lastCrashAt(it->second) < lastCrashAt(oldest->second)))
+        oldest = it;
+    if (oldest == parts.end() || crashAt <= lastCrashAt(oldest->second))
+      return nullptr;
+    parts.erase(oldest);
+  }
+  return &parts[id];
+}
+
+// Adds a crash, or what is new about a known one. Returns whether it is news.
+bool addCrash(CrashEvidence &evidence, PartEvidence &part, CrashId id,
+              const CrashRecord &record) {
+  auto it = part.Crashes.find(id);
+  if (it == part.Crashes.end()) {
+    if (part.Crashes.size() >= evidence.Limits.MaxCrashesPerPart) {
+      auto oldest = std::ranges::min_element(
+          part.Crashes, {}, [](const auto &crash) { return crash.second.At; });
+      if (record.At <= oldest->second.At)
+        return false;
+      part.Crashes.erase(oldest);
+    }
+    part.Crashes.emplace(id, record);
+    return true;
+  }
+  it->second.At = std::min(it->second.At, record.At);
+  bool isNews = record.IsCleared && !it->second.IsCleared;
+  it->second.IsCleared = it->second.IsCleared || record.IsCleared;
+  return isNews;
+}
+
+} // namespace
+
+PromptPartId promptPartOf(const ServiceId &service, std::string_view name) {
+  std::string text = service.Value;
+  text.push_back('\0');
+  text.append(name);
+  return {stableHash(text)};
+}
+
+CrashId crashOf(const ServerId &server, std::uint64_t startedMs) {
+  return {mixBits(stableHash(server.Value) ^ startedMs)};
+}
+
+PartDecision decideParts(const CrashEvidence &evidence,
+                         const std::vector<PromptPartId> &parts,
+                         Clock::time_point now) {
+  PartDecision strongest;
+  if (evidence.Parts.empty())
+    return strongest;
+  for (PromptPartId it : parts) {
+    PartDecision decision = decidePart(evidence, it, parts, now);
+    if (isStronger(decision, strongest))
+      strongest = decision;
+  }
+  return strongest;
+}
+
+bool areKnownSound(const CrashEvidence &evidence,
+                   const std::vector<PromptPartId> &parts) {
+  return std::ranges::all_of(
+      parts, [&](PromptPartId it) { return isSound(evidence, it); });
+}
+
+bool startTrial(CrashEvidence &evidence, const std::vector<PromptPartId> &parts,
+                Clock::time_point now) {
+  bool hasSuspect = false;
+  for (PromptPartId id : parts) {
+    auto it = evidence.Parts.find(id);
+    if (it == evidence.Parts.end() || countCrashes(it->second) == 0)
+      continue;
+    it->second.TrialUntil = now + evidence.Limits.MaxTrialTime;
+    hasSuspect = true;
+  }
+  return hasSuspect;
+}
+
+void endTrial(CrashEvidence &evidence, const std::vector<PromptPartId> &parts) {
+  for (PromptPartId id : parts)
+    if (auto it = evidence.Parts.find(id); it != evidence.Parts.end())
+      it->second.TrialUntil.reset();
+}
+
+bool recordSurvival(CrashEvidence &evidence,
+                    const std::vector<PromptPartId> &parts,
+                    Clock::time_point now) {
+  bool isNews = false;
+  for (PromptPartId id : parts) {
+    recordSound(evidence, id, now);
+    if (auto it = evidence.Parts.find(id); it != evidence.Parts.end())
+      isNews = clearCrashes(it->second) || isNews;
+  }
+  return isNews;
+}
+
+bool recordCrash(CrashEvidence &evidence,
+                 const std::vector<PromptPartId> &parts, CrashId crash,
+                 Clock::time_point now) {
+  auto isCulprit = [&](PromptPartId id) {
+    auto it = evidence.Parts.find(id);
+    return it != evidence.Parts.end() && hasEnoughCrashes(evidence, it->second);
+  };
+  bool isExplained = std::ranges::any_of(parts, isCulprit);
+  bool isNews = false;
+  for (PromptPartId id : parts) {
+    if (isSound(evidence, id) || (isExplained && !isCulprit(id)))
+      continue;
+    if (PartEvidence *part = findOrAddPart(evidence, id, now, now))
+      isNews = addCrash(evidence, *part, crash, {now, false}) || isNews;
+  }
+  return isNews;
+}
+
+std::vector<EvidenceRow> evidenceRows(const CrashEvidence &evidence,
+                                      Clock::time_point now, std::size_t most) {
+  std::vector<std::pair<Clock::time_point, PromptPartId>> newest;
+  newest.reserve(evidence.Parts.size());
+  for (const auto &[id, part] : evidence.Parts)
+    newest.emplace_back(lastCrashAt(part), id);
+  std::ranges::sort(newest, std::greater());
+  newest.resize(std::min(newest.size(), most));
+  std::vector<EvidenceRow> rows;
+  for (const auto &[at, id] : newest) {
+    EvidenceRow &row = rows.emplace_back(EvidenceRow{id, {}});
+    for (const auto &[crash, record] : evidence.Parts.at(id).Crashes) {
+      auto age = std::chrono::duration_cast<milliseconds>(now - record.At);
+      row.Crashes.push_back({crash, age, record.IsCleared});
+    }
+  }
+  return rows;
+}
+
+bool mergeEvidence(CrashEvidence &evidence, const EvidenceRow &row,
+                   Clock::time_point now) {
+  if (row.Crashes.empty())
+    return false;
+  auto newest = std::ranges::min_element(row.Crashes, {}, &CrashRow::Age);
+  PartEvidence *part =
+      findOrAddPart(evidence, row.Part, now - newest->Age, now);
+  if (!part)
+    return false;
+  bool isNews = false;
+  for (const CrashRow &it : row.Crashes)
+    isNews = addCrash(evidence, *part, it.Id, {now - it.Age, it.IsCleared}) ||
+             isNews;
+  // This entry knows better if it has seen such a request answered.
+  if (isSound(evidence, row.Part))
+    isNews = clearCrashes(*part) || isNews;
+  // A peer may keep evidence a little longer than this entry does.
+  if (isForgotten(evidence, *part, now)) {
+    evidence.Parts.erase(row.Part);
+    return false;
+  }
+  return isNews;
+}
+
+void expireEvidence(CrashEvidence &evidence, Clock::time_point now) {
+  std::erase_if(evidence.Parts, [&](const auto &it) {
+    return isForgotten(evidence, it.second, now);
+  });
+  if (now - evidence.SoundSince >= evidence.Limits.SoundTime) {
+    evidence.Sound[1] = std::exchange(evidence.Sound[0], {});
+    evidence.SoundSince = now;
+  }
+}
+
+std::size_t blockedParts(const CrashEvidence &evidence, Clock::time_point now) {
+  return static_cast<std::size_t>(
+      std::ranges::count_if(evidence.Parts, [&](const auto &it) {
+        return isBlocked(evidence, it.second, now);
+      }));
+}
+
+} // namespace greengagespar
--- a/testsuite/direct/crash_test.cpp
+++ b/testsuite/direct/crash_test.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <random>
+#include <utility>
 
 using namespace greengagespar;
 using namespace greengagespar::site;
@@ -21,6 +22,8 @@
 // others break their calls off, and for which it stays closed afterwards.
 constexpr auto StallTime = 1500ms;
 constexpr auto FormTime = 300ms;
+// Duration of a sound answer.
+constexpr auto AnswerTime = 60ms;
 // Time after which a server that has ended is replaced.
 constexpr auto RestartTime = 200ms;
 
@@ -45,6 +48,7 @@
   std::mt19937_64 Rng{7};
   bool IsGroup = false;
   int Crashes = 0;
+  bool CrashesNext = false; ///< A server ends under the next request.
   int BadArrived = 0; ///< Requests with CrashingPart that reached servers.
   Clock::time_point StalledUntil{};
   Clock::time_point ClosedUntil{};
@@ -71,13 +75,37 @@
     if (now < StalledUntil)
       return {.SendsNothing = true};
     if (now < ClosedUntil)
-      return {signedAnswer(request, 503, "", "X-Not-Executed: 1\r\n")};
-    if (isBad) {
+      return notRun(request);
+    if (isBad || std::exchange(CrashesNext, false)) {
       crash(id);
       return {.Bytes = streamHead(request), .Closes = true};
     }
-    return {streamHead(request) + chunk(eventText(1)) + chunk(eventText(2)) +
-            chunk(eventText(3)) + "0\r\n\r\n"};
+    Begun[idOf(request)] = now;
+    return {.Bytes =
+                streamHead(request) + chunk(eventText(1)) + chunk(eventText(2)),
+            .IsPartial = true};
+  }
+
+  static std::string idOf(const HttpRequestMessage &request) {
+    return *findField(request.Head.Fields, "X-Request-Id");
+  }
+
+  static FakeAnswer notRun(const HttpRequestMessage &request) {
+    return {signedAnswer(request, 503, "", "X-Not-Executed: 1\r\n")};
+  }
+
+  // Goes on with the answer to \p request.
+  FakeAnswer goOn(const HttpRequestMessage &request) {
+    if (Clock::now() < Begun[idOf(request)] + AnswerTime)
+      return {.IsPartial = true};
+    return {chunk(eventText(3)) + "0\r\n\r\n"};
+  }
+
+  // Breaks the call \p request off after a stall.
+  FakeAnswer breakOff(const HttpRequestMessage &request) {
+    if (Begun.contains(idOf(request)))
+      return {.Resets = true};
+    return notRun(request);
   }
 
   // Ends the server \p id after its answer: it is replaced later by another
@@ -110,11 +138,14 @@
     }
     if (std::erase_if(RestartAt, [&](auto at) { return now >= at; }) > 0)
       addServers(static_cast<int>(12 - Servers.size() - RestartAt.size()));
-    if (StalledUntil != Clock::time_point{} && now >= StalledUntil) {
-      StalledUntil = {};
-      for (auto &server : Servers)
-        server->closeAll(true);
-    }
+    bool stalls = StalledUntil != Clock::time_point{};
+    if (stalls && now < StalledUntil)
+      return;
+    StalledUntil = {};
+    for (auto &server : Servers)
+      server->answerPending([&](const HttpRequestMessage &it) {
+        return stalls ? breakOff(it) : goOn(it);
+      });
   }
 
   void steps(std::chrono::milliseconds time) {
@@ -195,6 +226,7 @@
     return static_cast<double>(served) / count;
   }
 
+  std::map<std::string, Clock::time_point> Begun;
   int BadSent = 0;
   int NextServer = 0;
   int NextOwnPart = 0;
@@ -212,6 +244,7 @@
   startEntries(3);
   sendMix(2500ms);
   BOOST_TEST(BadSent > 20);
+  BOOST_TEST_MESSAGE("crashes: " << Crashes);
   BOOST_TEST(Crashes <= MostCrashes);
   BOOST_TEST(servedShare(40) >= 0.9);
 }
@@ -224,9 +257,67 @@
   startEntries(3);
   sendMix(22s);
   BOOST_TEST(BadSent > 100);
+  BOOST_TEST_MESSAGE("crashes: " << Crashes);
   BOOST_TEST(Crashes <= MostCrashes);
   steps(StallTime + FormTime);
   BOOST_TEST(servedShare(40) >= 0.9);
 }
 
+// An entry that starts later learns from its peers what is blocked.
+BOOST_AUTO_TEST_CASE(crashingPart_atEntryStartedLater_isRefused) {
+  addServers(12);
+  startEntries(3);
+  sendMix(1500ms);
+  int before = BadArrived;
+  startOne();
+  Entries[0].Process.reset();
+  Entries.erase(Entries.begin());
+  steps(1500ms);
+  for (int i = 0; i < 20; ++i) {
+    Call &call = sendParts(Entries.size() - 1, withFirst("bad00:300"));
+    steps(20ms);
+    BOOST_TEST(call.Response.Head.Status == 503);
+    // The caller is told not to come back soon.
+    const std::string *after =
+        findField(call.Response.Head.Fields, "Retry-After");
+    BOOST_REQUIRE(after);
+    BOOST_TEST(std::stod(*after) > 60);
+  }
+  BOOST_TEST(BadArrived == before);
+  BOOST_TEST(servedShare(40) >= 0.9);
+}
+
+// Guards against a block of a part that much of the traffic has, because it is
+// in progress wherever a server ends for another reason.
+BOOST_AUTO_TEST_CASE(popularPart_atOrdinaryCrashes_isServed) {
+  addServers(12);
+  startEntries(3);
+  for (int i = 0; i < 6; ++i) {
+    CrashesNext = true;
+    for (int j = 0; j < 8; ++j) {
+      sendParts(Rng(), "hot:900");
+      steps(15ms);
+    }
+    steps(200ms);
+  }
+  BOOST_TEST(Crashes == 6);
+  int served = 0;
+  for (int i = 0; i < 30; ++i) {
+    Call &call = sendParts(Rng(), "hot:900");
+    steps(120ms);
+    served += call.Response.Head.Status == 200 ? 1 : 0;
+  }
+  BOOST_TEST(served == 30);
+}
+
+// A request whose server ends as it begins is not sent to a second one.
+BOOST_AUTO_TEST_CASE(request_whoseServerEndedAtOnce_takesNoSecondServer) {
+  addServers(12);
+  startEntries(1);
+  Call &call = sendParts(0, "bad00:300");
+  steps(400ms);
+  BOOST_TEST(Crashes == 1);
+  BOOST_TEST(call.Response.Head.Status == 502);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/testsuite/direct/site.cpp
+++ b/testsuite/direct/site.cpp
@@ -114,6 +114,7 @@
   std::string Body;
   std::string Endless; ///< Sent whenever the output is empty.
   bool IsClosed = false;
+  std::optional<HttpRequestMessage> Pending; ///< Not answered as a whole.
 
   ~Connection() { bufferevent_free(Stream); }
 };
@@ -139,11 +140,16 @@
       HttpRequestMessage message{it->Reader->head(), it->Body};
       it->Reader.reset();
       it->Owner->Requests.push_back(message);
-      answer(*it, it->Owner->Respond(message));
+      answer(*it, message, it->Owner->Respond(message));
     }
   }
 
-  static void answer(FakeServer::Connection &it, const FakeAnswer &answer) {
+  static void answer(FakeServer::Connection &it,
+                     const HttpRequestMessage &request,
+                     const FakeAnswer &answer) {
+    it.Pending.reset();
+    if (answer.SendsNothing || answer.IsPartial)
+      it.Pending = request;
     if (answer.SendsNothing)
       return;
     bufferevent_write(it.Stream, answer.Bytes.data(), answer.Bytes.size());
@@ -238,6 +244,14 @@
   ServerCallbacks::end(*Open.back(), resets);
 }
 
+void FakeServer::answerPending(const Script &rest) {
+  for (auto &it : Open)
+    if (!it->IsClosed && it->Pending) {
+      HttpRequestMessage request = *it->Pending;
+      ServerCallbacks::answer(*it, request, rest(request));
+    }
+}
+
 void FakeServer::closeAll(bool resets) {
   for (auto &it : Open)
     if (!it->IsClosed)
--- a/testsuite/direct/site.h
+++ b/testsuite/direct/site.h
@@ -81,6 +81,7 @@
   bool Closes = false;       ///< Closes the connection after the bytes.
   bool Resets = false;       ///< Resets the connection after the bytes.
   bool SendsNothing = false; ///< Sends nothing, and keeps the connection open.
+  bool IsPartial = false;    ///< The rest of the answer follows later.
   /// Sent again and again after Bytes until the other side closes the
   /// connection; empty: nothing.
   std::string Endless = {};
@@ -114,6 +115,9 @@
   void closeNewest(bool resets);
   /// Closes all connections; resets them if \p resets is set.
   void closeAll(bool resets);
+  /// Calls \p rest for each request without its whole answer, after
+  /// SendsNothing or IsPartial, and goes on as it says.
+  void answerPending(const Script &rest);
   /// Refuses new connections from now on.
   void stopListening();
 
