Treat a stream that ends inside an event as broken off

An answer may have neither a length nor chunks and end with its connection. A stream of that form whose server stopped inside an event, or before the first one, was forwarded as complete with the partial event: callers could not tell that pieces were missing, and a server that crashed left no evidence. The framing says nothing here, so the stream's own state decides: it is resumed on another server, or fails.

The new test fails before (the partial event is forwarded and no second server asked) and passes now.

--- a/src/direct/event_relay.cpp
+++ b/src/direct/event_relay.cpp
@@ -68,6 +68,10 @@
   return out;
 }
 
+bool endsInsideEvent(const EventRelay &relay) {
+  return relay.Partial.find_first_not_of("\r\n") != std::string::npos;
+}
+
 void discardPartialEvent(EventRelay &relay) {
   relay.Partial.clear();
   relay.BytesWithoutEvent = 0;
--- a/src/direct/exchange.cpp
+++ b/src/direct/exchange.cpp
@@ -252,6 +252,18 @@
   }
 }
 
+// Whether the answer is a stream that was broken off although its framing says
+// nothing of that. One without a length and chunks ends in the same way when
+// its server ends; without any event it is no whole stream.
+bool Exchange::isBrokenOff() const {
+  if (!CurrentAttempt->RelaysEvents)
+    return false;
+  const HttpHead &head = CurrentAttempt->Head;
+  bool hasFraming = head.IsChunked || head.Length;
+  return endsInsideEvent(Stream) ||
+         (!hasFraming && CurrentAttempt->Events == 0);
+}
+
 void Exchange::onAnswerComplete() {
   if (CurrentAttempt->Answer.DidNotRun)
     return endAttempt(AttemptEnd::DidNotRun,
@@ -265,6 +277,8 @@
     return endAttempt(AttemptEnd::Failed, "failed by the server");
   if (HasSentHead && !CurrentAttempt->RelaysEvents)
     return endAttempt(AttemptEnd::Lost, "the stream can't go on there");
+  if (isBrokenOff())
+    return endAttempt(AttemptEnd::Lost, "the stream was broken off");
   forwardAnswer();
 }
 
--- a/src/include/greengagespar/direct/event_relay.h
+++ b/src/include/greengagespar/direct/event_relay.h
@@ -33,6 +33,10 @@
 /// LastId is a duplicate and is left out.
 std::string extractNewEvents(EventRelay &relay, std::string_view bytes);
 
+/// Whether the stream has ended inside an event: it was broken off, even if the
+/// connection was closed as after a whole answer.
+bool endsInsideEvent(const EventRelay &relay);
+
 /// Discards the incomplete event of a stream that broke off. Call it before the
 /// stream is resumed on another server.
 void discardPartialEvent(EventRelay &relay);
--- a/src/include/greengagespar/direct/exchange.h
+++ b/src/include/greengagespar/direct/exchange.h
@@ -84,6 +84,7 @@
   bool onHead(const HttpHead &head);
   void onBody(std::string_view piece);
   void onEnd(ExchangeEnd how, std::string_view why);
+  bool isBrokenOff() const;
   void onAnswerComplete();
   void relayEvents(std::string_view piece);
   void leaveTrial();
--- a/testsuite/direct/trouble_test.cpp
+++ b/testsuite/direct/trouble_test.cpp
@@ -17,6 +17,13 @@
   return {signedAnswer(request, 503, "", "X-Not-Executed: 1\r\n")};
 }
 
+// Returns the head of a signed event stream that ends with its connection.
+std::string unframedStreamHead(const HttpRequestMessage &request) {
+  std::string head = streamHead(request);
+  const std::string framing = "Transfer-Encoding: chunked\r\n";
+  return head.erase(head.find(framing), framing.size());
+}
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(DirectFaults, SiteFixture)
@@ -200,6 +207,35 @@
   BOOST_TEST(response.Body == eventText(1) + eventText(2) + eventText(3));
 }
 
+// Guards against a stream without a length and chunks that passes for complete
+// although its server stopped inside an event, or before the first one.
+BOOST_AUTO_TEST_CASE(stream_withoutLengthEndingInsideEvent_isResumed) {
+  int n = 0;
+  FakeServer::Script script = [&](const HttpRequestMessage &it) {
+    std::string head = unframedStreamHead(it);
+    switch (n++) {
+    case 0:
+      return FakeAnswer{.Bytes =
+                            head + eventText(1) + eventText(2).substr(0, 7),
+                        .Closes = true};
+    case 1:
+      BOOST_TEST(*findField(it.Head.Fields, "Last-Event-Id") == "1");
+      return FakeAnswer{.Bytes = head + eventText(2) + eventText(3),
+                        .Closes = true};
+    default:
+      return FakeAnswer{.Bytes = head, .Closes = true};
+    }
+  };
+  addServer("helper", script);
+  addServer("helper", script);
+  startEntry();
+  Reply response = sendAndWait("POST", "/draft/1");
+  BOOST_TEST(bool(response.End == ExchangeEnd::Complete));
+  BOOST_TEST(response.Body == eventText(1) + eventText(2) + eventText(3));
+  response = sendAndWait("POST", "/draft/2");
+  BOOST_TEST(response.Head.Status == 502);
+}
+
 BOOST_AUTO_TEST_CASE(stream_closedTwice_endsBroken) {
   addServer("helper", [](const auto &it) {
     return FakeAnswer{.Bytes = streamHead(it) + chunk(eventText(1)),
