--- a/src/direct/server_pool.cpp
+++ b/src/direct/server_pool.cpp
@@ -1,5 +1,7 @@
 #include "greengagespar/direct/server_pool.h"
 
+#include "greengagespar/base/log.h"
+#include "greengagespar/base/log_output.h"
 #include <algorithm>
 #include <utility>
 
@@ -106,6 +108,22 @@
   return !Declared.Engine || maySend(Progress, inFlight, now);
 }
 
+void ServerPool::recordRateLimit(const ServerRecord &server,
+                                 std::optional<double> perSecond) {
+  auto it = Servers.find(server.Id);
+  bool isKnown =
+      it != Servers.end() && it->second.Record.StartedMs == server.StartedMs;
+  if (!isKnown || it->second.RateLimit == perSecond)
+    return;
+  it->second.RateLimit = perSecond;
+  LogLine line("server_limit");
+  line.add("server", server.Id.Value);
+  line.add("limited", perSecond.has_value());
+  if (perSecond)
+    line.add("per_s", std::to_string(*perSecond));
+  logInfo(Part::Route, line.text());
+}
+
 void ServerPool::setEntries(std::size_t entries) {
   Entries = std::max<std::size_t>(1, entries);
   updateStreamLimit();
@@ -147,8 +165,10 @@
   KeptConnections &kept = Servers[record.Id];
   bool isNewServer =
       kept.Record.StartedMs != record.StartedMs || kept.Record.At != record.At;
-  if (isNewServer)
+  if (isNewServer) {
     kept.Idle.clear();
+    kept.RateLimit.reset();
+  }
   kept.Record = record;
   EndpointView *view = viewOf(record.Id);
   if (!view) {
--- a/src/include/greengagespar/direct/server_pool.h
+++ b/src/include/greengagespar/direct/server_pool.h
@@ -74,6 +74,9 @@
   /// Records whether the group of server \p id accepts work, as the server's
   /// rank agent reports.
   void recordGroupOpen(const ServerId &id, bool isOpen);
+  /// Records the rate limit that an answer of \p server states; empty: none.
+  void recordRateLimit(const ServerRecord &server,
+                       std::optional<double> perSecond);
   /// Sets the number of entries that share the servers, this one included.
   void setEntries(std::size_t entries);
 
@@ -105,6 +108,9 @@
   struct KeptConnections {
     ServerRecord Record;
     std::vector<std::unique_ptr<HttpClientConnection>> Idle;
+    /// Requests a second that the server takes from all entries together, as
+    /// its last answer states; empty: it stated none.
+    std::optional<double> RateLimit;
   };
 
   EndpointView *viewOf(const ServerId &id);
--- a/src/include/greengagespar/direct/site.h
+++ b/src/include/greengagespar/direct/site.h
@@ -146,6 +146,9 @@
   /// The server that the answer reports as failed or wrong; empty: none. In a
   /// group it is another one than the server that answers.
   ServerId FailedServer;
+  /// Requests a second that the server takes from all entries together, for as
+  /// long as its answers say so; empty: it states none.
+  std::optional<double> RateLimit;
 };
 
 /// What a call to one of the entry's addresses is for.
