--- a/testsuite/direct/crash_test.cpp
+++ b/testsuite/direct/crash_test.cpp
@@ -1,8 +1,7 @@
-#include "site.h"
+#include "entries_site.h"
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
-#include <random>
 #include <utility>
 
 using namespace greengagespar;
@@ -27,25 +26,12 @@
 // Time after which a server that has ended is replaced.
 constexpr auto RestartTime = 200ms;
 
-// Returns \p text followed by \p number.
-std::string numbered(std::string text, std::uint64_t number) {
-  return text.append(std::to_string(number));
-}
-
 /// Several entries before servers of the service "helper" that end under
 /// requests with CrashingPart. The servers are single ones or one group, whose
 /// ranks stall together.
-struct CrashFixture : SiteFixture {
-  struct EntryProcess {
-    DirectSettings Settings;
-    std::unique_ptr<DirectEntry> Process;
-  };
-
-  std::vector<EntryProcess> Entries;
+struct CrashFixture : EntriesFixture {
   std::vector<std::unique_ptr<FakeServer>> Ended;
   std::vector<Clock::time_point> RestartAt;
-  std::vector<std::unique_ptr<Call>> Calls;
-  std::mt19937_64 Rng{7};
   bool IsGroup = false;
   int Crashes = 0;
   bool CrashesNext = false; ///< A server ends under the next request.
@@ -53,6 +39,10 @@
   Clock::time_point StalledUntil{};
   Clock::time_point ClosedUntil{};
 
+  CrashFixture() {
+    OnStep = [this] { doWhatIsDue(); };
+  }
+
   void addServers(int count) {
     for (int i = 0; i < count; ++i)
       addHelper();
@@ -121,8 +111,7 @@
 
   // Does what is due: ends crashed servers, replaces them, breaks off stalled
   // calls.
-  void step() {
-    runFor(2ms);
+  void doWhatIsDue() {
     auto now = Clock::now();
     for (const std::string &id : std::exchange(CrashedIds, {})) {
       auto it = std::ranges::find_if(
@@ -148,49 +137,6 @@
       });
   }
 
-  void steps(std::chrono::milliseconds time) {
-    for (auto end = Clock::now() + time; Clock::now() < end;)
-      step();
-  }
-
-  void startEntries(int count) {
-    for (int i = 0; i < count; ++i)
-      startOne();
-    steps(1200ms); // They find each other.
-  }
-
-  void startOne() {
-    EntryProcess entry;
-    entry.Settings = Settings;
-    entry.Settings.Name = {numbered("entry-", Entries.size() + 1)};
-    entry.Settings.Listen = freeAddress();
-    entry.Settings.Ready = freeAddress();
-    entry.Settings.Directory = freeAddress();
-    entry.Settings.Link = freeAddress();
-    for (const EntryProcess &it : Entries)
-      entry.Settings.Peers.push_back(it.Settings.Link);
-    Entries.push_back(std::move(entry));
-    EntryProcess &added = Entries.back();
-    added.Process = std::make_unique<DirectEntry>(
-        Loop.base(), Context, added.Settings, platformDialect());
-    BOOST_REQUIRE(bool(added.Process->start()));
-    BOOST_REQUIRE(runUntil([&] {
-      return getFrom(added.Settings.Ready, "/-/ready").Head.Status == 200;
-    }));
-  }
-
-  // Sends a request with \p parts via the entry \p index. The last part is the
-  // request's own.
-  Call &sendParts(std::size_t index, const std::string &parts) {
-    Settings.Listen = Entries[index % Entries.size()].Settings.Listen;
-    std::string own = numbered("f", ++NextOwnPart);
-    Calls.push_back(send("POST", "/draft/1",
-                         "X-Api-Key: k1\r\nX-Deadline-Ms: 3000\r\n"
-                         "X-Prompt-Prefix: " +
-                             parts + "," + own + ":600\r\n"));
-    return *Calls.back();
-  }
-
   // Returns \p parts with a common part of few before them.
   std::string withFirst(const std::string &parts) {
     std::string first = numbered("a", Rng() % 4).append(":40");
@@ -229,7 +175,6 @@
   std::map<std::string, Clock::time_point> Begun;
   int BadSent = 0;
   int NextServer = 0;
-  int NextOwnPart = 0;
   std::vector<std::string> CrashedIds;
 };
 
