--- a/src/base/hash.cpp
+++ b/src/base/hash.cpp
@@ -27,6 +27,11 @@
   return mixBits(hash);
 }
 
+ServerIncarnationId incarnationIdOf(const ServerId &server,
+                                    std::uint64_t startedMs) {
+  return {mixBits(stableHash(server.Value) ^ startedMs)};
+}
+
 std::uint64_t rendezvousScore(std::uint64_t keyHash, std::string_view id) {
   // The key's hash is mixed once more than the id's: the plain sum of both
   // hashes would be the same with key and id exchanged, and always even for an
--- a/src/direct/part_guard.cpp
+++ b/src/direct/part_guard.cpp
@@ -1,5 +1,6 @@
 #include "greengagespar/direct/part_guard.h"
 
+#include "greengagespar/base/hash.h"
 #include "greengagespar/base/log.h"
 #include "greengagespar/base/log_output.h"
 #include <algorithm>
@@ -81,7 +82,8 @@
 
 void reportCrash(PartGuard &guard, const PromptParts &parts,
                  const BrokenAttempt &attempt, Clock::time_point now) {
-  CrashId crash = crashOf(attempt.Server.Id, attempt.Server.StartedMs);
+  ServerIncarnationId crash =
+      incarnationIdOf(attempt.Server.Id, attempt.Server.StartedMs);
   if (!recordCrash(guard.Evidence, parts.Ids, crash, now))
     return;
   PartDecision decision = decideParts(guard.Evidence, parts.Ids, now);
--- a/src/include/greengagespar/base/hash.h
+++ b/src/include/greengagespar/base/hash.h
@@ -22,6 +22,11 @@
 /// as in draft-eastlake-fnv) followed by mixBits.
 std::uint64_t stableHash(std::string_view text);
 
+/// Returns the identifier of the incarnation of \p server that started at
+/// \p startedMs.
+ServerIncarnationId incarnationIdOf(const ServerId &server,
+                                    std::uint64_t startedMs);
+
 /// Returns the score of \p id for the key with hash \p keyHash, as in highest
 /// random weight hashing (Thaler and Ravishankar, IEEE/ACM Transactions on
 /// Networking 6(1), 1998). Scores for different ids are independent.
--- a/src/include/greengagespar/base/ids.h
+++ b/src/include/greengagespar/base/ids.h
@@ -51,8 +51,9 @@
 /// A part that prompts of a service share, such as a system prompt: a hash of
 /// the service and the part.
 using PromptPartId = NumberId<struct PromptPartTag>;
-/// One end of a server's process: a hash of the server and its incarnation.
-using CrashId = NumberId<struct CrashTag>;
+/// One incarnation of one server: a hash of both, which all entries compute
+/// alike.
+using ServerIncarnationId = NumberId<struct ServerIncarnationTag>;
 /// The generation of the accepted settings of the whole system. It only
 /// increases.
 using Generation = NumberId<struct GenerationTag>;
--- a/src/include/greengagespar/route/crash_evidence.h
+++ b/src/include/greengagespar/route/crash_evidence.h
@@ -65,7 +65,7 @@
 
 /// The evidence about one part.
 struct PartEvidence {
-  std::map<CrashId, CrashRecord> Crashes;
+  std::map<ServerIncarnationId, CrashRecord> Crashes;
   /// A trial by this entry is in progress until this time; empty: none is.
   std::optional<Clock::time_point> TrialUntil;
 };
@@ -81,7 +81,7 @@
 
 /// One crash in a row of evidence.
 struct CrashRow {
-  CrashId Id;
+  ServerIncarnationId Id;
   std::chrono::milliseconds Age{0};
   bool IsCleared = false;
 };
@@ -112,10 +112,6 @@
 /// Returns the identifier of the part \p name of prompts for \p service.
 PromptPartId promptPartOf(const ServiceId &service, std::string_view name);
 
-/// Returns the identifier of the end of the incarnation of \p server that
-/// started at \p startedMs.
-CrashId crashOf(const ServerId &server, std::uint64_t startedMs);
-
 /// Decides about a request with \p parts. The decision is that of the part with
 /// the strongest evidence.
 PartDecision decideParts(const CrashEvidence &evidence,
@@ -146,8 +142,8 @@
 /// other becomes a suspect. Returns whether that changed what other entries
 /// should know.
 bool recordCrash(CrashEvidence &evidence,
-                 const std::vector<PromptPartId> &parts, CrashId crash,
-                 Clock::time_point now);
+                 const std::vector<PromptPartId> &parts,
+                 ServerIncarnationId crash, Clock::time_point now);
 
 /// Returns at most \p most rows for other entries, those with the newest
 /// crashes first.
--- a/src/route/crash_evidence.cpp
+++ b/src/route/crash_evidence.cpp
@@ -148,8 +148,8 @@
 }
 
 // Adds a crash, or what is new about a known one. Returns whether it is news.
-bool addCrash(CrashEvidence &evidence, PartEvidence &part, CrashId id,
-              const CrashRecord &record) {
+bool addCrash(CrashEvidence &evidence, PartEvidence &part,
+              ServerIncarnationId id, const CrashRecord &record) {
   auto it = part.Crashes.find(id);
   if (it == part.Crashes.end()) {
     if (part.Crashes.size() >= evidence.Limits.MaxCrashesPerPart) {
@@ -177,10 +177,6 @@
   return {stableHash(text)};
 }
 
-CrashId crashOf(const ServerId &server, std::uint64_t startedMs) {
-  return {mixBits(stableHash(server.Value) ^ startedMs)};
-}
-
 PartDecision decideParts(const CrashEvidence &evidence,
                          const std::vector<PromptPartId> &parts,
                          Clock::time_point now) {
@@ -233,8 +229,8 @@
 }
 
 bool recordCrash(CrashEvidence &evidence,
-                 const std::vector<PromptPartId> &parts, CrashId crash,
-                 Clock::time_point now) {
+                 const std::vector<PromptPartId> &parts,
+                 ServerIncarnationId crash, Clock::time_point now) {
   auto isCulprit = [&](PromptPartId id) {
     auto it = evidence.Parts.find(id);
     return it != evidence.Parts.end() && hasEnoughCrashes(evidence, it->second);
--- a/src/route/crash_evidence_test.cpp
+++ b/src/route/crash_evidence_test.cpp
@@ -1,5 +1,6 @@
 #include "greengagespar/route/crash_evidence.h"
 
+#include "greengagespar/base/hash.h"
 #include <boost/test/unit_test.hpp>
 #include <random>
 
@@ -11,7 +12,7 @@
 using Parts = std::vector<PromptPartId>;
 
 PromptPartId part(std::uint64_t number) { return {number}; }
-CrashId crash(std::uint64_t number) { return {number}; }
+ServerIncarnationId crash(std::uint64_t number) { return {number}; }
 
 /// Several entries that learn of crashes, and a clock.
 struct EvidenceFixture {
@@ -240,7 +241,7 @@
 BOOST_AUTO_TEST_CASE(parts_ofTwoServices_differ) {
   BOOST_TEST((promptPartOf({"a"}, "x") != promptPartOf({"b"}, "x")));
   BOOST_TEST((promptPartOf({"a"}, "bc") != promptPartOf({"ab"}, "c")));
-  BOOST_TEST((crashOf({"i-1"}, 1) != crashOf({"i-1"}, 2)));
+  BOOST_TEST((incarnationIdOf({"i-1"}, 1) != incarnationIdOf({"i-1"}, 2)));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
