Keep the rate limits that servers state, all entries together

Cause: nothing read the statement. The class: a limit that belongs to all senders together and is known to each of them alone; if each kept to it by itself, six entries would send six times as much.

Ways weighed: equal parts (idle entries waste theirs); counters exchanged by gossip (all entries see the same room at once, and what they learn is half a second old); parts by demand, granted at random where less than one request falls to an entry (tried first: its sum scatters like a Poisson variable; at 50 limited servers of a grown site some 4 s span would break the rule); a token bucket for each server, divided between a few holders, which are the first in a rendezvous order weighted by reported demand. The last one bounds what is sent by (k + 4 limit) in 4 s with k <= 2 limit holders, whatever the demand, and needs no coordinator.

Entries learn limits from answers and from each other's digests (8 rows at most, those that changed first; a statement has an id, so that one that comes back doesn't seem newer), and report their demand, rounded to powers of two, in their member rows while there are limits. A silent entry keeps its parts for 8 s. Retries and resumed streams take from the same tokens. Admission knows how many calls a second limited servers take, so that what can't be served is refused at once.

--- /dev/null
+++ b/src/direct/digest_messages.cpp
@@ -0,0 +1,83 @@
+#include "greengagespar/direct/digest_messages.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace greengagespar {
+
+namespace {
+
+// Greatest age that is read, so that no time before the clock's range results.
+constexpr std::uint64_t MaxAgeMs =
+    std::chrono::milliseconds(std::chrono::hours(48)).count();
+
+std::chrono::milliseconds ageOf(std::uint64_t ms) {
+  return std::chrono::milliseconds(
+      static_cast<std::int64_t>(std::min(ms, MaxAgeMs)));
+}
+
+std::uint64_t millisecondsOf(std::chrono::milliseconds age) {
+  return static_cast<std::uint64_t>(std::max<std::int64_t>(0, age.count()));
+}
+
+} // namespace
+
+void writeEvidence(const std::vector<EvidenceRow> &rows,
+                   wire::Members &digest) {
+  for (const EvidenceRow &row : rows) {
+    wire::PartEvidence &out = *digest.add_parts();
+    out.set_part(row.Part.Value);
+    for (const CrashRow &it : row.Crashes) {
+      wire::PartCrash &crash = *out.add_crashes();
+      crash.set_crash(it.Id.Value);
+      crash.set_age_ms(millisecondsOf(it.Age));
+      crash.set_cleared(it.IsCleared);
+    }
+  }
+}
+
+std::vector<EvidenceRow> readEvidence(const wire::Members &digest) {
+  std::vector<EvidenceRow> rows;
+  int count = std::min(digest.parts_size(), static_cast<int>(MaxEvidenceRows));
+  for (int i = 0; i < count; ++i) {
+    const wire::PartEvidence &in = digest.parts(i);
+    EvidenceRow &row = rows.emplace_back();
+    row.Part = {in.part()};
+    for (int j = 0; j < std::min(in.crashes_size(), MaxCrashesInRow); ++j) {
+      const wire::PartCrash &crash = in.crashes(j);
+      row.Crashes.push_back(
+          {{crash.crash()}, ageOf(crash.age_ms()), crash.cleared()});
+    }
+  }
+  return rows;
+}
+
+void writeLimits(const std::vector<LimitRow> &rows, wire::Members &digest) {
+  for (const LimitRow &row : rows) {
+    wire::ServerLimit &out = *digest.add_limits();
+    out.set_server(row.Server.Value);
+    out.set_per_second(row.PerSecond.value_or(0));
+    out.set_has_ended(!row.PerSecond);
+    out.set_age_ms(millisecondsOf(row.Age));
+    out.set_observation(row.Id.Value);
+  }
+}
+
+std::vector<LimitRow> readLimits(const wire::Members &digest) {
+  std::vector<LimitRow> rows;
+  int count = std::min(digest.limits_size(), static_cast<int>(MaxLimitRows));
+  for (int i = 0; i < count; ++i) {
+    const wire::ServerLimit &in = digest.limits(i);
+    if (!std::isfinite(in.per_second()) || in.per_second() < 0)
+      continue;
+    LimitRow &row = rows.emplace_back();
+    row.Server = {in.server()};
+    if (!in.has_ended())
+      row.PerSecond = in.per_second();
+    row.Age = ageOf(in.age_ms());
+    row.Id = {in.observation()};
+  }
+  return rows;
+}
+
+} // namespace greengagespar
--- a/src/direct/direct_entry.cpp
+++ b/src/direct/direct_entry.cpp
@@ -3,7 +3,7 @@
 #include "greengagespar/base/hash.h"
 #include "greengagespar/base/log.h"
 #include "greengagespar/base/log_output.h"
-#include "greengagespar/direct/evidence_messages.h"
+#include "greengagespar/direct/digest_messages.h"
 #include <algorithm>
 #include <event2/event.h>
 
@@ -56,6 +56,10 @@
 // data centres, as it does with those of its own.
 constexpr std::size_t FarPartners = 8;
 
+// The part of the servers' rate limits that an entry has is not given to others
+// before it has been silent for this long: time for a freeze or a cut to end.
+constexpr milliseconds ShareHoldTime{8000};
+
 LinkIdentity identityOf(const DirectSettings &settings) {
   return {settings.Name, newIncarnation(), Generation{}};
 }
@@ -123,6 +127,10 @@
   Context.Guard = &Guard;
   Guard.MayTry = [this](PromptPartId part) { return mayTry(part); };
   Guard.OnNews = [this] { Peers.announce(); };
+  Context.OnRateLimit = [this](const ServerRecord &server,
+                               std::optional<double> perSecond) {
+    recordRateLimit(server, perSecond);
+  };
   Context.OnEnded = [this](CallId id) { scheduleDestruction(id); };
 }
 
@@ -140,19 +148,66 @@
   hooks.OnLaterIncarnation = [this](Incarnation life) {
     Self.ProcessIncarnation = {life.Value + 1};
   };
-  hooks.AddToDigest = [this](wire::Members &digest) {
-    writeEvidence(evidenceRows(Guard.Evidence, Clock::now(), MaxEvidenceRows),
-                  digest);
-  };
-  hooks.OnDigest = [this](const wire::Members &digest) {
-    bool isNews = false;
-    for (const EvidenceRow &it : readEvidence(digest))
-      isNews = mergeEvidence(Guard.Evidence, it, Clock::now()) || isNews;
-    return isNews;
-  };
+  hooks.AddToDigest = [this](wire::Members &it) { addToDigest(it); };
+  hooks.OnDigest = [this](const wire::Members &it) { return onDigest(it); };
   return hooks;
 }
 
+void DirectEntry::addToDigest(wire::Members &digest) {
+  auto now = Clock::now();
+  writeEvidence(evidenceRows(Guard.Evidence, now, MaxEvidenceRows), digest);
+  writeLimits(takeLimitRows(Limits, MaxLimitRows, now), digest);
+}
+
+bool DirectEntry::onDigest(const wire::Members &digest) {
+  auto now = Clock::now();
+  bool isNews = false;
+  for (const EvidenceRow &it : readEvidence(digest))
+    isNews = mergeEvidence(Guard.Evidence, it, now) || isNews;
+  for (const LimitRow &it : readLimits(digest))
+    isNews = mergeLimit(Limits, it, now) || isNews;
+  return isNews;
+}
+
+void DirectEntry::recordRateLimit(const ServerRecord &server,
+                                  std::optional<double> perSecond) {
+  ServerIncarnationId id = incarnationIdOf(server.Id, server.StartedMs);
+  ObservationId observation{
+      mixBits(Self.ProcessIncarnation.Value ^ mixBits(++NextObservation))};
+  if (!recordStatedLimit(Limits, id, perSecond, observation, Clock::now()))
+    return;
+  LogLine line("server_limit");
+  line.add("server", server.Id.Value);
+  line.add("per_s", perSecond ? std::to_string(*perSecond) : "none");
+  logInfo(Part::Route, line.text());
+  shareLimits(Clock::now());
+  Peers.announce();
+}
+
+// Sets each pool's parts of the rate limits of its servers. An entry that has
+// become silent keeps its parts for ShareHoldTime: it may only be cut off from
+// this one.
+void DirectEntry::shareLimits(Clock::time_point now) {
+  for (auto &[service, pool] : Pools) {
+    if (Limits.Servers.empty() && !pool->isRateLimited())
+      continue;
+    std::uint64_t hash = stableHash(service.Value);
+    std::vector<LimitSharer> sharers{{Settings.Link, pool->reportedDemand()}};
+    for (const auto &[address, it] : Peers.view().Members) {
+      bool isSharer = it.State != MemberState::Leaving &&
+                      now - it.LastReceivedAt <= ShareHoldTime;
+      if (address == Settings.Link || !isSharer)
+        continue;
+      auto demand =
+          std::ranges::find(it.Row.Demands, hash, &ServiceDemand::Service);
+      LimitSharer &sharer = sharers.emplace_back(LimitSharer{address, {}});
+      if (demand != it.Row.Demands.end())
+        sharer.Demand = demand->PerSecond;
+    }
+    pool->shareLimits(Limits, Settings.Link, sharers);
+  }
+}
+
 // Whether this entry is the one of all that may try requests with \p part: the
 // first in the rendezvous order of the part.
 bool DirectEntry::mayTry(PromptPartId part) const {
@@ -233,6 +288,10 @@
   row.ProcessIncarnation = Self.ProcessIncarnation;
   row.Leaving = LeavingSince.has_value();
   row.Settings = Self.Settings;
+  for (const auto &[service, pool] : Pools)
+    if (pool->isRateLimited())
+      row.Demands.push_back(
+          {stableHash(service.Value), pool->reportedDemand()});
   return row;
 }
 
@@ -304,6 +363,8 @@
   auto now = Clock::now();
   Site.tick(now);
   expireEvidence(Guard.Evidence, now);
+  expireLimits(Limits, now);
+  shareLimits(now);
   bool isWaiting = LeavingSince.has_value();
   for (auto &[id, pool] : Pools) {
     pool->tick(now);
@@ -430,6 +491,11 @@
            static_cast<double>(Guard.Evidence.Parts.size()));
   setGauge(Counters, {"greengagespar_parts_blocked"},
            static_cast<double>(blockedParts(Guard.Evidence, Clock::now())));
+  setGauge(Counters, {"greengagespar_limited_servers"},
+           static_cast<double>(
+               std::ranges::count_if(Limits.Servers, [](const auto &it) {
+                 return it.second.PerSecond.has_value();
+               })));
   for (const auto &[id, pool] : Pools) {
     setGauge(Counters, {"greengagespar_waiting", {{"service", id.Value}}},
              static_cast<double>(pool->waiting()));
--- a/src/direct/exchange.cpp
+++ b/src/direct/exchange.cpp
@@ -201,7 +201,7 @@
   CurrentAttempt->Answer = facts;
   CurrentAttempt->HasHead = true;
   if (!facts.IsOtherServer)
-    Pool.recordRateLimit(CurrentAttempt->Server, facts.RateLimit);
+    Context.OnRateLimit(CurrentAttempt->Server, facts.RateLimit);
   CurrentAttempt->RelaysEvents = head.Status == StatusOk &&
                                  facts.IsEventStream && facts.IsSigned &&
                                  Call.MatchedRoute->Kind == RequestKind::Stream;
--- a/src/direct/server_pool.cpp
+++ b/src/direct/server_pool.cpp
@@ -1,7 +1,6 @@
 #include "greengagespar/direct/server_pool.h"
 
-#include "greengagespar/base/log.h"
-#include "greengagespar/base/log_output.h"
+#include "greengagespar/base/hash.h"
 #include <algorithm>
 #include <utility>
 
@@ -108,20 +107,39 @@
   return !Declared.Engine || maySend(Progress, inFlight, now);
 }
 
-void ServerPool::recordRateLimit(const ServerRecord &server,
-                                 std::optional<double> perSecond) {
-  auto it = Servers.find(server.Id);
-  bool isKnown =
-      it != Servers.end() && it->second.Record.StartedMs == server.StartedMs;
-  if (!isKnown || it->second.RateLimit == perSecond)
+void ServerPool::shareLimits(const RateLimits &limits, const Address &self,
+                             const std::vector<LimitSharer> &sharers) {
+  HasRates = false;
+  for (EndpointView &view : Views) {
+    ServerIncarnationId id = Servers[view.Target.Id].Incarnation;
+    auto limit = limitOf(limits, id);
+    if (!limit) {
+      view.Rate.reset();
+      continue;
+    }
+    HasRates = true;
+    if (!view.Rate)
+      view.Rate = RateShare{0, 0, Clock::now()};
+    double part = partOfLimit(*limit, id, self, sharers);
+    // A part that is taken over is no reason to send at once what the holder
+    // before may have sent just now.
+    if (view.Rate->PerSecond == 0)
+      view.Rate->Tokens = 0;
+    view.Rate->PerSecond = part;
+  }
+}
+
+double ServerPool::reportedDemand() {
+  return greengagespar::reportedDemand(Demand, Clock::now());
+}
+
+// Adds the tokens that are due to this entry's parts of rate limits.
+void ServerPool::updateRates(Clock::time_point now) {
+  if (!HasRates)
     return;
-  it->second.RateLimit = perSecond;
-  LogLine line("server_limit");
-  line.add("server", server.Id.Value);
-  line.add("limited", perSecond.has_value());
-  if (perSecond)
-    line.add("per_s", std::to_string(*perSecond));
-  logInfo(Part::Route, line.text());
+  for (EndpointView &view : Views)
+    if (view.Rate)
+      updateRateShare(*view.Rate, now);
 }
 
 void ServerPool::setEntries(std::size_t entries) {
@@ -165,11 +183,10 @@
   KeptConnections &kept = Servers[record.Id];
   bool isNewServer =
       kept.Record.StartedMs != record.StartedMs || kept.Record.At != record.At;
-  if (isNewServer) {
+  if (isNewServer)
     kept.Idle.clear();
-    kept.RateLimit.reset();
-  }
   kept.Record = record;
+  kept.Incarnation = incarnationIdOf(record.Id, record.StartedMs);
   EndpointView *view = viewOf(record.Id);
   if (!view) {
     view = &Views.emplace_back();
@@ -207,6 +224,8 @@
 
 void ServerPool::submit(PoolCall call) {
   auto now = Clock::now();
+  recordDemand(Demand, now);
+  updateRates(now);
   ArrivingCall arriving;
   arriving.Id = call.Id;
   arriving.Workspace = call.Workspace;
@@ -250,6 +269,7 @@
     return;
   IsStarting = true;
   updateHealthStates(Views, now);
+  updateRates(now);
   while (hasRoom(now)) {
     auto placed = placeNext(
         AdmissionControl,
--- /dev/null
+++ b/src/include/greengagespar/direct/digest_messages.h
@@ -0,0 +1,39 @@
+/// \file
+/// Converts what entries add to their digests to and from messages: evidence
+/// about parts of prompts, and rate limits of servers. Pure functions; thread
+/// safe.
+#ifndef GREENGAGESPAR_DIRECT_DIGEST_MESSAGES_H
+#define GREENGAGESPAR_DIRECT_DIGEST_MESSAGES_H
+
+#include "greengagespar/link/link.pb.h"
+#include "greengagespar/route/crash_evidence.h"
+#include "greengagespar/route/rate_limit.h"
+
+namespace greengagespar {
+
+/// Most rows of evidence in one digest, and most crashes in a row. A row takes
+/// at most 9 + 20 * MaxCrashesInRow bytes.
+inline constexpr std::size_t MaxEvidenceRows = 16;
+inline constexpr int MaxCrashesInRow = 8;
+
+/// Most rate limits in one digest. A row takes at most 34 bytes.
+inline constexpr std::size_t MaxLimitRows = 8;
+
+/// Adds \p rows to \p digest.
+void writeEvidence(const std::vector<EvidenceRow> &rows, wire::Members &digest);
+
+/// Reads the first MaxEvidenceRows rows of \p digest and the first
+/// MaxCrashesInRow crashes of each. Ages are at most a day longer than any
+/// evidence is kept.
+std::vector<EvidenceRow> readEvidence(const wire::Members &digest);
+
+/// Adds \p rows to \p digest.
+void writeLimits(const std::vector<LimitRow> &rows, wire::Members &digest);
+
+/// Reads the first MaxLimitRows limits of \p digest and leaves out those that
+/// are no finite rates of zero or more.
+std::vector<LimitRow> readLimits(const wire::Members &digest);
+
+} // namespace greengagespar
+
+#endif // GREENGAGESPAR_DIRECT_DIGEST_MESSAGES_H
--- a/src/include/greengagespar/direct/direct_entry.h
+++ b/src/include/greengagespar/direct/direct_entry.h
@@ -56,6 +56,11 @@
   PeerLinksHooks peerHooks();
   MemberRow ownRow() const;
   bool mayTry(PromptPartId part) const;
+  void addToDigest(wire::Members &digest);
+  bool onDigest(const wire::Members &digest);
+  void recordRateLimit(const ServerRecord &server,
+                       std::optional<double> perSecond);
+  void shareLimits(Clock::time_point now);
   void pullFrom(const Address &peer, Generation at);
   bool isReady() const;
   void tick();
@@ -69,6 +74,7 @@
   LinkIdentity Self;
   Metrics Counters;
   PartGuard Guard;
+  RateLimits Limits;
   ExchangeContext Context;
   SiteFollower Site;
   PeerLinks Peers;
@@ -82,6 +88,7 @@
   std::unordered_map<CallId, std::unique_ptr<Exchange>> OpenExchanges;
   std::vector<std::unique_ptr<Exchange>> EndedExchanges; ///< To destroy.
   std::uint64_t NextCall = 0;
+  std::uint64_t NextObservation = 0;
   Clock::time_point StartedAt{};
   std::optional<Clock::time_point> LeavingSince;
   bool IsDraining = false;
--- a/src/include/greengagespar/direct/exchange.h
+++ b/src/include/greengagespar/direct/exchange.h
@@ -24,6 +24,9 @@
   const SiteDialect *Dialect = nullptr;
   Metrics *Counters = nullptr;
   PartGuard *Guard = nullptr;
+  /// Reports the rate limit that an answer of a server states; empty: none.
+  std::function<void(const ServerRecord &, std::optional<double> perSecond)>
+      OnRateLimit;
   /// Reports to the owner that the exchange has ended. The exchange still runs
   /// during the call; the owner may destroy it after the call has returned.
   std::function<void(CallId)> OnEnded;
--- a/src/include/greengagespar/direct/server_pool.h
+++ b/src/include/greengagespar/direct/server_pool.h
@@ -12,6 +12,7 @@
 #include "greengagespar/route/admission.h"
 #include "greengagespar/route/choose.h"
 #include "greengagespar/route/pace_limit.h"
+#include "greengagespar/route/rate_limit.h"
 #include "greengagespar/route/retry_budget.h"
 #include "greengagespar/route/stall.h"
 
@@ -74,9 +75,14 @@
   /// Records whether the group of server \p id accepts work, as the server's
   /// rank agent reports.
   void recordGroupOpen(const ServerId &id, bool isOpen);
-  /// Records the rate limit that an answer of \p server states; empty: none.
-  void recordRateLimit(const ServerRecord &server,
-                       std::optional<double> perSecond);
+  /// Sets this entry's parts of the servers' rate limits \p limits, which the
+  /// entries \p sharers share. Precondition: the entry \p self is one of them.
+  void shareLimits(const RateLimits &limits, const Address &self,
+                   const std::vector<LimitSharer> &sharers);
+  /// Whether a server has a rate limit.
+  bool isRateLimited() const { return HasRates; }
+  /// Returns the demand that this entry reports; see reportedDemand().
+  double reportedDemand();
   /// Sets the number of entries that share the servers, this one included.
   void setEntries(std::size_t entries);
 
@@ -107,10 +113,8 @@
 private:
   struct KeptConnections {
     ServerRecord Record;
+    ServerIncarnationId Incarnation; ///< Of Record.
     std::vector<std::unique_ptr<HttpClientConnection>> Idle;
-    /// Requests a second that the server takes from all entries together, as
-    /// its last answer states; empty: it stated none.
-    std::optional<double> RateLimit;
   };
 
   EndpointView *viewOf(const ServerId &id);
@@ -118,6 +122,7 @@
   Refusal refusalOf(const Refusal &why) const;
   bool hasRoom(Clock::time_point now) const;
   void updateStreamLimit();
+  void updateRates(Clock::time_point now);
   int slotsOfServer(const ServerRecord &record) const;
   void startWaiting(Clock::time_point now);
   std::optional<std::size_t> choose(const QueuedCall &call,
@@ -136,6 +141,8 @@
   RetryBudget Retries;
   PaceLimit StreamLimit; ///< Limits streams only in the pool of a group.
   StallState Progress;
+  DemandRate Demand;
+  bool HasRates = false; ///< A view has a rate limit.
   std::size_t Entries = 1;
   std::uint64_t ConnectionsOpened = 0;
   bool IsStarting = false; ///< startWaiting() runs; it is not reentrant.
--- a/src/include/greengagespar/host/member.h
+++ b/src/include/greengagespar/host/member.h
@@ -27,6 +27,12 @@
   Unresponsive, ///< No newer row of it arrived in time.
 };
 
+/// How many calls for a service arrive at an entry.
+struct ServiceDemand {
+  std::uint64_t Service = 0; ///< stableHash() of the service's name.
+  double PerSecond = 0;      ///< Over zero.
+};
+
 /// What a process reports about itself and other processes pass on. Of two rows
 /// for one address the one with the higher incarnation is newer, and at the
 /// same incarnation the one with the higher heartbeat.
@@ -40,6 +46,8 @@
   std::uint64_t Heartbeat = 0; ///< The process itself raises it.
   bool Leaving = false;
   Generation Settings; ///< Of the settings in force at the process.
+  /// Demand for the services whose servers have rate limits.
+  std::vector<ServiceDemand> Demands = {};
   /// The row does not renew the process: its sender reports that this is the
   /// last row it knows, and that no newer one arrived in time.
   bool IsSilent = false;
--- a/src/include/greengagespar/link/member_message.h
+++ b/src/include/greengagespar/link/member_message.h
@@ -14,6 +14,9 @@
 /// Most rows that are accepted from one message; further rows are ignored.
 inline constexpr int MaxRowsAccepted = 64;
 
+/// Most services whose demand is read from one row.
+inline constexpr int MaxDemandsAccepted = 16;
+
 /// Writes \p row into \p message.
 void writeMember(const MemberRow &row, wire::Member &message);
 
--- a/src/include/greengagespar/route/choose.h
+++ b/src/include/greengagespar/route/choose.h
@@ -107,9 +107,9 @@
 Capacity capacityOf(const std::vector<EndpointView> &views);
 
 /// Chooses a server for \p request, or none when all servers are leaving or at
-/// this entry's limit. When every server is ejected or unresponsive, all of
-/// them take part. Update the health states of \p views before this function,
-/// and record the call as sent after it.
+/// this entry's limit of calls or rate. When every server is ejected or
+/// unresponsive, all of them take part. Update the health states of \p views
+/// before this function, and record the call as sent after it.
 std::optional<Choice> chooseEndpoint(const std::vector<EndpointView> &views,
                                      const ChoiceRequest &request,
                                      const ChoiceOptions &options,
--- a/src/include/greengagespar/route/concurrency.h
+++ b/src/include/greengagespar/route/concurrency.h
@@ -11,6 +11,7 @@
 #define GREENGAGESPAR_ROUTE_CONCURRENCY_H
 
 #include "greengagespar/base/clock.h"
+#include <limits>
 
 namespace greengagespar {
 
@@ -27,6 +28,9 @@
   int Limit = 0;    ///< Calls that this entry may have on all servers together.
   int InFlight = 0; ///< Calls that this entry has on them.
   int Servers = 0;  ///< Servers that may be chosen, full ones included.
+  /// Calls a second that this entry may start on them where each of them has a
+  /// rate limit; otherwise infinite.
+  double StartsPerSecond = std::numeric_limits<double>::infinity();
 };
 
 /// Load of a server, and this entry's part of the load.
--- a/src/include/greengagespar/route/endpoint_view.h
+++ b/src/include/greengagespar/route/endpoint_view.h
@@ -11,6 +11,7 @@
 #include "greengagespar/contract/contract.h"
 #include "greengagespar/route/concurrency.h"
 #include "greengagespar/route/priority.h"
+#include "greengagespar/route/rate_limit.h"
 #include <chrono>
 #include <optional>
 #include <vector>
@@ -47,6 +48,8 @@
   bool Preempts = false; ///< See ServerSlots::Preempts.
   /// Limit on this entry's calls on the server.
   ConcurrencyLimit Limit{16, 16};
+  /// This entry's part of the rate that the server takes; empty: no limit.
+  std::optional<RateShare> Rate;
   /// The newest load report; empty before the first.
   std::optional<LoadReport> Report;
   /// Decayed mean of the other entries' calls on the server.
@@ -68,7 +71,8 @@
   int ProbesInFlight = 0; ///< Calls in flight that were sent while probing.
 };
 
-/// Records that a call was sent to the server of \p view.
+/// Records that a call was sent to the server of \p view, and uses a token of
+/// its rate limit up.
 void recordSentCall(EndpointView &view);
 
 /// Records that a call was answered. \p latency is a time that is comparable
@@ -114,6 +118,9 @@
 /// Returns this entry's limit and calls on the server of \p view.
 ServerSlots slotsOf(const EndpointView &view);
 
+/// Whether the server's rate limit allows this entry one more call now.
+bool hasToken(const EndpointView &view);
+
 /// Whether \p kind indicates a fault of the server or of the link to it.
 bool isServerFault(ErrorKind kind);
 
--- a/src/link/member_message.cpp
+++ b/src/link/member_message.cpp
@@ -3,6 +3,7 @@
 #include "greengagespar/base/address.h"
 #include "greengagespar/base/schema.h"
 #include <algorithm>
+#include <cmath>
 
 namespace greengagespar {
 
@@ -17,6 +18,11 @@
   message.set_is_endpoint(row.Role == MemberRole::Endpoint);
   message.set_leaving(row.Leaving);
   message.set_silent(row.IsSilent);
+  for (const ServiceDemand &it : row.Demands) {
+    wire::Demand &demand = *message.add_demands();
+    demand.set_service(it.Service);
+    demand.set_per_second(static_cast<float>(it.PerSecond));
+  }
 }
 
 std::optional<MemberRow> readMember(const wire::Member &message) {
@@ -37,6 +43,12 @@
   row.Leaving = message.leaving();
   row.IsSilent = message.silent();
   row.Settings = {message.generation()};
+  int count = std::min(message.demands_size(), MaxDemandsAccepted);
+  for (int i = 0; i < count; ++i) {
+    const wire::Demand &it = message.demands(i);
+    if (std::isfinite(it.per_second()) && it.per_second() > 0)
+      row.Demands.push_back({it.service(), it.per_second()});
+  }
   return row;
 }
 
--- a/src/route/admission.cpp
+++ b/src/route/admission.cpp
@@ -77,7 +77,9 @@
 
 // Returns how many calls of all workspaces start per second while calls wait.
 double totalRate(const Admission &admission, const Capacity &capacity) {
-  return std::max(1, capacity.Limit) * 1000.0 / meanServiceMs(admission);
+  return std::min(capacity.StartsPerSecond, std::max(1, capacity.Limit) *
+                                                1000.0 /
+                                                meanServiceMs(admission));
 }
 
 // Returns how many calls of one workspace start per second while its calls
@@ -87,7 +89,8 @@
   double costMs =
       chargeOf(admission.Queue, workspace.Id, meanServiceMs(admission));
   double fair = fairShare(admission.Queue, workspace) *
-                std::max(1, capacity.Limit) * 1000.0 / costMs;
+                std::min(capacity.StartsPerSecond,
+                         std::max(1, capacity.Limit) * 1000.0 / costMs);
   return std::max(fair, startsPerSecond(admission, workspace.Id, now));
 }
 
--- a/src/route/choose.cpp
+++ b/src/route/choose.cpp
@@ -51,11 +51,19 @@
 
 bool needsProbe(const EndpointView &view) {
   return view.State == HealthState::Probing && !view.Unresponsive &&
-         view.ProbesInFlight == 0;
+         view.ProbesInFlight == 0 && hasToken(view);
 }
 
 void addServer(Capacity &capacity, const EndpointView &view) {
-  capacity.Limit += allowedCalls(view.Limit);
+  constexpr double unlimited = std::numeric_limits<double>::infinity();
+  double rate = view.Rate ? view.Rate->PerSecond : unlimited;
+  capacity.StartsPerSecond =
+      capacity.Servers == 0 ? rate : capacity.StartsPerSecond + rate;
+  int limit = allowedCalls(view.Limit);
+  if (view.Rate)
+    limit =
+        std::min(limit, view.InFlight + static_cast<int>(view.Rate->Tokens));
+  capacity.Limit += limit;
   capacity.InFlight += view.InFlight;
   ++capacity.Servers;
 }
@@ -232,7 +240,7 @@
     if (request.MayProbe && needsProbe(view))
       return Choice{i, ChoiceReason::Probe};
     anyHealthy = anyHealthy || isHealthy(view);
-    if (!admitToServer(slotsOf(view), request.Length))
+    if (!admitToServer(slotsOf(view), request.Length) || !hasToken(view))
       continue;
     Candidate it{i, loads[i], estimateCost(view, loads[i], typical)};
     Candidates &list = !isHealthy(view) ? unhealthy
--- a/src/route/endpoint_view.cpp
+++ b/src/route/endpoint_view.cpp
@@ -116,7 +116,13 @@
   }
 }
 
+bool hasToken(const EndpointView &view) {
+  return !view.Rate || view.Rate->Tokens >= 1;
+}
+
 void recordSentCall(EndpointView &view) {
+  if (view.Rate)
+    view.Rate->Tokens -= 1;
   ++view.InFlight;
   if (view.State == HealthState::Probing)
     ++view.ProbesInFlight;
