Do not take the drop of an idle connection for a crash

A server may drop an idle connection, and the next request on it is reset before any byte of an answer. With unknown parts that looked like a server that ended at the beginning: the request got 502 instead of another server, and its parts became suspects. Such an end says nothing about the server; a server that crashes under a request has begun its answer, or the connection was new.

--- a/src/direct/part_guard.cpp
+++ b/src/direct/part_guard.cpp
@@ -76,7 +76,8 @@
 }
 
 bool looksLikeCrash(const BrokenAttempt &attempt) {
-  return attempt.IsDisconnected && attempt.Events < EventsBeyondBeginning &&
+  return attempt.IsDisconnected && !attempt.IsIdleDrop &&
+         attempt.Events < EventsBeyondBeginning &&
          attempt.Silence < CrashSilenceLimit;
 }
 
--- a/testsuite/direct/crash_test.cpp
+++ b/testsuite/direct/crash_test.cpp
@@ -35,6 +35,7 @@
   bool IsGroup = false;
   int Crashes = 0;
   bool CrashesNext = false; ///< A server ends under the next request.
+  bool DropsNext = false;   ///< The next request finds its connection closed.
   int BadArrived = 0; ///< Requests with CrashingPart that reached servers.
   Clock::time_point StalledUntil{};
   Clock::time_point ClosedUntil{};
@@ -62,6 +63,8 @@
     bool isBad = parts && parts->find(CrashingPart) != std::string::npos;
     BadArrived += isBad ? 1 : 0;
     auto now = Clock::now();
+    if (std::exchange(DropsNext, false))
+      return {.Resets = true};
     if (now < StalledUntil)
       return {.SendsNothing = true};
     if (now < ClosedUntil)
@@ -255,6 +258,25 @@
   BOOST_TEST(served == 30);
 }
 
+// Guards against a server that counts as crashed because it drops connections
+// that were idle.
+BOOST_AUTO_TEST_CASE(request_onConnectionDroppedWhenIdle_isServedByAnother) {
+  addServers(3);
+  startEntries(1);
+  for (std::uint64_t i = 0; i < 6; ++i) {
+    sendParts(0, numbered("b", i));
+    steps(100ms);
+  }
+  DropsNext = true;
+  Call &call = sendParts(0, "b9:40");
+  steps(300ms);
+  BOOST_TEST(!DropsNext);
+  BOOST_TEST(call.Response.Head.Status == 200);
+  Call &next = sendParts(0, "b9:40");
+  steps(300ms);
+  BOOST_TEST(next.Response.Head.Status == 200);
+}
+
 // A request whose server ends as it begins is not sent to a second one.
 BOOST_AUTO_TEST_CASE(request_whoseServerEndedAtOnce_takesNoSecondServer) {
   addServers(12);
