--- a/src/direct/direct_entry.cpp
+++ b/src/direct/direct_entry.cpp
@@ -1,9 +1,7 @@
 #include "greengagespar/direct/direct_entry.h"
 
-#include "greengagespar/base/hash.h"
 #include "greengagespar/base/log.h"
 #include "greengagespar/base/log_output.h"
-#include "greengagespar/direct/digest_messages.h"
 #include <algorithm>
 #include <event2/event.h>
 
@@ -56,10 +54,6 @@
 // data centres, as it does with those of its own.
 constexpr std::size_t FarPartners = 8;
 
-// The part of the servers' rate limits that an entry has is not given to others
-// before it has been silent for this long: time for a freeze or a cut to end.
-constexpr milliseconds ShareHoldTime{8000};
-
 LinkIdentity identityOf(const DirectSettings &settings) {
   return {settings.Name, newIncarnation(), Generation{}};
 }
@@ -124,12 +118,14 @@
   Context.Loop = loop;
   Context.Dialect = &Dialect;
   Context.Counters = &Counters;
-  Context.Guard = &Guard;
-  Guard.MayTry = [this](PromptPartId part) { return mayTry(part); };
-  Guard.OnNews = [this] { Peers.announce(); };
+  Context.Guard = &Shared.Guard;
+  Shared.Guard.MayTry = [this](PromptPartId part) {
+    return isTrialEntry(Peers.view(), part);
+  };
+  Shared.Guard.OnNews = [this] { Peers.announce(); };
   Context.OnRateLimit = [this](const ServerRecord &server,
                                std::optional<double> perSecond) {
-    recordRateLimit(server, perSecond);
+    onRateLimit(server, perSecond);
   };
   Context.OnEnded = [this](CallId id) { scheduleDestruction(id); };
 }
@@ -148,77 +144,35 @@
   hooks.OnLaterIncarnation = [this](Incarnation life) {
     Self.ProcessIncarnation = {life.Value + 1};
   };
-  hooks.AddToDigest = [this](wire::Members &it) { addToDigest(it); };
-  hooks.OnDigest = [this](const wire::Members &it) { return onDigest(it); };
+  hooks.AddToDigest = [this](wire::Members &digest) {
+    writeShared(Shared, digest, Clock::now());
+  };
+  hooks.OnDigest = [this](const wire::Members &digest) {
+    return mergeShared(Shared, digest, Clock::now());
+  };
   return hooks;
 }
 
-void DirectEntry::addToDigest(wire::Members &digest) {
+void DirectEntry::onRateLimit(const ServerRecord &server,
+                              std::optional<double> perSecond) {
   auto now = Clock::now();
-  writeEvidence(evidenceRows(Guard.Evidence, now, MaxEvidenceRows), digest);
-  writeLimits(takeLimitRows(Limits, MaxLimitRows, now), digest);
-}
-
-bool DirectEntry::onDigest(const wire::Members &digest) {
-  auto now = Clock::now();
-  bool isNews = false;
-  for (const EvidenceRow &it : readEvidence(digest))
-    isNews = mergeEvidence(Guard.Evidence, it, now) || isNews;
-  for (const LimitRow &it : readLimits(digest))
-    isNews = mergeLimit(Limits, it, now) || isNews;
-  return isNews;
-}
-
-void DirectEntry::recordRateLimit(const ServerRecord &server,
-                                  std::optional<double> perSecond) {
-  ServerIncarnationId id = incarnationIdOf(server.Id, server.StartedMs);
-  ObservationId observation{
-      mixBits(Self.ProcessIncarnation.Value ^ mixBits(++NextObservation))};
-  if (!recordStatedLimit(Limits, id, perSecond, observation, Clock::now()))
+  if (!recordRateLimit(Shared, server, perSecond, Self.ProcessIncarnation, now))
     return;
-  LogLine line("server_limit");
-  line.add("server", server.Id.Value);
-  line.add("per_s", perSecond ? std::to_string(*perSecond) : "none");
-  logInfo(Part::Route, line.text());
-  shareLimits(Clock::now());
+  shareLimits(now);
   Peers.announce();
 }
 
-// Sets each pool's parts of the rate limits of its servers. An entry that has
-// become silent keeps its parts for ShareHoldTime: it may only be cut off from
-// this one.
+// Sets each pool's parts of the rate limits of its servers.
 void DirectEntry::shareLimits(Clock::time_point now) {
   for (auto &[service, pool] : Pools) {
-    if (Limits.Servers.empty() && !pool->isRateLimited())
+    if (Shared.Limits.Servers.empty() && !pool->isRateLimited())
       continue;
-    std::uint64_t hash = stableHash(service.Value);
-    std::vector<LimitSharer> sharers{{Settings.Link, pool->reportedDemand()}};
-    for (const auto &[address, it] : Peers.view().Members) {
-      bool isSharer = it.State != MemberState::Leaving &&
-                      now - it.LastReceivedAt <= ShareHoldTime;
-      if (address == Settings.Link || !isSharer)
-        continue;
-      auto demand =
-          std::ranges::find(it.Row.Demands, hash, &ServiceDemand::Service);
-      LimitSharer &sharer = sharers.emplace_back(LimitSharer{address, {}});
-      if (demand != it.Row.Demands.end())
-        sharer.Demand = demand->PerSecond;
-    }
-    pool->shareLimits(Limits, Settings.Link, sharers);
+    pool->shareLimits(
+        Shared.Limits, Settings.Link,
+        limitSharers(Peers.view(), service, pool->reportedDemand(), now));
   }
 }
 
-// Whether this entry is the one of all that may try requests with \p part: the
-// first in the rendezvous order of the part.
-bool DirectEntry::mayTry(PromptPartId part) const {
-  std::vector<Address> entries;
-  for (const auto &[address, it] : Peers.view().Members)
-    if (acceptsWork(it))
-      entries.push_back(address);
-  auto order = rendezvousOrder(std::to_string(part.Value), entries);
-  return !order.empty() && order.front() == Settings.Link;
-}
-
 MapCoordinatorHooks DirectEntry::mapHooks() {
   MapCoordinatorHooks hooks;
   hooks.Position = [this] {
@@ -290,8 +244,7 @@
   row.Settings = Self.Settings;
   for (const auto &[service, pool] : Pools)
     if (pool->isRateLimited())
-      row.Demands.push_back(
-          {stableHash(service.Value), pool->reportedDemand()});
+      row.Demands.push_back(demandRow(service, pool->reportedDemand()));
   return row;
 }
 
@@ -362,8 +315,8 @@
 void DirectEntry::tick() {
   auto now = Clock::now();
   Site.tick(now);
-  expireEvidence(Guard.Evidence, now);
-  expireLimits(Limits, now);
+  expireEvidence(Shared.Guard.Evidence, now);
+  expireLimits(Shared.Limits, now);
   shareLimits(now);
   bool isWaiting = LeavingSince.has_value();
   for (auto &[id, pool] : Pools) {
@@ -487,26 +440,9 @@
            static_cast<double>(RequestListener.connections()));
   setGauge(Counters, {"greengagespar_store_calls"},
            static_cast<double>(totalSent(Site.storeCalls())));
-  setGauge(Counters, {"greengagespar_parts_with_crashes"},
-           static_cast<double>(Guard.Evidence.Parts.size()));
-  setGauge(Counters, {"greengagespar_parts_blocked"},
-           static_cast<double>(blockedParts(Guard.Evidence, Clock::now())));
-  setGauge(Counters, {"greengagespar_limited_servers"},
-           static_cast<double>(
-               std::ranges::count_if(Limits.Servers, [](const auto &it) {
-                 return it.second.PerSecond.has_value();
-               })));
-  for (const auto &[id, pool] : Pools) {
-    setGauge(Counters, {"greengagespar_waiting", {{"service", id.Value}}},
-             static_cast<double>(pool->waiting()));
-    setGauge(Counters, {"greengagespar_mean_pause_ms", {{"service", id.Value}}},
-             pool->streamLimit().MeanPauseMs);
-    setGauge(Counters, {"greengagespar_pace_limit", {{"service", id.Value}}},
-             pool->streamLimit().Value);
-    setGauge(Counters,
-             {"greengagespar_server_connections", {{"service", id.Value}}},
-             static_cast<double>(pool->connectionsOpened()));
-  }
+  recordMetrics(Shared, Counters, Clock::now());
+  for (const auto &[id, pool] : Pools)
+    pool->recordMetrics(Counters);
   Maps.recordMetrics(Counters, Clock::now());
   return renderPrometheus(Counters);
 }
--- a/src/direct/exchange.cpp
+++ b/src/direct/exchange.cpp
@@ -1,7 +1,6 @@
 #include "greengagespar/direct/exchange.h"
 
-#include "greengagespar/base/log.h"
-#include "greengagespar/base/log_output.h"
+#include "exchange_log.h"
 #include <algorithm>
 #include <utility>
 
@@ -45,18 +44,6 @@
 constexpr int StatusUnavailable = 503;
 constexpr int StatusGatewayTimeout = 504;
 
-std::string_view nameOf(RequestKind kind) {
-  switch (kind) {
-  case RequestKind::Idempotent:
-    return "idempotent";
-  case RequestKind::AtMostOnce:
-    return "at_most_once";
-  case RequestKind::Stream:
-    return "stream";
-  }
-  return "";
-}
-
 } // namespace
 
 Exchange::Exchange(ExchangeContext &context, ServerPool &pool,
@@ -169,18 +156,7 @@
   CurrentAttempt->Connection = Pool.connect(server, true);
   CurrentAttempt->IsReused = CurrentAttempt->Connection->isReusable();
   ++Runs;
-  LogLine line("send");
-  line.add("id", Call.Facts.RequestId)
-      .add("route", Call.MatchedRoute->Name)
-      .add("config", static_cast<std::int64_t>(Call.Table->Site.Version.Value))
-      .add("server", server.Id.Value)
-      .add("at", server.At.Value)
-      .add("run", Runs)
-      .addMs("waited_ms", now - Call.Arrived)
-      .addMs("left_ms", Call.CallDeadline.At - now);
-  if (auto last = resumeAfter())
-    line.add("after_event", static_cast<std::int64_t>(*last));
-  logInfo(Part::Route, line.text());
+  logSend(Call, *CurrentAttempt, Runs, resumeAfter());
   ExchangeEvents events;
   events.OnHead = [this](const HttpHead &head) { return onHead(head); };
   events.OnBody = [this](std::string_view piece) { onBody(piece); };
@@ -347,22 +323,8 @@
     next = decideNext(history, end);
     next.Reason = "retry_budget";
   }
-  LogLine line("attempt_ended");
-  line.add("id", Call.Facts.RequestId)
-      .add("server", server.Id.Value)
-      .add("why", why)
-      .add("status", CurrentAttempt->Head.Status)
-      .addMs("took_ms", now - CurrentAttempt->SentAt)
-      .addMs("silent_ms", now - CurrentAttempt->LastReceivedAt)
-      .add("runs", Runs)
-      .add("events", static_cast<std::int64_t>(Stream.EventCount))
-      .add("events_here", CurrentAttempt->Events)
-      .add("parts", describeParts(Call.Facts.SharedParts))
-      .add("failed_server", CurrentAttempt->Answer.FailedServer.Value)
-      .add("next", next.Reason);
-  logInfo(Part::Route, line.text());
-  countUp(*Context.Counters,
-          {"greengagespar_attempts_failed_total", {{"why", std::string(why)}}});
+  logAttemptEnd(*Context.Counters, Call, *CurrentAttempt, Stream, Runs, why,
+                next.Reason);
   if (next.Step == NextStep::ForwardAnswer && !HasSentHead)
     return forwardAnswer();
   PoolOutcome outcome;
@@ -513,31 +475,10 @@
     return;
   HasEnded = true;
   LimitTimer.stop();
-  auto now = Clock::now();
-  LogLine line("answer");
-  line.add("id", Call.Facts.RequestId)
-      .add("route", Call.MatchedRoute->Name)
-      .add("kind", nameOf(Call.MatchedRoute->Kind))
-      .add("outcome", outcome)
-      .add("reason", reason)
-      .add("status", status)
-      .add("runs", Runs)
-      .add("events", static_cast<std::int64_t>(Stream.EventCount))
-      .addMs("took_ms", now - Call.Arrived);
+  FinalAnswer answer{status, outcome, reason, Runs, Stream.EventCount, {}};
   if (HasSentHead)
-    line.addMs("first_event_ms", FirstEventAt - Call.Arrived);
-  logInfo(Part::Call, line.text());
-  countUp(*Context.Counters,
-          {"greengagespar_requests_total",
-           {{"kind", std::string(nameOf(Call.MatchedRoute->Kind))},
-            {"outcome", std::string(outcome)},
-            {"reason", std::string(reason)}}});
-  double ms =
-      std::chrono::duration<double, std::milli>(now - Call.Arrived).count();
-  observe(*Context.Counters,
-          {"greengagespar_request_ms",
-           {{"kind", std::string(nameOf(Call.MatchedRoute->Kind))}}},
-          ms, now);
+    answer.FirstEventAt = FirstEventAt;
+  logAnswer(*Context.Counters, Call, answer);
   Context.OnEnded(Call.Id);
 }
 
--- /dev/null
+++ b/src/direct/exchange_log.cpp
@@ -0,0 +1,88 @@
+#include "exchange_log.h"
+
+#include "greengagespar/base/log.h"
+#include "greengagespar/base/log_output.h"
+
+namespace greengagespar {
+
+namespace {
+
+std::string_view nameOf(RequestKind kind) {
+  switch (kind) {
+  case RequestKind::Idempotent:
+    return "idempotent";
+  case RequestKind::AtMostOnce:
+    return "at_most_once";
+  case RequestKind::Stream:
+    return "stream";
+  }
+  return "";
+}
+
+} // namespace
+
+void logSend(const AcceptedCall &call, const detail::Attempt &attempt, int run,
+             std::optional<std::uint64_t> after) {
+  LogLine line("send");
+  line.add("id", call.Facts.RequestId)
+      .add("route", call.MatchedRoute->Name)
+      .add("config", static_cast<std::int64_t>(call.Table->Site.Version.Value))
+      .add("server", attempt.Server.Id.Value)
+      .add("at", attempt.Server.At.Value)
+      .add("run", run)
+      .addMs("waited_ms", attempt.SentAt - call.Arrived)
+      .addMs("left_ms", call.CallDeadline.At - attempt.SentAt);
+  if (after)
+    line.add("after_event", static_cast<std::int64_t>(*after));
+  logInfo(Part::Route, line.text());
+}
+
+void logAttemptEnd(Metrics &counters, const AcceptedCall &call,
+                   const detail::Attempt &attempt, const EventRelay &stream,
+                   int runs, std::string_view why, std::string_view next) {
+  auto now = Clock::now();
+  LogLine line("attempt_ended");
+  line.add("id", call.Facts.RequestId)
+      .add("server", attempt.Server.Id.Value)
+      .add("why", why)
+      .add("status", attempt.Head.Status)
+      .addMs("took_ms", now - attempt.SentAt)
+      .addMs("silent_ms", now - attempt.LastReceivedAt)
+      .add("runs", runs)
+      .add("events", static_cast<std::int64_t>(stream.EventCount))
+      .add("events_here", attempt.Events)
+      .add("parts", describeParts(call.Facts.SharedParts))
+      .add("failed_server", attempt.Answer.FailedServer.Value)
+      .add("next", next);
+  logInfo(Part::Route, line.text());
+  countUp(counters,
+          {"greengagespar_attempts_failed_total", {{"why", std::string(why)}}});
+}
+
+void logAnswer(Metrics &counters, const AcceptedCall &call,
+               const FinalAnswer &answer) {
+  auto now = Clock::now();
+  std::string kind(nameOf(call.MatchedRoute->Kind));
+  LogLine line("answer");
+  line.add("id", call.Facts.RequestId)
+      .add("route", call.MatchedRoute->Name)
+      .add("kind", kind)
+      .add("outcome", answer.Outcome)
+      .add("reason", answer.Reason)
+      .add("status", answer.Status)
+      .add("runs", answer.Runs)
+      .add("events", static_cast<std::int64_t>(answer.Events))
+      .addMs("took_ms", now - call.Arrived);
+  if (answer.FirstEventAt)
+    line.addMs("first_event_ms", *answer.FirstEventAt - call.Arrived);
+  logInfo(Part::Call, line.text());
+  countUp(counters, {"greengagespar_requests_total",
+                     {{"kind", kind},
+                      {"outcome", std::string(answer.Outcome)},
+                      {"reason", std::string(answer.Reason)}}});
+  std::chrono::duration<double, std::milli> took = now - call.Arrived;
+  observe(counters, {"greengagespar_request_ms", {{"kind", kind}}},
+          took.count(), now);
+}
+
+} // namespace greengagespar
--- /dev/null
+++ b/src/direct/exchange_log.h
@@ -0,0 +1,38 @@
+/// \file
+/// The log lines and counters of one request. Private to the package.
+#ifndef GREENGAGESPAR_DIRECT_EXCHANGE_LOG_H
+#define GREENGAGESPAR_DIRECT_EXCHANGE_LOG_H
+
+#include "greengagespar/direct/exchange.h"
+
+namespace greengagespar {
+
+/// Logs that \p call is sent to the server of \p attempt for the \p run th
+/// time. \p after is the event after which a stream is resumed.
+void logSend(const AcceptedCall &call, const detail::Attempt &attempt, int run,
+             std::optional<std::uint64_t> after);
+
+/// Logs and counts that \p attempt ended because of \p why. \p next says what
+/// follows.
+void logAttemptEnd(Metrics &counters, const AcceptedCall &call,
+                   const detail::Attempt &attempt, const EventRelay &stream,
+                   int runs, std::string_view why, std::string_view next);
+
+/// What the caller of a request got.
+struct FinalAnswer {
+  int Status = 0; ///< 0: the connection was closed.
+  std::string_view Outcome;
+  std::string_view Reason;
+  int Runs = 0;
+  std::uint64_t Events = 0;
+  /// When the caller was sent the first event; empty: it was sent none.
+  std::optional<Clock::time_point> FirstEventAt;
+};
+
+/// Logs and counts that \p call has ended with \p answer.
+void logAnswer(Metrics &counters, const AcceptedCall &call,
+               const FinalAnswer &answer);
+
+} // namespace greengagespar
+
+#endif // GREENGAGESPAR_DIRECT_EXCHANGE_LOG_H
--- a/src/direct/server_pool.cpp
+++ b/src/direct/server_pool.cpp
@@ -349,4 +349,15 @@
   startWaiting(now);
 }
 
+void ServerPool::recordMetrics(Metrics &counters) const {
+  auto set = [&](const char *name, double value) {
+    setGauge(counters, {name, {{"service", Service.Value}}}, value);
+  };
+  set("greengagespar_waiting", static_cast<double>(waiting()));
+  set("greengagespar_mean_pause_ms", StreamLimit.MeanPauseMs);
+  set("greengagespar_pace_limit", StreamLimit.Value);
+  set("greengagespar_server_connections",
+      static_cast<double>(ConnectionsOpened));
+}
+
 } // namespace greengagespar
--- /dev/null
+++ b/src/direct/shared_state.cpp
@@ -0,0 +1,96 @@
+#include "greengagespar/direct/shared_state.h"
+
+#include "greengagespar/base/hash.h"
+#include "greengagespar/base/log.h"
+#include "greengagespar/base/log_output.h"
+#include "greengagespar/direct/digest_messages.h"
+#include <algorithm>
+
+namespace greengagespar {
+
+namespace {
+
+// Time for which a silent entry keeps its parts of rate limits: that of a
+// freeze or a cut that ends again.
+constexpr std::chrono::milliseconds ShareHoldTime{8000};
+
+} // namespace
+
+void writeShared(SharedState &state, wire::Members &digest,
+                 Clock::time_point now) {
+  writeEvidence(evidenceRows(state.Guard.Evidence, now, MaxEvidenceRows),
+                digest);
+  writeLimits(takeLimitRows(state.Limits, MaxLimitRows, now), digest);
+}
+
+bool mergeShared(SharedState &state, const wire::Members &digest,
+                 Clock::time_point now) {
+  bool isNews = false;
+  for (const EvidenceRow &it : readEvidence(digest))
+    isNews = mergeEvidence(state.Guard.Evidence, it, now) || isNews;
+  for (const LimitRow &it : readLimits(digest))
+    isNews = mergeLimit(state.Limits, it, now) || isNews;
+  return isNews;
+}
+
+bool recordRateLimit(SharedState &state, const ServerRecord &server,
+                     std::optional<double> perSecond, Incarnation self,
+                     Clock::time_point now) {
+  ServerIncarnationId id = incarnationIdOf(server.Id, server.StartedMs);
+  ObservationId observation{
+      mixBits(self.Value ^ mixBits(++state.NextObservation))};
+  if (!recordStatedLimit(state.Limits, id, perSecond, observation, now))
+    return false;
+  LogLine line("server_limit");
+  line.add("server", server.Id.Value);
+  line.add("per_s", perSecond ? std::to_string(*perSecond) : "none");
+  logInfo(Part::Route, line.text());
+  return true;
+}
+
+bool isTrialEntry(const MemberView &members, PromptPartId part) {
+  std::vector<Address> entries;
+  for (const auto &[address, it] : members.Members)
+    if (acceptsWork(it))
+      entries.push_back(address);
+  auto order = rendezvousOrder(std::to_string(part.Value), entries);
+  return !order.empty() && order.front() == members.Self;
+}
+
+std::vector<LimitSharer> limitSharers(const MemberView &members,
+                                      const ServiceId &service,
+                                      double ownDemand, Clock::time_point now) {
+  std::uint64_t hash = stableHash(service.Value);
+  std::vector<LimitSharer> sharers{{members.Self, ownDemand}};
+  for (const auto &[address, it] : members.Members) {
+    bool isSharer = it.State != MemberState::Leaving &&
+                    now - it.LastReceivedAt <= ShareHoldTime;
+    if (address == members.Self || !isSharer)
+      continue;
+    LimitSharer &sharer = sharers.emplace_back(LimitSharer{address, {}});
+    auto demand =
+        std::ranges::find(it.Row.Demands, hash, &ServiceDemand::Service);
+    if (demand != it.Row.Demands.end())
+      sharer.Demand = demand->PerSecond;
+  }
+  return sharers;
+}
+
+ServiceDemand demandRow(const ServiceId &service, double perSecond) {
+  return {stableHash(service.Value), perSecond};
+}
+
+void recordMetrics(const SharedState &state, Metrics &counters,
+                   Clock::time_point now) {
+  setGauge(counters, {"greengagespar_parts_with_crashes"},
+           static_cast<double>(state.Guard.Evidence.Parts.size()));
+  setGauge(counters, {"greengagespar_parts_blocked"},
+           static_cast<double>(blockedParts(state.Guard.Evidence, now)));
+  auto limited = std::ranges::count_if(state.Limits.Servers, [](auto &it) {
+    return it.second.PerSecond.has_value();
+  });
+  setGauge(counters, {"greengagespar_limited_servers"},
+           static_cast<double>(limited));
+}
+
+} // namespace greengagespar
--- a/src/include/greengagespar/direct/direct_entry.h
+++ b/src/include/greengagespar/direct/direct_entry.h
@@ -11,6 +11,7 @@
 #include "greengagespar/direct/exchange.h"
 #include "greengagespar/direct/map_coordinator.h"
 #include "greengagespar/direct/metrics_listener.h"
+#include "greengagespar/direct/shared_state.h"
 #include "greengagespar/direct/site_follower.h"
 #include "greengagespar/link/settings_pulls.h"
 #include "greengagespar/peers/peer_links.h"
@@ -55,11 +56,7 @@
   MapCoordinatorHooks mapHooks();
   PeerLinksHooks peerHooks();
   MemberRow ownRow() const;
-  bool mayTry(PromptPartId part) const;
-  void addToDigest(wire::Members &digest);
-  bool onDigest(const wire::Members &digest);
-  void recordRateLimit(const ServerRecord &server,
-                       std::optional<double> perSecond);
+  void onRateLimit(const ServerRecord &server, std::optional<double> perSecond);
   void shareLimits(Clock::time_point now);
   void pullFrom(const Address &peer, Generation at);
   bool isReady() const;
@@ -73,8 +70,7 @@
   const SiteDialect &Dialect;
   LinkIdentity Self;
   Metrics Counters;
-  PartGuard Guard;
-  RateLimits Limits;
+  SharedState Shared;
   ExchangeContext Context;
   SiteFollower Site;
   PeerLinks Peers;
@@ -88,7 +84,6 @@
   std::unordered_map<CallId, std::unique_ptr<Exchange>> OpenExchanges;
   std::vector<std::unique_ptr<Exchange>> EndedExchanges; ///< To destroy.
   std::uint64_t NextCall = 0;
-  std::uint64_t NextObservation = 0;
   Clock::time_point StartedAt{};
   std::optional<Clock::time_point> LeavingSince;
   bool IsDraining = false;
--- a/src/include/greengagespar/direct/server_pool.h
+++ b/src/include/greengagespar/direct/server_pool.h
@@ -9,6 +9,7 @@
 
 #include "greengagespar/direct/site.h"
 #include "greengagespar/http/client.h"
+#include "greengagespar/report/metrics.h"
 #include "greengagespar/route/admission.h"
 #include "greengagespar/route/choose.h"
 #include "greengagespar/route/pace_limit.h"
@@ -101,14 +102,12 @@
 
   RetryBudget &budget() { return Retries; }
   const std::vector<EndpointView> &views() const { return Views; }
-  /// The limit on this entry's streams on a group.
-  const PaceLimit &streamLimit() const { return StreamLimit; }
   /// Number of calls that wait.
   std::size_t waiting() const { return AdmissionControl.Queue.Calls.size(); }
   /// Whether any server accepts work.
   bool hasServers() const;
-  /// Number of connections opened so far.
-  std::uint64_t connectionsOpened() const { return ConnectionsOpened; }
+  /// Sets the gauges about this pool.
+  void recordMetrics(Metrics &counters) const;
 
 private:
   struct KeptConnections {
--- /dev/null
+++ b/src/include/greengagespar/direct/shared_state.h
@@ -0,0 +1,61 @@
+/// \file
+/// What entries learn from each other beside membership and settings: evidence
+/// about parts of prompts that crash servers, and rate limits of servers. Both
+/// travel in the digests of the membership. Not thread safe: belongs to the
+/// thread of its loop.
+#ifndef GREENGAGESPAR_DIRECT_SHARED_STATE_H
+#define GREENGAGESPAR_DIRECT_SHARED_STATE_H
+
+#include "greengagespar/direct/part_guard.h"
+#include "greengagespar/host/member.h"
+#include "greengagespar/link/link.pb.h"
+#include "greengagespar/report/metrics.h"
+#include "greengagespar/route/rate_limit.h"
+
+namespace greengagespar {
+
+/// The state that one entry shares with the others.
+struct SharedState {
+  PartGuard Guard;
+  RateLimits Limits;
+  std::uint64_t NextObservation = 0;
+};
+
+/// Adds \p state to a digest for another entry.
+void writeShared(SharedState &state, wire::Members &digest,
+                 Clock::time_point now);
+
+/// Merges what another entry's digest holds. Returns whether it was news, which
+/// should be passed on at once.
+bool mergeShared(SharedState &state, const wire::Members &digest,
+                 Clock::time_point now);
+
+/// Records and logs the rate limit that an answer of \p server states; empty:
+/// none. \p self is the incarnation of this entry. Returns whether other
+/// entries should know at once.
+bool recordRateLimit(SharedState &state, const ServerRecord &server,
+                     std::optional<double> perSecond, Incarnation self,
+                     Clock::time_point now);
+
+/// Whether this entry is the one of all that may try requests with a suspect
+/// \p part: the first in the rendezvous order of the part.
+bool isTrialEntry(const MemberView &members, PromptPartId part);
+
+/// Returns the entries that share the rate limits of the servers of \p service:
+/// this one, whose demand is \p ownDemand, and all that do not leave and were
+/// heard of during the last seconds. An entry that has become silent may only
+/// be cut off from this one, so it keeps its part for that time.
+std::vector<LimitSharer> limitSharers(const MemberView &members,
+                                      const ServiceId &service,
+                                      double ownDemand, Clock::time_point now);
+
+/// Returns the demand \p perSecond for \p service as a member row carries it.
+ServiceDemand demandRow(const ServiceId &service, double perSecond);
+
+/// Sets the gauges about \p state.
+void recordMetrics(const SharedState &state, Metrics &counters,
+                   Clock::time_point now);
+
+} // namespace greengagespar
+
+#endif // GREENGAGESPAR_DIRECT_SHARED_STATE_H
