--- a/testsuite/standins/engine.cpp
+++ b/testsuite/standins/engine.cpp
@@ -21,6 +21,7 @@
 namespace {
 
 constexpr std::uint64_t DefaultMaxTokens = 256;
+constexpr int CrashStatus = 70;
 constexpr std::size_t MaxRunIds = 500000;
 constexpr std::size_t MaxImported = 10000;
 constexpr milliseconds SampleEvery{20};
@@ -46,6 +47,7 @@
   std::uint64_t Started = 0;
   std::uint64_t Cancelled = 0;
   std::uint64_t Tokens = 0;
+  std::string CrashKey; ///< Drafts with this cache key end the process.
   bool StepScheduled = false;
   Clock::time_point NextStep{};
 };
@@ -77,7 +79,16 @@
   evhttp_send_reply_end(node.mapped().Raw);
 }
 
+// Ends the process when it begins to answer a stream with the crashing key.
+void crashIfAsked(Engine &engine, const StepOutput &out) {
+  const Stream *stream = findStream(engine.Streams, out.Id);
+  const std::string &key = stream ? stream->CacheKey : out.Ended.CacheKey;
+  if (!engine.CrashKey.empty() && key == engine.CrashKey)
+    std::_Exit(CrashStatus);
+}
+
 void sendOutput(Engine &engine, const StepOutput &out) {
+  crashIfAsked(engine, out);
   if (!out.Text.empty()) {
     ++engine.Tokens;
     sendLine(engine.Callers.at(out.Id), "{\"i\":" + std::to_string(out.Index) +
@@ -326,6 +337,8 @@
   app.add_option("--cache-event-gap", batch.CacheEventGap,
                  "each n-th cache event is lost; 0: none");
   app.add_option("--load-lag-ms", loadLagMs, "lag of the load report");
+  app.add_option("--crash-key", engine.CrashKey,
+                 "ends with status 70 when a draft with this cache key begins");
   app.add_option("--model", models, "models loaded at the start");
   app.add_flag("--check-fencing,!--ignore-fencing", engine.Orders.ChecksFencing,
                "whether old fencing numbers are refused");
