Block cache keys whose drafts end engines, behind the project's own interface

The same cause as in direct mode, found by looking for it elsewhere: a draft under which an engine ended was sent to up to five engines, and the next draft with that cache key to five more.

The endpoint process tells an engine that closed the connection before the second token from other failures, and numbers its ends, so that drafts that break off together count as one crash; a reused connection without any byte counts as an idle drop. The refusal carries the number. Entries use the same evidence, digests and trials as in direct mode, with the cache key as the part; a draft without a key goes to no third engine. Blocked drafts get the new error kind prompt_blocked: 503, not run, no retry time.

--- a/src/base/errors.cpp
+++ b/src/base/errors.cpp
@@ -42,6 +42,7 @@
     {ErrorKind::StaleFencingNumber, "stale_fencing_number", 409, Ran::No,
      Never},
     {ErrorKind::Internal, "internal", 500, Ran::Unknown, Later},
+    {ErrorKind::PromptBlocked, "prompt_blocked", 503, Ran::No, Never},
 }};
 
 } // namespace
--- a/src/call/call_state.cpp
+++ b/src/call/call_state.cpp
@@ -108,7 +108,8 @@
     return dispatchToKeyOwner(state, event);
   if (!event.DidNotRun)
     state.MayHaveRun = true;
-  bool mayRunAgain = event.DidNotRun || state.Repeatable == Repeat::Allowed;
+  bool mayRunAgain = !event.MayCrashServers &&
+                     (event.DidNotRun || state.Repeatable == Repeat::Allowed);
   if (mayRunAgain && mayTryElsewhere(event.Reason.Kind))
     return dispatchAgain(state, event.Reason,
                          usedServerCapacity(event.Reason.Kind));
--- a/src/call/call_state_test.cpp
+++ b/src/call/call_state_test.cpp
@@ -148,4 +148,15 @@
   BOOST_TEST(decide(CallerDisconnected{}).empty());
 }
 
+// A draft under which a server ended may be why: it goes to no other server.
+BOOST_FIXTURE_TEST_CASE(draft_thatMayCrashServers_isNotSentAgain, SentDraft) {
+  Refused ended{{ErrorKind::EndpointFailed, "ended early"}, false};
+  BOOST_TEST(only<Dispatch>(SentDraft().decide(ended)));
+  ended.MayCrashServers = true;
+  auto actions = decide(ended);
+  auto *refusal = only<RefuseCaller>(actions);
+  BOOST_REQUIRE(refusal);
+  BOOST_TEST((refusal->DidRun == Ran::Unknown));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/direct/exchange.cpp
+++ b/src/direct/exchange.cpp
@@ -311,7 +311,7 @@
   // takes nothing from the retry budget.
   bool isFree = end == AttemptEnd::NotConnected;
   bool isCrash = noteCrash(end, now);
-  if (isCrash && !areKnownSound(Context.Guard->Evidence, Parts.Ids)) {
+  if (isCrash && mayCrashServers(*Context.Guard, Parts)) {
     // Another server would end as well if a part of the prompt is the cause.
     history.AllowedRuns = 0;
     next = decideNext(history, end);
--- a/src/direct/part_guard.cpp
+++ b/src/direct/part_guard.cpp
@@ -27,7 +27,7 @@
 // back when the block ends; until then it would be refused again.
 PartRefusal refuseBlocked(const PartDecision &decision, Clock::time_point now) {
   auto left = std::chrono::ceil<milliseconds>(*decision.Until - now);
-  return {{ErrorKind::Overloaded, left}, "crashing_part"};
+  return {{ErrorKind::Overloaded, left}, "crashing_part", true};
 }
 
 } // namespace
@@ -75,6 +75,10 @@
   return refusal;
 }
 
+bool mayCrashServers(const PartGuard &guard, const PromptParts &parts) {
+  return !areKnownSound(guard.Evidence, parts.Ids);
+}
+
 bool looksLikeCrash(const BrokenAttempt &attempt) {
   return attempt.IsDisconnected && !attempt.IsIdleDrop &&
          attempt.Events < EventsBeyondBeginning &&
--- a/src/endpoint/endpoint.cpp
+++ b/src/endpoint/endpoint.cpp
@@ -15,6 +15,12 @@
 // Interval at which deadlines and old records are checked.
 constexpr timeval TickInterval{0, 50000};
 
+// A draft that breaks off before this token was still at its beginning.
+constexpr std::size_t TokensBeyondBeginning = 2;
+// Drafts that break off within this time of the first one do so by the same end
+// of the server.
+constexpr std::chrono::milliseconds SameEndTime{500};
+
 // How long the outcome of a call is kept for an entry that requests it again.
 constexpr std::chrono::seconds OutcomeRetention{15};
 
@@ -340,10 +346,23 @@
   if (result.Outcome == UpstreamOutcome::Complete && result.Status == 503)
     return failWith(*execution, ErrorKind::Overloaded,
                     "the engine's queue is full", true);
+  if (result.IsServerEnd && execution->Tokens.size() < TokensBeyondBeginning)
+    execution->ServerEnd = numberServerEnd(Clock::now());
   failWith(*execution, ErrorKind::EndpointFailed,
            "the engine's stream ended early", false);
 }
 
+// Returns the number of an end of the engine at \p now. All drafts that break
+// off together get the same number, which no other incarnation of this process
+// uses.
+std::uint64_t Endpoint::numberServerEnd(Clock::time_point now) {
+  if (ServerEnds == 0 || now - ServerEndedAt > SameEndTime) {
+    ++ServerEnds;
+    ServerEndedAt = now;
+  }
+  return Self.ProcessIncarnation.Value + ServerEnds;
+}
+
 void Endpoint::onServiceDone(const ExecutionPtr &execution,
                              const UpstreamResult &result) {
   if (isFinished(*execution))
@@ -382,6 +401,7 @@
   refusal.set_message(std::move(message));
   refusal.set_did_not_run(didNotRun);
   refusal.set_holder(holder.Value);
+  refusal.set_server_end(execution.ServerEnd);
   execution.Failure = std::move(refusal);
   flush(execution);
 }
--- a/src/endpoint/endpoint.h
+++ b/src/endpoint/endpoint.h
@@ -71,6 +71,7 @@
   void onStreamLine(Execution &execution, std::string_view line);
   void onStreamDone(const ExecutionPtr &execution,
                     const UpstreamResult &result);
+  std::uint64_t numberServerEnd(Clock::time_point now);
   void onServiceDone(const ExecutionPtr &execution,
                      const UpstreamResult &result);
   void finishWith(Execution &execution, wire::End end);
@@ -97,6 +98,8 @@
   /// Calls that must never run here, and when they were revoked or cancelled.
   std::unordered_map<CallId, Clock::time_point> Revoked;
   int Slots = 0; ///< Calls that the server runs at a time; 0: not declared.
+  std::uint64_t ServerEnds = 0;    ///< Times that the server has ended.
+  Clock::time_point ServerEndedAt; ///< Valid if ServerEnds > 0.
   std::size_t KeptBytes = 0; ///< Used by keyed calls; counted on each tick.
   std::optional<Clock::time_point> LeavingSince;
   event *Ticker;
--- a/src/endpoint/execution.h
+++ b/src/endpoint/execution.h
@@ -46,6 +46,8 @@
   std::vector<std::string> Tokens;      ///< Received from FirstOffset on.
   std::optional<wire::End> Answer;      ///< Set when the call succeeded.
   std::optional<wire::Refusal> Failure; ///< Set when the call failed.
+  /// Numbers the end of the server as it began to answer; zero: it did not.
+  std::uint64_t ServerEnd = 0;
   std::vector<Listener> Listeners;
   Clock::time_point FinishedAt;
   /// The claim on the key; empty once it has lost or was released.
--- a/src/endpoint/upstream.cpp
+++ b/src/endpoint/upstream.cpp
@@ -44,6 +44,9 @@
   evhttp_connection *Connection = nullptr;
   evhttp_request *Request = nullptr;
   UpstreamEvents Events;
+  bool IsReused = false; ///< The connection carried a request before.
+  bool HasHead = false;  ///< The head of the answer has arrived.
+  bool IsClosed = false; ///< The server closed the connection.
 };
 
 Upstream::Upstream(event_base *base, const Address &server,
@@ -105,8 +108,11 @@
   exchange->Owner = this;
   exchange->Id = {Next++};
   exchange->Events = std::move(events);
+  exchange->IsReused = request.MayReuseConnection && !Idle.empty();
   exchange->Connection = acquireConnection(request.MayReuseConnection);
   exchange->Request = evhttp_request_new(onDone, exchange.get());
+  evhttp_request_set_header_cb(exchange->Request, onHead);
+  evhttp_request_set_error_cb(exchange->Request, onError);
   if (exchange->Events.OnData)
     evhttp_request_set_chunked_cb(exchange->Request, onChunk);
   auto *headers = evhttp_request_get_output_headers(exchange->Request);
@@ -144,6 +150,16 @@
   Exchanges.erase(it);
 }
 
+int Upstream::onHead(evhttp_request *, void *arg) {
+  static_cast<Exchange *>(arg)->HasHead = true;
+  return 0;
+}
+
+void Upstream::onError(evhttp_request_error error, void *arg) {
+  static_cast<Exchange *>(arg)->IsClosed =
+      error == EVREQ_HTTP_EOF || error == EVREQ_HTTP_BUFFER_ERROR;
+}
+
 void Upstream::onChunk(evhttp_request *request, void *arg) {
   auto &exchange = *static_cast<Exchange *>(arg);
   std::string data = text(evhttp_request_get_input_buffer(request));
@@ -155,6 +171,8 @@
   UpstreamResult result;
   if (!request) {
     result.Outcome = UpstreamOutcome::Incomplete;
+    result.IsServerEnd =
+        exchange.IsClosed && (exchange.HasHead || !exchange.IsReused);
   } else if (evhttp_request_get_response_code(request) == 0) {
     result.Outcome = UpstreamOutcome::NotSent;
   } else {
--- a/src/endpoint/upstream.h
+++ b/src/endpoint/upstream.h
@@ -17,6 +17,8 @@
 struct event;
 struct event_base;
 struct evhttp_connection;
+#include <event2/http.h>
+
 struct evhttp_request;
 
 namespace greengagespar {
@@ -46,6 +48,10 @@
   int Status = 0;
   std::string ContentType;
   std::string Body; ///< Empty when OnData received it.
+  /// Whether an Incomplete answer ended because the server closed the
+  /// connection after the request had reached it. A connection that had been
+  /// idle and brought no byte may have been closed before.
+  bool IsServerEnd = false;
 };
 
 /// Functions that are called as a request proceeds.
@@ -78,6 +84,8 @@
 private:
   struct Exchange;
 
+  static int onHead(evhttp_request *request, void *arg);
+  static void onError(evhttp_request_error error, void *arg);
   static void onChunk(evhttp_request *request, void *arg);
   static void onDone(evhttp_request *request, void *arg);
   static void onReap(int, short, void *self);
--- a/src/entry/active_call.h
+++ b/src/entry/active_call.h
@@ -7,6 +7,7 @@
 #include "api.h"
 #include "caller_reply.h"
 #include "greengagespar/call/call_state.h"
+#include "greengagespar/direct/part_guard.h"
 #include "greengagespar/link/link.h"
 #include <memory>
 #include <optional>
@@ -33,6 +34,9 @@
 
   std::optional<DraftRequest> Draft;
   std::string AnswerText; ///< The draft so far; empty when streamed.
+  PromptParts Parts;    ///< Those of the draft's prompt that others may share.
+  bool IsTrial = false; ///< Its suspect parts are on trial at a server.
+  int ServerEnds = 0;   ///< Servers that have ended as they began it.
   std::optional<wire::ServiceCall> Service;
 
   /// The call waits until it can be sent to a server.
--- a/src/entry/call_router.cpp
+++ b/src/entry/call_router.cpp
@@ -97,8 +97,9 @@
 }
 
 CallRouter::CallRouter(event_base *base, zmq::context_t &context,
-                       const LinkIdentity &self, DataCentreId dataCentre)
-    : Self(self), DataCentre(std::move(dataCentre)),
+                       const LinkIdentity &self, PartGuard &guard,
+                       DataCentreId dataCentre)
+    : Self(self), Guard(guard), DataCentre(std::move(dataCentre)),
       Links(base, context, self,
             {[this](const ServerId &server, const wire::Envelope &envelope) {
                onMessage(server, envelope);
@@ -158,10 +159,65 @@
 void CallRouter::start(std::unique_ptr<ActiveCall> call) {
   ActiveCall &started = *call;
   ++Counters.Started;
+  if (started.Draft && !started.Draft->CacheKey.empty())
+    started.Parts =
+        promptPartsOf({started.Pool.Name}, {started.Draft->CacheKey});
   Calls.emplace(started.Id, std::move(call));
   performDispatch(started, {});
 }
 
+// Returns whether \p call may be sent now; otherwise refuses it, as a part of
+// its prompt crashes servers or may do so.
+bool CallRouter::passesGuard(ActiveCall &call) {
+  auto now = Clock::now();
+  auto no = checkParts(Guard, call.Parts, publicId(call), now);
+  if (!no)
+    return true;
+  Error reason = no->IsBlocked
+                     ? Error{ErrorKind::PromptBlocked,
+                             "servers end under drafts with this cache key"}
+                     : Error{ErrorKind::Overloaded,
+                             "drafts with this cache key are tried one at a "
+                             "time, because a server ended under one"};
+  apply(call, NotDispatched{reason});
+  return false;
+}
+
+// Records that a server ended as it began to answer \p call, if \p refusal says
+// so. A call whose parts may be the reason goes to no second server, any other
+// one to no third.
+void CallRouter::noteServerEnd(ActiveCall &call, const wire::Refusal &refusal,
+                               Refused &event) {
+  if (refusal.server_end() == 0)
+    return;
+  ++call.ServerEnds;
+  BrokenAttempt attempt;
+  std::string id = publicId(call);
+  attempt.RequestId = id;
+  attempt.Server.Id = call.State.Server;
+  attempt.Server.StartedMs = refusal.server_end();
+  attempt.IsDisconnected = true;
+  reportCrash(Guard, call.Parts, attempt, Clock::now());
+  event.MayCrashServers =
+      call.ServerEnds > 1 || mayCrashServers(Guard, call.Parts);
+}
+
+// Records that a server has answered \p call beyond its beginning.
+void CallRouter::noteTokens(ActiveCall &call) {
+  bool isBeyond = call.State.ReceivedTokens >=
+                      static_cast<std::uint32_t>(EventsBeyondBeginning) ||
+                  call.State.Phase == CallPhase::Done;
+  if (!isBeyond || call.Parts.Ids.empty())
+    return;
+  reportSurvival(Guard, call.Parts, Clock::now());
+  leaveTrial(call);
+}
+
+void CallRouter::leaveTrial(ActiveCall &call) {
+  if (std::exchange(call.IsTrial, false))
+    endTrial(Guard.Evidence, call.Parts.Ids);
+}
+
 void CallRouter::apply(ActiveCall &call, const CallEvent &event) {
   for (const CallAction &it : decideCall(call.State, event))
     perform(call, it);
@@ -220,7 +276,10 @@
   call.IsWaiting = call.NeededSettings || !trySend(call);
 }
 
+// Returns whether \p call needs no other try: it was sent, or refused.
 bool CallRouter::trySend(ActiveCall &call) {
+  if (!passesGuard(call))
+    return true;
   std::optional<ServerId> server = chooseServer(call);
   if (!server)
     return false;
@@ -238,6 +297,7 @@
     recordFirstAttempt(budget);
   if (!sendRun(call, *server, *endpointIncarnation))
     return false;
+  call.IsTrial = startTrial(Guard.Evidence, call.Parts.Ids, Clock::now());
   apply(call, Dispatched{*server, *endpointIncarnation});
   countSent(call);
   return true;
@@ -330,6 +390,7 @@
 }
 
 void CallRouter::deliver(ActiveCall &call, std::uint32_t skip) {
+  noteTokens(call);
   std::string text;
   for (int i = static_cast<int>(skip); i < call.CurrentChunk->tokens_size();
        ++i)
@@ -349,6 +410,7 @@
 void CallRouter::complete(ActiveCall &call) {
   ++Counters.Completed;
   countEnd(call, std::nullopt);
+  noteTokens(call);
   const wire::End &end = *call.CurrentEnd;
   if (call.Service)
     return call.Reply->sendWhole(static_cast<int>(end.status()),
@@ -398,8 +460,10 @@
     ++Counters.StrayMessages;
     return;
   }
-  if (const auto *refused = std::get_if<Refused>(&*event)) {
+  if (auto *refused = std::get_if<Refused>(&*event)) {
     countEnd(*call, refused->Reason.Kind);
+    leaveTrial(*call);
+    noteServerEnd(*call, envelope.refusal(), *refused);
     if (refused->Reason.Kind == ErrorKind::StaleSettings) {
       call->NeededSettings = Generation{envelope.generation()};
       call->SettingsDeadline = Clock::now() + MaxSettingsWait;
@@ -444,6 +508,7 @@
         call->State.EndpointIncarnation != endpointIncarnation)
       continue;
     countEnd(*call, ErrorKind::LinkDown);
+    leaveTrial(*call);
     apply(*call, EndpointLost{});
   }
 }
@@ -495,6 +560,7 @@
 
 // Keeps the answer of a call that has ended until its caller has received it.
 void CallRouter::keepUnsentAnswer(ActiveCall &call) {
+  leaveTrial(call);
   if (!call.Reply->isOver())
     UnsentAnswers.push_back(std::move(call.Reply));
 }
--- a/src/entry/call_router.h
+++ b/src/entry/call_router.h
@@ -36,9 +36,11 @@
 /// Routes calls to endpoint processes.
 class CallRouter {
 public:
-  /// Precondition: \p base, \p context and \p self outlive the router.
+  /// Precondition: \p base, \p context, \p self and \p guard outlive the
+  /// router.
   CallRouter(event_base *base, zmq::context_t &context,
-             const LinkIdentity &self, DataCentreId dataCentre);
+             const LinkIdentity &self, PartGuard &guard,
+             DataCentreId dataCentre);
 
   /// Replaces the servers by those of \p contract. Calls in progress continue.
   void setContract(const Contract &contract);
@@ -77,6 +79,11 @@
   std::optional<ServerId> chooseServer(const ActiveCall &call);
   std::optional<ServerId> chooseAnyServer(const ActiveCall &call);
   std::optional<ServerId> chooseKeyedServer(const ActiveCall &call);
+  bool passesGuard(ActiveCall &call);
+  void noteServerEnd(ActiveCall &call, const wire::Refusal &refusal,
+                     Refused &event);
+  void noteTokens(ActiveCall &call);
+  void leaveTrial(ActiveCall &call);
   void countSent(ActiveCall &call);
   void countEnd(ActiveCall &call, std::optional<ErrorKind> failure);
   void deliver(ActiveCall &call, std::uint32_t skip);
@@ -96,6 +103,7 @@
   void keepUnsentAnswer(ActiveCall &call);
 
   const LinkIdentity &Self;
+  PartGuard &Guard;
   DataCentreId DataCentre;
   EndpointLinks Links;
   std::map<PoolId, std::vector<EndpointView>> Pools;
--- a/src/entry/control_plane.cpp
+++ b/src/entry/control_plane.cpp
@@ -82,6 +82,8 @@
     Pulls.handleAnswer(peer, it);
   };
   hooks.OnChange = [this] { reviewRole(); };
+  hooks.AddToDigest = Hooks.AddToDigest;
+  hooks.OnDigest = Hooks.OnDigest;
   hooks.OnLaterIncarnation = [this](Incarnation life) {
     raiseIncarnation(life);
   };
--- a/src/entry/control_plane.h
+++ b/src/entry/control_plane.h
@@ -33,6 +33,10 @@
   std::function<void(std::shared_ptr<const Contract>)> OnContract;
   /// Returns the endpoint processes whose links are up.
   std::function<std::vector<MemberRow>()> Endpoints;
+  /// What this entry adds to its digests and reads from those of others; see
+  /// PeerLinksHooks.
+  std::function<void(wire::Members &digest)> AddToDigest;
+  std::function<bool(const wire::Members &digest)> OnDigest;
 };
 
 /// Membership, settings and status of one entry.
@@ -71,6 +75,12 @@
   /// Returns the number of entries that accept work, this one included.
   std::size_t liveEntries() const;
 
+  /// The processes that this entry knows of.
+  const MemberView &members() const { return Peers.view(); }
+
+  /// Sends what has changed to other entries at once.
+  void announce() { Peers.announce(); }
+
   const PeerCounts &peerCounts() const { return Peers.counts(); }
   const CallCounts &platformCounts() const { return Platform.counts(); }
 
--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -110,16 +110,27 @@
              const EntrySettings &settings)
     : Base(base),
       Settings(settings), Self{settings.Name, newIncarnation(), Generation{}},
-      Router(base, context, Self, settings.DataCentre),
+      Router(base, context, Self, Shared.Guard, settings.DataCentre),
       Control(base, context, settings, Self, controlHooks()),
       Http(base, limitsOf(settings),
            [this](evhttp_request *request) { onRequest(request); }),
-      Ticker(event_new(base, -1, EV_PERSIST, onTick, this)) {}
+      Ticker(event_new(base, -1, EV_PERSIST, onTick, this)) {
+  Shared.Guard.MayTry = [this](PromptPartId part) {
+    return isTrialEntry(Control.members(), part);
+  };
+  Shared.Guard.OnNews = [this] { Control.announce(); };
+}
 
 Entry::~Entry() { event_free(Ticker); }
 
 ControlPlaneHooks Entry::controlHooks() {
   ControlPlaneHooks hooks;
+  hooks.AddToDigest = [this](wire::Members &digest) {
+    writeShared(Shared, digest, Clock::now());
+  };
+  hooks.OnDigest = [this](const wire::Members &digest) {
+    return mergeShared(Shared, digest, Clock::now());
+  };
   hooks.OnContract = [this](std::shared_ptr<const Contract> contract) {
     setContract(std::move(contract));
   };
@@ -170,6 +181,7 @@
 
 void Entry::tick() {
   Router.tick();
+  expireEvidence(Shared.Guard.Evidence, Clock::now());
   if (!refusesNewWork() || Router.openCalls() > 0 || awaitsUnsentAnswers())
     return;
   logInfo(Part::Entry, "left: no calls in progress");
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -8,6 +8,7 @@
 #include "call_router.h"
 #include "control_plane.h"
 #include "greengagespar/contract/contract.h"
+#include "greengagespar/direct/shared_state.h"
 #include "greengagespar/entry/entry_settings.h"
 #include "http_server.h"
 #include <memory>
@@ -61,6 +62,7 @@
   event_base *Base;
   EntrySettings Settings;
   LinkIdentity Self;
+  SharedState Shared;
   CallRouter Router;
   ControlPlane Control;
   HttpServer Http;
--- a/src/include/greengagespar/base/errors.h
+++ b/src/include/greengagespar/base/errors.h
@@ -40,10 +40,12 @@
   BadSettings,         ///< Settings are malformed or out of range.
   StaleFencingNumber,  ///< An order carries an old fencing number.
   Internal,            ///< A fault in this program.
+  PromptBlocked,       ///< A part of the prompt crashes servers.
 };
 
 /// Number of error kinds. The answer table has one row for each.
-inline constexpr int ErrorKindCount = static_cast<int>(ErrorKind::Internal) + 1;
+inline constexpr int ErrorKindCount =
+    static_cast<int>(ErrorKind::PromptBlocked) + 1;
 
 /// Whether a refused or failed call ran.
 enum class Ran {
--- a/src/include/greengagespar/call/call_state.h
+++ b/src/include/greengagespar/call/call_state.h
@@ -76,7 +76,10 @@
   bool DidNotRun = false; ///< The call has certainly not run.
   /// The server that has claimed the call's key, with KeyHeld; empty with other
   /// reasons.
-  ServerId KeyOwner;
+  ServerId KeyOwner = {};
+  /// The server ended under the call, which may be the reason: the call is sent
+  /// to no other server.
+  bool MayCrashServers = false;
 };
 /// The answer to a revoke.
 struct RevokeAnswered {
--- a/src/include/greengagespar/direct/part_guard.h
+++ b/src/include/greengagespar/direct/part_guard.h
@@ -56,6 +56,7 @@
 struct PartRefusal {
   Refusal Answer;
   std::string_view Reason; ///< For the log.
+  bool IsBlocked = false;  ///< The part is blocked, not only a suspect.
 };
 
 /// Decides whether the request \p id with \p parts may be sent at \p now; empty
@@ -78,6 +79,10 @@
   Clock::duration Silence{0}; ///< Since its last bytes.
 };
 
+/// Whether the request of a failed attempt must go to no other server, as a
+/// part of its prompt may be why the server ended.
+bool mayCrashServers(const PartGuard &guard, const PromptParts &parts);
+
 /// Whether \p attempt looks as if its server ended as it began to answer.
 bool looksLikeCrash(const BrokenAttempt &attempt);
 
