Count a break as a crash only after the answer has begun

A break before that says nothing about the request, so it is sent to another server as before, and blames nobody. Replaces the rule about idle connections, which is the same case. The new test got 502 before and 200 now; three crashes block a part as before.

--- a/src/direct/exchange.cpp
+++ b/src/direct/exchange.cpp
@@ -154,7 +154,6 @@
   CurrentAttempt->SentAt = now;
   CurrentAttempt->LastReceivedAt = now;
   CurrentAttempt->Connection = Pool.connect(server, true);
-  CurrentAttempt->IsReused = CurrentAttempt->Connection->isReusable();
   ++Runs;
   logSend(Call, *CurrentAttempt, Runs, resumeAfter());
   ExchangeEvents events;
@@ -280,7 +279,7 @@
   attempt.Server = CurrentAttempt->Server;
   attempt.IsDisconnected =
       end == AttemptEnd::Lost && CurrentAttempt->Connection->isClosedByServer();
-  attempt.IsIdleDrop = CurrentAttempt->IsReused && !CurrentAttempt->HasHead;
+  attempt.HasBegun = CurrentAttempt->HasHead;
   attempt.Events = CurrentAttempt->Events;
   attempt.Silence = now - CurrentAttempt->LastReceivedAt;
   if (!looksLikeCrash(attempt))
--- a/src/direct/part_guard.cpp
+++ b/src/direct/part_guard.cpp
@@ -80,7 +80,7 @@
 }
 
 bool looksLikeCrash(const BrokenAttempt &attempt) {
-  return attempt.IsDisconnected && !attempt.IsIdleDrop &&
+  return attempt.IsDisconnected && attempt.HasBegun &&
          attempt.Events < EventsBeyondBeginning &&
          attempt.Silence < CrashSilenceLimit;
 }
--- a/src/entry/call_router.cpp
+++ b/src/entry/call_router.cpp
@@ -197,6 +197,7 @@
   attempt.Server.Id = call.State.Server;
   attempt.Server.StartedMs = refusal.server_end();
   attempt.IsDisconnected = true;
+  attempt.HasBegun = true;
   reportCrash(Guard, call.Parts, attempt, Clock::now());
   event.MayCrashServers =
       call.ServerEnds > 1 || mayCrashServers(Guard, call.Parts);
--- a/src/include/greengagespar/direct/exchange.h
+++ b/src/include/greengagespar/direct/exchange.h
@@ -58,7 +58,6 @@
   HttpHead Head;
   AnswerMetadata Answer;
   bool HasHead = false;
-  bool IsReused = false;     ///< The connection had carried a request before.
   bool RelaysEvents = false; ///< The exchange forwards events as they arrive.
   std::string Body; ///< The answer so far; unused when RelaysEvents is set.
 };
--- a/src/include/greengagespar/direct/part_guard.h
+++ b/src/include/greengagespar/direct/part_guard.h
@@ -72,9 +72,9 @@
   ServerRecord Server;
   /// The server closed or reset the connection before its answer was complete.
   bool IsDisconnected = false;
-  /// The connection had been idle before and the answer had not begun: the
-  /// server may have dropped the connection before the request arrived.
-  bool IsIdleDrop = false;
+  /// The server had sent the head of its answer. Without it, the connection may
+  /// have been dropped before the request arrived, or an answer got lost.
+  bool HasBegun = false;
   int Events = 0;             ///< Events that the server had sent.
   Clock::duration Silence{0}; ///< Since its last bytes.
 };
--- a/testsuite/direct/crash_test.cpp
+++ b/testsuite/direct/crash_test.cpp
@@ -258,6 +258,19 @@
   BOOST_TEST(served == 30);
 }
 
+// Guards against a server that counts as crashed because an answer was lost.
+BOOST_AUTO_TEST_CASE(request_resetBeforeTheAnswerBegins_isServedByAnother) {
+  addServers(3);
+  startEntries(1);
+  for (std::uint64_t i = 0; i < 4; ++i) {
+    DropsNext = true;
+    Call &call = sendParts(0, numbered("b", i));
+    steps(300ms);
+    BOOST_TEST(!DropsNext);
+    BOOST_TEST(call.Response.Head.Status == 200);
+  }
+}
+
 // Guards against a server that counts as crashed because it drops connections
 // that were idle.
 BOOST_AUTO_TEST_CASE(request_onConnectionDroppedWhenIdle_isServedByAnother) {
