Let the same suspect part decide at all entries

A request with two suspect parts was decided by the first of them in its list, so that parts in another order were tried by another entry, and one part could be on trial at several. The part with most crashes decides now, ties by its identifier. Found by reading the change; the new test fails before (two checks) and passes now.

--- a/src/include/greengagespar/direct/part_guard.h
+++ b/src/include/greengagespar/direct/part_guard.h
@@ -16,9 +16,10 @@
 
 namespace greengagespar {
 
-/// A server that broke a request's connection off ends its other ones, too, but
-/// at once; the other ranks of its group do so only after a stall of more than
-/// a second. So a server that has been silent for longer did not end now.
+/// When a server ends, its connections close at once. The other ranks of its
+/// group close theirs only after a stall of more than a second, so a server
+/// that has been silent for longer than this was probably not the one that
+/// ended.
 inline constexpr std::chrono::milliseconds CrashSilenceLimit{1000};
 
 /// A server that has sent fewer events than this was still at the beginning of
--- a/src/include/greengagespar/route/crash_evidence.h
+++ b/src/include/greengagespar/route/crash_evidence.h
@@ -113,7 +113,8 @@
 PromptPartId promptPartOf(const ServiceId &service, std::string_view name);
 
 /// Decides about a request with \p parts. The decision is that of the part with
-/// the strongest evidence.
+/// the strongest evidence, which is the same part at all entries that have the
+/// same evidence.
 PartDecision decideParts(const CrashEvidence &evidence,
                          const std::vector<PromptPartId> &parts,
                          Clock::time_point now);
--- a/src/route/crash_evidence.cpp
+++ b/src/route/crash_evidence.cpp
@@ -93,7 +93,11 @@
 bool isStronger(const PartDecision &a, const PartDecision &b) {
   if (a.State != b.State)
     return a.State > b.State;
-  return a.Until.has_value() && !b.Until;
+  if (a.Until.has_value() != b.Until.has_value())
+    return a.Until.has_value();
+  if (a.Crashes != b.Crashes)
+    return a.Crashes > b.Crashes;
+  return a.Part > b.Part;
 }
 
 bool isForgotten(const CrashEvidence &evidence, const PartEvidence &part,
--- a/src/route/crash_evidence_test.cpp
+++ b/src/route/crash_evidence_test.cpp
@@ -150,6 +150,18 @@
   BOOST_TEST(stateOf({part(2)}) == PartState::Blocked);
 }
 
+// Requests with several suspects are tried by the entry of one of them,
+// whatever the order of the parts.
+BOOST_AUTO_TEST_CASE(request_withTwoSuspects_isDecidedByTheSamePart) {
+  end({part(1), part(2)});
+  auto decidedBy = [&](const Parts &parts) {
+    return decideParts(first(), parts, Now).Part;
+  };
+  BOOST_TEST((decidedBy({part(1), part(2)}) == decidedBy({part(2), part(1)})));
+  end({part(1), part(3)});
+  BOOST_TEST((decidedBy({part(3), part(2), part(1)}) == part(1)));
+}
+
 BOOST_AUTO_TEST_CASE(trial_inProgress_holdsOthersUpUntilItEnds) {
   end({part(1)});
   BOOST_TEST(!decideParts(first(), {part(1)}, Now).Until.has_value());
