End an attempt at once when a late answer ends with its connection

What callers saw: a request whose kept connection brought the late answer to another request, in a form without a length and chunks, waited until its deadline, or for 1.7 s if it is a stream, though the server had closed the connection. A booking got 504 at its deadline instead of 502 at once.

Cause: the end of the connection completed the answer that was being skipped, and completing a skipped answer makes the reader wait for the next one on the same connection, which could not come any more.

Evidence: the new cases "after an answer to another request" of direct_site_tests AnswerEnds failed on the code before (checks on time, 1 s and 0.4 s). Their other eighteen forms of a broken end passed: in a line, after an event's last line, in an empty line with CR LF, before the first event, HTTP/1.0, reset between events, no last chunk, short of the length, in a head, in a status line, without any byte, as streams and as whole answers.

Now a skipped answer that ends with its connection ends the attempt as broken.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -117,7 +117,9 @@
   keep->IsClosedByServer = true;
   if ((what & BEV_EVENT_EOF) && keep->InExchange && keep->Reader) {
     keep->Reader->takeEnd();
-    if (keep->HeadSeen && keep->Reader->state() == ReadState::Complete) {
+    // A skipped answer that ends with the connection is followed by no other.
+    if (keep->HeadSeen && !keep->IsSkipping &&
+        keep->Reader->state() == ReadState::Complete) {
       keep->IsUnusable = true;
       return keep->complete();
     }
