Reset the connection of a cut answer whose end only the connection marks

What callers saw: a caller that takes no chunks (HTTP/1.0) got a stream that could not go on as a complete one. The entry closed the connection in order, and that is how a whole answer without a length ends, too.

Cause: the framing towards the caller was chosen for whole answers only; nothing made a cut visible where there is no chunk to leave out. The class: an end that means two things.

Evidence: the new test stream_cutForHttp10Caller_endsWithReset failed before (the cut stream counted as complete) and passes now; an uncut one is complete in both.

While such an answer is in progress, closing the socket resets the connection, so that the end of the process, a caller that does not read and each other way out are covered as well. Once all output is written it is closed in order.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -98,6 +98,8 @@
   void readRequest();
   void deliver();
   void refuse(int status);
+  void closeIfWritten();
+  void setResetOnClose(bool resets);
   void addFraming(HttpFields &fields);
   void write(std::string_view bytes);
 
@@ -111,10 +113,11 @@
   bool IsChunked = false;  ///< The answer in progress is chunked.
   bool CloseAfter = false; ///< Close once all output is written.
   bool IsClosed = false;
-  bool IsHead = false;    ///< The request's method is HEAD.
-  bool CanChunk = true;   ///< The caller speaks HTTP/1.1.
-  bool IsReading = false; ///< Guards against reading inside a handler.
-  bool ReadAgain = false; ///< read() was called while IsReading.
+  bool ResetsOnClose = false; ///< See setResetOnClose().
+  bool IsHead = false;        ///< The request's method is HEAD.
+  bool CanChunk = true;       ///< The caller speaks HTTP/1.1.
+  bool IsReading = false;     ///< Guards against reading inside a handler.
+  bool ReadAgain = false;     ///< read() was called while IsReading.
 };
 
 ServerConnection::ServerConnection(ServerState &server, evutil_socket_t fd)
@@ -163,10 +166,16 @@
   auto keep = static_cast<ServerConnection *>(self)->shared_from_this();
   // libevent also calls this when the socket becomes writable, whether or not
   // output is still buffered.
-  bool isWritten =
-      evbuffer_get_length(bufferevent_get_output(keep->Stream)) == 0;
-  if (keep->CloseAfter && !keep->InProgress && isWritten)
-    keep->close();
+  if (keep->CloseAfter && !keep->InProgress)
+    keep->closeIfWritten();
+}
+
+// Closes the connection in order if its whole output was written.
+void ServerConnection::closeIfWritten() {
+  if (IsClosed || evbuffer_get_length(bufferevent_get_output(Stream)) > 0)
+    return;
+  setResetOnClose(false);
+  close();
 }
 
 void ServerConnection::onEvent(bufferevent *, short what, void *self) {
@@ -249,6 +258,16 @@
   send(status, fields, "");
 }
 
+// Whether closing the socket, also by the end of the process, resets the
+// connection instead of ending it in order.
+void ServerConnection::setResetOnClose(bool resets) {
+  if (std::exchange(ResetsOnClose, resets) == resets)
+    return;
+  linger value{resets ? 1 : 0, 0};
+  setsockopt(bufferevent_getfd(Stream), SOL_SOCKET, SO_LINGER, &value,
+             sizeof(value));
+}
+
 void ServerConnection::addFraming(HttpFields &fields) {
   CloseAfter = CloseAfter || Server.Draining;
   if (CloseAfter)
@@ -280,6 +299,9 @@
   addFraming(fields);
   if (IsChunked)
     fields.push_back({"Transfer-Encoding", "chunked"});
+  else
+    // Only an orderly end of the connection marks such an answer as whole.
+    setResetOnClose(true);
   std::string out = statusLine(status);
   appendFields(out, fields);
   write(out);
@@ -313,9 +335,7 @@
     // The timeout closes the connection of a caller that does not read its
     // answer.
     startTimeout(Server.Limits.IdleTimeout);
-    if (evbuffer_get_length(bufferevent_get_output(Stream)) == 0)
-      close();
-    return;
+    return closeIfWritten();
   }
   startTimeout(Server.Limits.IdleTimeout);
   read();
--- a/testsuite/direct/answer_end_test.cpp
+++ b/testsuite/direct/answer_end_test.cpp
@@ -135,4 +135,26 @@
     }
 }
 
+// Guards against a stream that can't go on and ends like a whole one for a
+// caller that takes no chunks, to whom only the connection marks the end.
+BOOST_AUTO_TEST_CASE(stream_cutForHttp10Caller_endsWithReset) {
+  for (bool isCut : {false, true})
+    BOOST_TEST_CONTEXT("cut: " << isCut) {
+      AnswerEndFixture site;
+      site.CallerProtocol = "HTTP/1.0";
+      FakeServer::Script script = [&](const HttpRequestMessage &it) {
+        std::string bytes = streamHead(it) + chunk(eventText(1));
+        return FakeAnswer{.Bytes = isCut ? bytes : bytes + "0\r\n\r\n",
+                          .Closes = true};
+      };
+      site.addServer("helper", script);
+      site.addServer("helper", script);
+      site.startEntry();
+      Reply response = site.sendAndWait("POST", "/draft/1");
+      BOOST_TEST(response.IsDone);
+      BOOST_TEST(response.Head.Status == 200);
+      BOOST_TEST((response.End == ExchangeEnd::Complete) == !isCut);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/testsuite/direct/site.cpp
+++ b/testsuite/direct/site.cpp
@@ -397,8 +397,8 @@
   auto call = std::make_unique<Call>();
   call->Connection = std::make_unique<HttpClientConnection>(
       Loop.base(), Settings.Listen, 1000ms);
-  std::string text = method + " " + target +
-                     " HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: r" +
+  std::string text = method + " " + target + " " + CallerProtocol +
+                     "\r\nHost: shop.example\r\nX-Request-Id: r" +
                      std::to_string(++NextId) + "\r\n" + fields;
   if (!body.empty())
     text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
--- a/testsuite/direct/site.h
+++ b/testsuite/direct/site.h
@@ -170,6 +170,8 @@
   std::unique_ptr<DirectEntry> Entry;
   std::vector<std::unique_ptr<FakeServer>> Servers;
   std::uint64_t NextId = 0;
+  std::string CallerProtocol =
+      "HTTP/1.1"; ///< Of the requests that send() sends.
 
   SiteFixture();
 
