Test which ends of an answer the endpoint process takes for a whole one

The same cause was looked for in the project's own interface: evhttp takes the end of a connection for the end of an answer without a length and chunks. It does so only for an orderly end. Streams of engines carry an explicit end line, which decides there.

--- a/src/endpoint/upstream_test.cpp
+++ b/src/endpoint/upstream_test.cpp
@@ -37,10 +37,53 @@
      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;", "x", false},
 };
 
+struct EndCase {
+  const char *Name;
+  const char *Bytes;
+  bool Resets;
+  UpstreamOutcome Outcome;
+};
+
+constexpr auto Complete = UpstreamOutcome::Complete;
+constexpr auto Incomplete = UpstreamOutcome::Incomplete;
+
+const EndCase EndCases[] = {
+    {"no length, closed", "HTTP/1.1 200 OK\r\n\r\nwhole", false, Complete},
+    {"no length, reset", "HTTP/1.1 200 OK\r\n\r\nhalf", true, Incomplete},
+    {"HTTP/1.0, closed", "HTTP/1.0 200 OK\r\n\r\nwhole", false, Complete},
+    {"HTTP/1.0, reset", "HTTP/1.0 200 OK\r\n\r\nhalf", true, Incomplete},
+    {"short of the length", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf",
+     false, Incomplete},
+    {"no last chunk",
+     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+     false, Incomplete},
+    {"in its head", "HTTP/1.1 200 OK\r\nX-Mo", false, Incomplete},
+    {"in its status line", "HTTP/1.1 2", false, Incomplete},
+    {"without any byte", "", false, Incomplete},
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(Upstreams)
 
+// Guards against the partial answer of a service being taken for the whole one.
+BOOST_AUTO_TEST_CASE(answer_brokenOff_isIncomplete) {
+  for (const EndCase &each : EndCases)
+    BOOST_TEST_CONTEXT(each.Name) {
+      EndlessServer server(each.Bytes, "");
+      server.Resets = each.Resets;
+      Upstream upstream(server.Loop.get(), server.At, MaxAnswerBytes);
+      std::optional<UpstreamResult> result;
+      UpstreamEvents events;
+      events.OnDone = [&](const UpstreamResult &it) { result = it; };
+      upstream.start(Get, std::move(events));
+      BOOST_REQUIRE(server.runUntil([&] { return result.has_value(); }, 2s));
+      BOOST_TEST((result->Outcome == each.Outcome));
+      if (each.Outcome == Complete)
+        BOOST_TEST(result->Body == "whole");
+    }
+}
+
 // Guards against a server whose answer never ends, in the head or in the body:
 // it must not use up the memory of the process.
 BOOST_AUTO_TEST_CASE(answer_withoutEnd_takesBoundedMemoryAndIsCut) {
--- a/src/store/endless_server.h
+++ b/src/store/endless_server.h
@@ -1,6 +1,6 @@
 /// \file
 /// Test support: a server on a free port that answers each connection with
-/// bytes that never end.
+/// bytes that never end, or that it breaks off.
 #ifndef GREENGAGESPAR_STORE_ENDLESS_SERVER_H
 #define GREENGAGESPAR_STORE_ENDLESS_SERVER_H
 
@@ -22,7 +22,8 @@
 
 /// An event loop and the server on it. Once bytes of a request have arrived on
 /// a connection, the server sends Begin, and then Piece until the client closes
-/// the connection.
+/// the connection. If Piece is empty, the server ends the connection after
+/// Begin.
 struct EndlessServer {
   std::unique_ptr<event_base, decltype(&event_base_free)> Loop{
       event_base_new(), &event_base_free};
@@ -31,6 +32,7 @@
   Address At;
   std::string Begin;
   std::string Piece;
+  bool Resets = false;       ///< Whether the server's end is a reset.
   std::size_t BytesSent = 0; ///< On all connections.
   int Closed = 0;            ///< Connections that the client closed.
 
@@ -80,17 +82,29 @@
     bufferevent_write(stream, self->Begin.data(), self->Begin.size());
     bufferevent_setcb(stream, nullptr, onWritten, onEvent, self);
     bufferevent_disable(stream, EV_READ);
-    onWritten(stream, arg);
+    if (!self->Piece.empty() || self->Begin.empty())
+      onWritten(stream, arg);
   }
 
   static void onWritten(bufferevent *stream, void *arg) {
     constexpr std::size_t burstBytes = std::size_t{64} * 1024;
     auto *self = static_cast<EndlessServer *>(arg);
+    if (self->Piece.empty())
+      return end(stream, self->Resets);
     for (std::size_t n = 0; n < burstBytes; n += self->Piece.size())
       bufferevent_write(stream, self->Piece.data(), self->Piece.size());
     self->BytesSent += burstBytes;
   }
 
+  static void end(bufferevent *stream, bool resets) {
+    if (evbuffer_get_length(bufferevent_get_output(stream)) > 0)
+      return;
+    linger value{resets ? 1 : 0, 0};
+    setsockopt(bufferevent_getfd(stream), SOL_SOCKET, SO_LINGER, &value,
+               sizeof(value));
+    bufferevent_free(stream);
+  }
+
   static void onEvent(bufferevent *stream, short, void *arg) {
     ++static_cast<EndlessServer *>(arg)->Closed;
     bufferevent_free(stream);
