Show when the store was restored, and how long it has been silent

The client of the store follows it through all answers, errors included. New: the log line store_restored with both timelines and the time since the last answer, both revisions in the line of a refused read, and the gauges greengagespar_store_timeline and greengagespar_store_silence_seconds.

No decision changes.

--- a/src/direct/direct_entry.cpp
+++ b/src/direct/direct_entry.cpp
@@ -440,6 +440,11 @@
            static_cast<double>(RequestListener.connections()));
   setGauge(Counters, {"greengagespar_store_calls"},
            static_cast<double>(totalSent(Site.storeCalls())));
+  setGauge(Counters, {"greengagespar_store_timeline"},
+           static_cast<double>(Site.storeTimeline().Value));
+  setGauge(
+      Counters, {"greengagespar_store_silence_seconds"},
+      std::chrono::duration<double>(Site.storeSilence(Clock::now())).count());
   recordMetrics(Shared, Counters, Clock::now());
   for (const auto &[id, pool] : Pools)
     pool->recordMetrics(Counters);
--- a/src/direct/site_follower.cpp
+++ b/src/direct/site_follower.cpp
@@ -63,7 +63,9 @@
       Servers(
           loop, Client, watchOptions(dialect.ServersPrefix), seed + 1,
           [this](const PrefixChange &it) { onServers(it); },
-          [this](const Error &e) { onStoreUnavailable(e); }) {}
+          [this](const Error &e) { onStoreUnavailable(e); }) {
+  Client.onRestore([this](StoreTimeline before) { onStoreRestored(before); });
+}
 
 void SiteFollower::start() {
   Configurations.start();
@@ -77,9 +79,24 @@
                                 .addMs("away_ms", now - *UnavailableSince)
                                 .text());
   UnavailableSince.reset();
+  AnsweredAt = now;
   recordStoreAnswer(Known, now);
 }
 
+void SiteFollower::onStoreRestored(StoreTimeline before) {
+  logWarning(
+      Part::Platform,
+      LogLine("store_restored")
+          .add("timeline", static_cast<std::int64_t>(storeTimeline().Value))
+          .add("before", static_cast<std::int64_t>(before.Value))
+          .addMs("silent_ms", storeSilence(Clock::now()))
+          .text());
+}
+
+Clock::duration SiteFollower::storeSilence(Clock::time_point now) const {
+  return AnsweredAt ? now - *AnsweredAt : Clock::duration::zero();
+}
+
 void SiteFollower::onStoreUnavailable(const Error &error) {
   if (!UnavailableSince) {
     UnavailableSince = Clock::now();
--- a/src/include/greengagespar/direct/site_follower.h
+++ b/src/include/greengagespar/direct/site_follower.h
@@ -49,6 +49,12 @@
   /// Removes servers that have not registered again in time after an outage.
   void tick(Clock::time_point now);
 
+  /// The store's timeline; 0: it states none.
+  StoreTimeline storeTimeline() const { return Client.timeline(); }
+  /// Time since the store last answered with news or their absence; zero before
+  /// its first answer.
+  Clock::duration storeSilence(Clock::time_point now) const;
+
   const CallCounts &storeCalls() const { return Client.counts(); }
 
 private:
@@ -59,6 +65,7 @@
   std::vector<ServerRecord> readServers(const std::vector<Object> &objects);
   void report(const ServerChanges &changes);
   void onStoreAnswered();
+  void onStoreRestored(StoreTimeline before);
   void onStoreUnavailable(const Error &error);
 
   const SiteDialect &Dialect;
@@ -73,6 +80,7 @@
   boost::json::value Declared; ///< The JSON that Table was read from.
   bool HasServers = false;     ///< The store's whole list was read.
   std::optional<Clock::time_point> UnavailableSince;
+  std::optional<Clock::time_point> AnsweredAt; ///< Of the store's last answer.
 };
 
 } // namespace greengagespar
--- a/src/include/greengagespar/store/http_pool.h
+++ b/src/include/greengagespar/store/http_pool.h
@@ -41,8 +41,10 @@
 struct HttpAnswer {
   /// 0: no answer. If Sent, the effect of the request is then unknown.
   int Status = 0;
-  bool Sent = true;    ///< False: the request never left this process.
-  std::string Body;    ///< The body of the answer.
+  bool Sent = true; ///< False: the request never left this process.
+  std::string Body; ///< The body of the answer.
+  /// Value of the header HttpPoolOptions::Header; empty if there is none.
+  std::string Header;
   std::string Failure; ///< Why there is no answer; empty when there is one.
 };
 
@@ -67,6 +69,7 @@
   std::size_t MaxAnswerBytes =
       std::size_t{16} * 1024 * 1024; ///< Largest answer body.
   HttpKeepAlive KeepAlive = {};
+  std::string Header; ///< Name of the header that answers keep; empty: none.
 };
 
 /// Sends requests over a bounded number of connections and reuses them. After
--- a/src/include/greengagespar/store/object.h
+++ b/src/include/greengagespar/store/object.h
@@ -15,6 +15,11 @@
 
 namespace greengagespar {
 
+/// The history that the platform's revisions belong to. A restore from an older
+/// copy begins a later one: its revisions go back and are given out again. 0:
+/// the platform does not state one.
+using StoreTimeline = NumberId<struct StoreTimelineTag>;
+
 /// The platform's revision at an object's last change. 0 means that the object
 /// does not exist.
 using ObjectVersion = NumberId<struct ObjectVersionTag>;
@@ -78,6 +83,9 @@
 /// The request and answer formats of an object API. All functions are pure and
 /// thread safe; no pointer is null.
 struct ObjectApi {
+  /// Header of all answers, errors included, that holds the store's timeline as
+  /// a decimal number. A store may omit it.
+  const char *TimelineHeader;
   /// Returns the target of calls on one object. The call takes effect only if
   /// the object's version is \p ifVersion, or in any case if it is empty.
   std::string (*ObjectTarget)(const std::string &path,
--- a/src/include/greengagespar/store/object_client.h
+++ b/src/include/greengagespar/store/object_client.h
@@ -93,14 +93,28 @@
   /// Reads the host list.
   void hosts(Callback<std::vector<HostRecord>> done);
 
+  /// Returns the latest timeline that an answer has stated; 0: none has.
+  StoreTimeline timeline() const { return Timeline; }
+
+  /// Calls \p callback with the earlier timeline whenever an answer shows that
+  /// the store was restored since the answers before it. It runs before the
+  /// callback of that answer.
+  void onRestore(std::function<void(StoreTimeline)> callback) {
+    RestoreCallbacks.push_back(std::move(callback));
+  }
+
   /// Returns the numbers of calls so far.
   const CallCounts &counts() const { return Counts; }
 
 private:
   void send(CallKind kind, HttpRequest request, HttpPool::Callback done);
   void write(CallKind kind, HttpRequest request, Callback<PutOutcome> done);
+  void noteTimeline(const HttpAnswer &answer);
 
   ObjectClientOptions Options;
+  StoreTimeline Timeline;
+  bool IsAnswered = false; ///< The store has answered a call.
+  std::vector<std::function<void(StoreTimeline)>> RestoreCallbacks;
   CallCounts Counts;
   HttpPool Pool;
 };
--- a/src/store/http_pool.cpp
+++ b/src/store/http_pool.cpp
@@ -57,7 +57,7 @@
   return answer;
 }
 
-HttpAnswer answerOf(evhttp_request *req) {
+HttpAnswer answerOf(evhttp_request *req, const std::string &header) {
   if (req == nullptr || evhttp_request_get_response_code(req) == 0)
     return failedAnswer("the connection closed before the answer", true);
   HttpAnswer answer;
@@ -65,6 +65,10 @@
   evbuffer *buf = evhttp_request_get_input_buffer(req);
   answer.Body.resize(evbuffer_get_length(buf));
   evbuffer_remove(buf, answer.Body.data(), answer.Body.size());
+  const char *value =
+      evhttp_find_header(evhttp_request_get_input_headers(req), header.c_str());
+  if (value != nullptr)
+    answer.Header = value;
   return answer;
 }
 
@@ -144,7 +148,8 @@
 
 void onAnswer(evhttp_request *req, void *arg) {
   auto *exchange = static_cast<Exchange *>(arg);
-  exchange->Pool->finish(exchange, answerOf(req));
+  exchange->Pool->finish(exchange,
+                         answerOf(req, exchange->Pool->Options.Header));
 }
 
 void onFinish(evutil_socket_t, short, void *arg) {
--- a/src/store/object.cpp
+++ b/src/store/object.cpp
@@ -170,9 +170,10 @@
 } // namespace
 
 const ObjectApi &ownObjectApi() {
-  static const ObjectApi api{ownObjectTarget, ownListTarget,   ownWatchTarget,
-                             ownWriteBody,    parseObject,     parseVersion,
-                             parseListing,    parseWatchAnswer};
+  static const ObjectApi api{
+      "Store-Timeline", ownObjectTarget, ownListTarget,
+      ownWatchTarget,   ownWriteBody,    parseObject,
+      parseVersion,     parseListing,    parseWatchAnswer};
   return api;
 }
 
--- a/src/store/object_client.cpp
+++ b/src/store/object_client.cpp
@@ -1,6 +1,7 @@
 #include "greengagespar/store/object_client.h"
 
 #include "greengagespar/store/captured.h"
+#include <charconv>
 #include <numeric>
 #include <utility>
 
@@ -85,9 +86,20 @@
   pool.MaxOrdinary = options.MaxConcurrent;
   pool.MaxLongPolls = options.MaxWatches;
   pool.KeepAlive = options.KeepAlive;
+  pool.Header = options.Api->TimelineHeader;
   return pool;
 }
 
+// Returns the timeline that an answer states; 0 if it states none.
+StoreTimeline timelineOf(const HttpAnswer &answer) {
+  const std::string &text = answer.Header;
+  StoreTimeline out;
+  auto [end, ec] =
+      std::from_chars(text.data(), text.data() + text.size(), out.Value);
+  bool isWhole = ec == std::errc() && end == text.data() + text.size();
+  return isWhole ? out : StoreTimeline{};
+}
+
 std::size_t indexOf(CallKind kind) { return static_cast<std::size_t>(kind); }
 
 } // namespace
@@ -108,10 +120,26 @@
                 ++Counts.Sent[indexOf(kind)];
               if (answer.Sent && answer.Status == 0)
                 ++Counts.Lost[indexOf(kind)];
+              noteTimeline(answer);
               done(std::move(answer));
             });
 }
 
+// Records the timeline of an answer, and reports that the store was restored if
+// it is a later one than that of the answers before.
+void ObjectClient::noteTimeline(const HttpAnswer &answer) {
+  if (answer.Status == 0)
+    return;
+  StoreTimeline stated = timelineOf(answer);
+  bool isRestored = std::exchange(IsAnswered, true) && stated > Timeline;
+  StoreTimeline before = Timeline;
+  Timeline = std::max(Timeline, stated);
+  if (!isRestored)
+    return;
+  for (const auto &callback : RestoreCallbacks)
+    callback(before);
+}
+
 void ObjectClient::write(CallKind kind, HttpRequest request,
                          Callback<PutOutcome> done) {
   send(kind, std::move(request),
--- a/src/store/prefix_watch.cpp
+++ b/src/store/prefix_watch.cpp
@@ -122,7 +122,10 @@
 
 void PrefixWatch::report(const PrefixChange &change) {
   if (change.Revision < Revision) {
-    retry({ErrorKind::PlatformUnavailable, "the platform gave a stale read"});
+    retry({ErrorKind::PlatformUnavailable,
+           "the platform gave a stale read: revision " +
+               std::to_string(change.Revision.Value) + " after " +
+               std::to_string(Revision.Value)});
     return;
   }
   reset(Delay);
