Follow a store that was restored from an older copy

Cause: revisions were taken for a sequence that never goes back. The class: a version number compared without the history that it belongs to.

Now a version carries the store's timeline and is ordered by it first, wherever one is compared, kept or sent. The client of the store stamps it on all answers, and takes an answer of before a restore that arrives later for lost. A watch lists again when any answer shows a restore, within 0.2 s at a random moment; a list whose parts come from two timelines begins again. The first poll after a failure does not wait: the store would hold it as long as nothing changes behind a revision that it has given out twice. What is in force stays until a higher version of the operator's replaces it. Servers that the copy does not list have the same time to register again as after an outage. A server that was seen to leave and is listed again is not used before its registration changes or has outlived the removal of registrations that are not renewed. Values of servers that have gone are no longer sent to peers. A condition on a version of before the restore is not sent any more.

--- a/src/direct/direct_entry.cpp
+++ b/src/direct/direct_entry.cpp
@@ -250,6 +250,7 @@
 
 Result<void> DirectEntry::start() {
   StartedAt = Clock::now();
+  Site.setRegistrationHeartbeat(Settings.RegistrationHeartbeat);
   BOOST_LEAF_CHECK(RequestListener.listen(Settings.Listen));
   BOOST_LEAF_CHECK(ReadyListener.listen(Settings.Ready));
   MetricsExporter.listen(Settings.Metrics);
@@ -272,6 +273,7 @@
   Settings.RetryShare = settings.RetryShare;
   Settings.ExtraRetries = settings.ExtraRetries;
   Settings.RetryWindow = settings.RetryWindow;
+  Site.setRegistrationHeartbeat(settings.RegistrationHeartbeat);
   Peers.addSeeds(settings.Peers);
   shareRetries();
   logInfo(Part::Entry, "reload");
--- a/src/direct/server_table.cpp
+++ b/src/direct/server_table.cpp
@@ -1,6 +1,7 @@
 #include "greengagespar/direct/server_table.h"
 
-#include <algorithm>
+#include <set>
+#include <utility>
 
 namespace greengagespar {
 
@@ -11,6 +12,34 @@
          a.Slots == b.Slots && a.StartedMs == b.StartedMs;
 }
 
+// Removes a server from the table and remembers that it has left.
+void remove(ServerTable &table, const ServerId &id, Clock::time_point now,
+            ServerChanges &changes) {
+  auto it = table.Servers.find(id);
+  if (it == table.Servers.end())
+    return;
+  table.Departed[id] = {it->second.Record.StartedMs, now};
+  changes.Removed.push_back(std::move(it->second.Record));
+  table.Servers.erase(it);
+}
+
+void restartGrace(ServerTable &table, Clock::time_point now) {
+  table.OutageGraceUntil = now + ReregistrationTime;
+  for (auto &[id, it] : table.Servers)
+    if (it.RemoveAt)
+      it.RemoveAt = table.OutageGraceUntil;
+}
+
+// Whether the table has later news of the incarnation than \p record, which a
+// restored copy of the store holds.
+bool isOutdated(const ServerTable &table, const ServerRecord &record) {
+  if (auto it = table.Servers.find(record.Id); it != table.Servers.end())
+    return it->second.Record.Leaving && !record.Leaving &&
+           it->second.Record.StartedMs == record.StartedMs;
+  auto it = table.Departed.find(record.Id);
+  return it != table.Departed.end() && record.StartedMs <= it->second.StartedMs;
+}
+
 } // namespace
 
 void recordStoreUnavailable(ServerTable &table) {
@@ -21,16 +50,38 @@
   if (!table.StoreUnavailable)
     return;
   table.StoreUnavailable = false;
-  table.OutageGraceUntil = now + ReregistrationTime;
-  for (auto &[id, it] : table.Servers)
-    if (it.RemoveAt)
-      it.RemoveAt = table.OutageGraceUntil;
+  restartGrace(table, now);
+}
+
+void recordRestore(ServerTable &table, Clock::time_point now) {
+  table.Doubtful.clear();
+  restartGrace(table, now);
+}
+
+ServerChanges recordListing(ServerTable &table,
+                            const std::vector<ServerRecord> &records,
+                            bool isRestored, Clock::time_point now) {
+  std::vector<ServerRecord> certain;
+  for (const ServerRecord &it : records) {
+    auto known = table.Doubtful.find(it.Id);
+    bool isStillDoubtful =
+        known != table.Doubtful.end() && isSame(known->second.Record, it);
+    if (isStillDoubtful)
+      continue;
+    if (isRestored && isOutdated(table, it))
+      table.Doubtful[it.Id] = {it, now + table.ConfirmationTime};
+    else
+      certain.push_back(it);
+  }
+  return recordRegistrations(table, certain);
 }
 
 ServerChanges recordRegistrations(ServerTable &table,
                                   const std::vector<ServerRecord> &records) {
   ServerChanges changes;
   for (const ServerRecord &it : records) {
+    table.Doubtful.erase(it.Id);
+    table.Departed.erase(it.Id);
     KnownServer &known = table.Servers[it.Id];
     // A delayed registration of an earlier incarnation doesn't describe the
     // present one.
@@ -53,6 +104,7 @@
                             Clock::time_point now) {
   ServerChanges changes;
   for (const ServerId &id : ids) {
+    table.Doubtful.erase(id);
     auto it = table.Servers.find(id);
     if (it == table.Servers.end())
       continue;
@@ -63,35 +115,46 @@
         it->second.RemoveAt = std::max(now, table.OutageGraceUntil);
       continue;
     }
-    changes.Removed.push_back(it->second.Record);
-    table.Servers.erase(it);
+    remove(table, id, now, changes);
   }
   return changes;
 }
 
 std::vector<ServerId> missingFrom(const ServerTable &table,
                                   const std::vector<ServerRecord> &present) {
-  std::vector<ServerId> missing;
-  for (const auto &known : table.Servers) {
-    bool isPresent = std::ranges::any_of(
-        present, [&](const ServerRecord &it) { return it.Id == known.first; });
-    if (!isPresent)
-      missing.push_back(known.first);
-  }
-  return missing;
+  std::set<ServerId> missing;
+  for (const auto &[id, it] : table.Servers)
+    missing.insert(id);
+  for (const auto &[id, it] : table.Doubtful)
+    missing.insert(id);
+  for (const ServerRecord &it : present)
+    missing.erase(it.Id);
+  return {missing.begin(), missing.end()};
 }
 
 ServerChanges removeExpired(ServerTable &table, Clock::time_point now) {
   ServerChanges changes;
+  std::erase_if(table.Departed, [&](const auto &it) {
+    return now - it.second.At > DepartedRetention;
+  });
   if (table.StoreUnavailable)
     return changes;
-  std::erase_if(table.Servers, [&](const auto &it) {
-    if (!it.second.RemoveAt || now < *it.second.RemoveAt)
-      return false;
-    changes.Removed.push_back(it.second.Record);
-    return true;
-  });
+  std::vector<ServerId> expired;
+  for (const auto &[id, it] : table.Servers)
+    if (it.RemoveAt && now >= *it.RemoveAt)
+      expired.push_back(id);
+  for (const ServerId &id : expired)
+    remove(table, id, now, changes);
   return changes;
 }
 
+ServerChanges recordConfirmed(ServerTable &table, Clock::time_point now) {
+  std::vector<ServerRecord> confirmed;
+  if (!table.StoreUnavailable)
+    for (const auto &[id, it] : table.Doubtful)
+      if (now >= it.ConfirmedAt)
+        confirmed.push_back(it.Record);
+  return recordRegistrations(table, confirmed);
+}
+
 } // namespace greengagespar
--- a/src/direct/server_table_test.cpp
+++ b/src/direct/server_table_test.cpp
@@ -103,4 +103,83 @@
   BOOST_TEST(changes.Updated.size() == 1);
 }
 
+// Guards against servers that registered after the copy was made and are
+// removed at once when a restored store does not list them.
+BOOST_AUTO_TEST_CASE(restore_missingServer_isKeptForReregistrationTime) {
+  recordRestore(Table, Now);
+  BOOST_TEST(recordMissing(Table, {{"s1"}}, Now + 100ms).Removed.empty());
+  removeExpired(Table, Now + 2000ms);
+  BOOST_TEST(has("s1"));
+  BOOST_TEST(removeExpired(Table, Now + ReregistrationTime).Removed.size() ==
+             1);
+}
+
+BOOST_AUTO_TEST_CASE(restore_twice_restartsReregistrationTime) {
+  recordRestore(Table, Now);
+  recordMissing(Table, {{"s1"}}, Now);
+  recordRestore(Table, Now + 2s);
+  removeExpired(Table, Now + 4s);
+  BOOST_TEST(has("s1"));
+}
+
+// Guards against a leaving server that gets work again because the copy holds
+// its registration of before.
+BOOST_AUTO_TEST_CASE(restore_leavingServerListedAsReady_staysLeaving) {
+  recordRestore(Table, Now);
+  BOOST_TEST(
+      recordListing(Table, {record("s2", false)}, true, Now).Updated.empty());
+  BOOST_TEST(Table.Servers.at({"s2"}).Record.Leaving);
+  // It reports again that it leaves.
+  recordRegistrations(Table, {record("s2", true)});
+  BOOST_TEST(recordConfirmed(Table, Now + 1min).Updated.empty());
+}
+
+// Guards against a server that has gone and gets work again because the copy
+// still lists it.
+BOOST_AUTO_TEST_CASE(restore_departedServerListed_isUsedOnceConfirmed) {
+  recordMissing(Table, {{"s1"}}, Now);
+  recordRestore(Table, Now);
+  recordListing(Table, {record("s1", false)}, true, Now);
+  BOOST_TEST(!has("s1"));
+  // A listing without a restore in between changes nothing.
+  recordListing(Table, {record("s1", false)}, false, Now + 1s);
+  BOOST_TEST(!has("s1"));
+  auto confirmed = Now + Table.ConfirmationTime;
+  BOOST_TEST(recordConfirmed(Table, confirmed - 1ms).Updated.empty());
+  BOOST_TEST(recordConfirmed(Table, confirmed).Updated.size() == 1);
+  BOOST_TEST(has("s1"));
+}
+
+BOOST_AUTO_TEST_CASE(restore_departedServerThatLapses_isForgotten) {
+  recordMissing(Table, {{"s1"}}, Now);
+  recordRestore(Table, Now);
+  recordListing(Table, {record("s1", false)}, true, Now);
+  BOOST_TEST(missingFrom(Table, {record("s2", true)}).size() == 1);
+  recordMissing(Table, {{"s1"}}, Now + 1s);
+  BOOST_TEST(recordConfirmed(Table, Now + 1min).Updated.empty());
+  BOOST_TEST(!has("s1"));
+}
+
+BOOST_AUTO_TEST_CASE(restore_departedServerRegistersOrStartsAgain_isUsed) {
+  recordMissing(Table, {{"s1"}}, Now);
+  recordRestore(Table, Now);
+  // A later incarnation is not the one that has left.
+  recordListing(Table, {record("s1", false, 2)}, true, Now);
+  BOOST_TEST(has("s1"));
+  recordMissing(Table, {{"s1"}}, Now + 1min);
+  recordRestore(Table, Now + 1min);
+  recordListing(Table, {record("s1", false, 2)}, true, Now + 1min);
+  BOOST_TEST(!has("s1"));
+  recordRegistrations(Table, {record("s1", false, 2)});
+  BOOST_TEST(has("s1"));
+}
+
+BOOST_AUTO_TEST_CASE(restore_doubtfulServerInOutage_isNotConfirmed) {
+  recordMissing(Table, {{"s1"}}, Now);
+  recordRestore(Table, Now);
+  recordListing(Table, {record("s1", false)}, true, Now);
+  recordStoreUnavailable(Table);
+  BOOST_TEST(recordConfirmed(Table, Now + 1min).Updated.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/direct/site_follower.cpp
+++ b/src/direct/site_follower.cpp
@@ -49,6 +49,11 @@
   return options;
 }
 
+// Returns the id of the server whose registration has \p path.
+ServerId idOf(const std::string &path) {
+  return {path.substr(path.rfind('/') + 1)};
+}
+
 } // namespace
 
 SiteFollower::SiteFollower(event_base *loop, const Address &store,
@@ -91,6 +96,7 @@
           .add("before", static_cast<std::int64_t>(before.Value))
           .addMs("silent_ms", storeSilence(Clock::now()))
           .text());
+  recordRestore(Known, Clock::now());
 }
 
 Clock::duration SiteFollower::storeSilence(Clock::time_point now) const {
@@ -112,6 +118,14 @@
       [&]() -> Result<void> {
         BOOST_LEAF_AUTO(site, Dialect.ReadConfiguration(value));
         Generation known = Table ? Table->Site.Version : Generation{};
+        if (site.Version < known)
+          logInfo(
+              Part::Contract,
+              LogLine("configuration_older")
+                  .add("version", static_cast<std::int64_t>(site.Version.Value))
+                  .add("in_force", static_cast<std::int64_t>(known.Value))
+                  .add("from", source)
+                  .text());
         if (site.Version <= known)
           return {};
         logInfo(
@@ -166,15 +180,30 @@
   onStoreAnswered();
   auto now = Clock::now();
   std::vector<ServerRecord> records = readServers(change.Objects);
-  report(recordRegistrations(Known, records));
+  report(change.IsSnapshot
+             ? recordListing(Known, records, change.IsRestored, now)
+             : recordRegistrations(Known, records));
   std::vector<ServerId> missing;
   if (change.IsSnapshot)
     missing = missingFrom(Known, records);
   for (const std::string &path : change.Deleted) {
-    missing.push_back({path.substr(path.rfind('/') + 1)});
+    missing.push_back(idOf(path));
     ServerValues.erase(path);
   }
   report(recordMissing(Known, missing, now));
+  if (change.IsSnapshot)
+    std::erase_if(ServerValues, [&](const auto &it) {
+      ServerId id = idOf(it.first);
+      return !Known.Servers.contains(id) && !Known.Doubtful.contains(id);
+    });
+  if (change.IsRestored)
+    logInfo(
+        Part::Host,
+        LogLine("servers_restored")
+            .add("listed", static_cast<std::int64_t>(records.size()))
+            .add("missing", static_cast<std::int64_t>(missing.size()))
+            .add("doubtful", static_cast<std::int64_t>(Known.Doubtful.size()))
+            .text());
   HasServers = HasServers || change.IsSnapshot;
 }
 
@@ -195,14 +224,18 @@
 
 void SiteFollower::tick(Clock::time_point now) {
   report(removeExpired(Known, now));
+  report(recordConfirmed(Known, now));
 }
 
 std::string SiteFollower::snapshotSince(Generation since) const {
   if (!Table || Table->Site.Version <= since)
     return {};
   json::array servers;
+  // A value of a doubtful server may be older than what is known of it.
   for (const auto &[path, value] : ServerValues)
-    servers.push_back({{"path", path}, {"value", value}});
+    if (ServerId id = idOf(path);
+        Known.Servers.contains(id) && !Known.Doubtful.contains(id))
+      servers.push_back({{"path", path}, {"value", value}});
   return json::serialize(
       json::object{{"configuration", Declared}, {"servers", servers}});
 }
--- a/src/include/greengagespar/direct/direct_settings.h
+++ b/src/include/greengagespar/direct/direct_settings.h
@@ -28,6 +28,8 @@
   double RetryShare = 0.2; ///< Retries per request, of all entries together.
   int ExtraRetries = 90;   ///< Of all entries in RetryWindow, beyond the share.
   std::chrono::milliseconds RetryWindow{10000};
+  /// Interval at which servers renew their registrations in the store.
+  std::chrono::milliseconds RegistrationHeartbeat{1200};
   int LogLinesPerSecond = 400; ///< Further lines are counted and left out.
 };
 
--- a/src/include/greengagespar/direct/server_table.h
+++ b/src/include/greengagespar/direct/server_table.h
@@ -3,6 +3,12 @@
 /// live servers may expire while the store is unavailable; the entry keeps
 /// using such servers until they have had time to register again. Pure
 /// functions over plain state; not thread safe.
+///
+/// A store that was restored from an older copy lists servers as they were: one
+/// that registered later is missing, and one that left may be listed again. The
+/// entry keeps using the first until it has had time to register again. It does
+/// not use the second before its registration changes, or has stood long enough
+/// to show that the server lives.
 #ifndef GREENGAGESPAR_DIRECT_SERVER_TABLE_H
 #define GREENGAGESPAR_DIRECT_SERVER_TABLE_H
 
@@ -23,6 +29,24 @@
   std::optional<Clock::time_point> RemoveAt;
 };
 
+/// A server that was removed.
+struct DepartedServer {
+  std::uint64_t StartedMs = 0; ///< Of the incarnation that was removed.
+  Clock::time_point At;        ///< When it was removed.
+};
+
+/// How long the table remembers removed servers. A restored copy of the store
+/// is some seconds old.
+inline constexpr std::chrono::minutes DepartedRetention{5};
+
+/// A registration in a restored copy of the store, of a server that was seen to
+/// leave after the copy was made.
+struct DoubtfulServer {
+  ServerRecord Record;
+  /// If it is still registered then, the server has renewed its registration.
+  Clock::time_point ConfirmedAt;
+};
+
 /// All servers that may receive work, and those that are leaving.
 struct ServerTable {
   std::map<ServerId, KnownServer> Servers;
@@ -30,8 +54,24 @@
   /// Registrations that go missing before this time may have expired in an
   /// outage.
   Clock::time_point OutageGraceUntil{};
+  std::map<ServerId, DepartedServer> Departed;
+  /// Servers to leave as they are until their registrations are confirmed.
+  std::map<ServerId, DoubtfulServer> Doubtful;
+  /// Time in which the store surely removes the registration of a server that
+  /// does not renew it, see confirmationTime().
+  std::chrono::milliseconds ConfirmationTime{4600};
 };
 
+/// Returns the time after which a registration that still stands was renewed by
+/// its server, which does so each \p heartbeat: the platform removes it after
+/// three of them, and a while later. Thread safe.
+inline std::chrono::milliseconds
+confirmationTime(std::chrono::milliseconds heartbeat) {
+  constexpr int heartbeatsToRemoval = 3;
+  constexpr std::chrono::milliseconds removalDelay{1000};
+  return heartbeatsToRemoval * heartbeat + removalDelay;
+}
+
 /// What one update of the table changed.
 struct ServerChanges {
   std::vector<ServerRecord> Updated; ///< Added, or with a changed record.
@@ -44,6 +84,17 @@
 /// Records that the store answered at \p now.
 void recordStoreAnswer(ServerTable &table, Clock::time_point now);
 
+/// Records that the store was restored from an older copy. Registrations that
+/// go missing may be of live servers that registered after the copy was made.
+void recordRestore(ServerTable &table, Clock::time_point now);
+
+/// Adds or updates the servers of all registrations that the store lists,
+/// except those that are doubtful. \p isRestored: the listing is the first one
+/// since the store was restored.
+ServerChanges recordListing(ServerTable &table,
+                            const std::vector<ServerRecord> &records,
+                            bool isRestored, Clock::time_point now);
+
 /// Adds or updates the servers of new or changed registrations. A server that
 /// now belongs to another service is both removed, with its old record, and
 /// updated.
@@ -57,7 +108,8 @@
                             const std::vector<ServerId> &ids,
                             Clock::time_point now);
 
-/// Returns the ids of all servers that are not in \p present.
+/// Returns the ids of all servers, doubtful ones too, that are not in \p
+/// present.
 std::vector<ServerId> missingFrom(const ServerTable &table,
                                   const std::vector<ServerRecord> &present);
 
@@ -65,6 +117,10 @@
 /// while the store is unavailable.
 ServerChanges removeExpired(ServerTable &table, Clock::time_point now);
 
+/// Adds or updates the servers whose doubtful registrations have stood until
+/// \p now. Does nothing while the store is unavailable.
+ServerChanges recordConfirmed(ServerTable &table, Clock::time_point now);
+
 } // namespace greengagespar
 
 #endif // GREENGAGESPAR_DIRECT_SERVER_TABLE_H
--- a/src/include/greengagespar/direct/site_follower.h
+++ b/src/include/greengagespar/direct/site_follower.h
@@ -30,6 +30,11 @@
 
   void start();
 
+  /// Sets the interval at which servers renew their registrations.
+  void setRegistrationHeartbeat(std::chrono::milliseconds heartbeat) {
+    Known.ConfirmationTime = confirmationTime(heartbeat);
+  }
+
   /// The configuration in force; null before the first one.
   const std::shared_ptr<const RouteTable> &table() const { return Table; }
   /// Whether the servers were read at least once.
--- a/src/include/greengagespar/store/http_pool.h
+++ b/src/include/greengagespar/store/http_pool.h
@@ -93,6 +93,10 @@
   /// called exactly once, unless the pool is destroyed before.
   void send(HttpRequest request, Callback done);
 
+  /// Calls \p done, from the loop, with an answer that says that the request
+  /// was not sent because of \p why.
+  void refuse(std::string why, Callback done);
+
 private:
   std::unique_ptr<detail::PoolState> S;
 };
--- a/src/include/greengagespar/store/object.h
+++ b/src/include/greengagespar/store/object.h
@@ -20,9 +20,18 @@
 /// the platform does not state one.
 using StoreTimeline = NumberId<struct StoreTimelineTag>;
 
-/// The platform's revision at an object's last change. 0 means that the object
-/// does not exist.
-using ObjectVersion = NumberId<struct ObjectVersionTag>;
+/// The platform's revision at an object's last change, or of all objects at one
+/// moment. Revisions are ordered within a timeline; each one of a later
+/// timeline follows all those of earlier ones.
+struct ObjectVersion {
+  StoreTimeline Timeline;
+  std::uint64_t Value = 0; ///< 0 means that the object does not exist.
+
+  ObjectVersion() = default;
+  explicit ObjectVersion(std::uint64_t value, StoreTimeline timeline = {})
+      : Timeline(timeline), Value(value) {}
+  auto operator<=>(const ObjectVersion &) const = default;
+};
 
 /// One object of the platform's store.
 struct Object {
@@ -41,8 +50,9 @@
 /// The outcome of a write.
 struct PutOutcome {
   WriteState State = WriteState::Unknown;
-  ObjectVersion Version; ///< Written: the new one; Conflict: the stored one.
-  std::string Reason;    ///< Unknown: how the answer was lost; else empty.
+  /// Written: the new one; Conflict: the stored one, or 0 if it is not known.
+  ObjectVersion Version;
+  std::string Reason; ///< Unknown: how the answer was lost; else empty.
 };
 
 /// The objects under a prefix at one revision.
--- a/src/include/greengagespar/store/object_client.h
+++ b/src/include/greengagespar/store/object_client.h
@@ -52,10 +52,12 @@
 
 /// Sends calls to the platform and never retries them. If the answer is lost, a
 /// read fails with PlatformUnavailable and a write returns WriteState::Unknown.
-/// A call that could not be sent fails with Overloaded. The loop runs the
-/// callbacks, never the call that starts them. The errors that callbacks
-/// receive are captured; a callback can handle them by recoverFrom. Not thread
-/// safe: the client belongs to the thread of its loop.
+/// An answer of before a restore that arrives after one from behind it counts
+/// as lost. All versions in answers carry the store's timeline. A call that
+/// could not be sent fails with Overloaded. The loop runs the callbacks, never
+/// the call that starts them. The errors that callbacks receive are captured; a
+/// callback can handle them by recoverFrom. Not thread safe: the client belongs
+/// to the thread of its loop.
 class ObjectClient {
 public:
   template <class T> using Callback = std::function<void(Result<T>)>;
@@ -68,7 +70,10 @@
 
   /// Writes one object if its version is \p ifVersion (0: it must not exist),
   /// or unconditionally if \p ifVersion is empty. Fails with TooLarge if the
-  /// object is over the platform's limit.
+  /// object is over the platform's limit. A version of before a restore says
+  /// nothing about the restored object, as its number may have been given out
+  /// again: such a write is not sent and ends with Conflict, and with Unknown
+  /// if the restore shows only in its answer.
   void put(const std::string &path, const boost::json::value &value,
            std::optional<ObjectVersion> ifVersion, Callback<PutOutcome> done);
 
@@ -108,8 +113,14 @@
 
 private:
   void send(CallKind kind, HttpRequest request, HttpPool::Callback done);
-  void write(CallKind kind, HttpRequest request, Callback<PutOutcome> done);
-  void noteTimeline(const HttpAnswer &answer);
+  void write(CallKind kind, HttpRequest request,
+             std::optional<ObjectVersion> ifVersion, Callback<PutOutcome> done);
+  template <class T>
+  void read(CallKind kind, HttpRequest request,
+            Result<T> (*parse)(std::string_view), Callback<T> done);
+  HttpAnswer checkTimeline(HttpAnswer answer);
+  void setTimeline(StoreTimeline stated);
+  bool isOutdated(const std::optional<ObjectVersion> &ifVersion) const;
 
   ObjectClientOptions Options;
   StoreTimeline Timeline;
--- a/src/include/greengagespar/store/prefix_watch.h
+++ b/src/include/greengagespar/store/prefix_watch.h
@@ -17,9 +17,12 @@
 
 /// One report of a watch.
 struct PrefixChange {
-  bool IsSnapshot = false;     ///< Objects holds all objects under the prefix.
-  ObjectVersion Revision;      ///< Never lower than in earlier reports.
-  std::vector<Object> Objects; ///< Written since the last report.
+  bool IsSnapshot = false; ///< Objects holds all objects under the prefix.
+  /// A snapshot of a store that was restored since the last report: its objects
+  /// may be older than those reported before.
+  bool IsRestored = false;
+  ObjectVersion Revision;           ///< Never lower than in earlier reports.
+  std::vector<Object> Objects;      ///< Written since the last report.
   std::vector<std::string> Deleted; ///< Paths removed since the last report.
 };
 
@@ -50,14 +53,18 @@
   /// are many changes.
   std::chrono::milliseconds Pause{200};
   GraceOptions Grace;
+  /// After a restore of the store, the watch lists again within this time, at a
+  /// random moment, so that many processes do not all list at the same time.
+  std::chrono::milliseconds RestoreSpread{200};
   BackoffOptions Retry; ///< Between attempts while the platform fails.
 };
 
 /// Watches one prefix. After an outage it continues after the last revision
 /// that it received, so that it misses no change, and lists again only if the
-/// platform reports that this revision is too old. A poll that gets no answer
-/// is abandoned and sent again over a new connection. Not thread safe: it
-/// belongs to the thread of its loop.
+/// platform reports that this revision is too old, or was restored: its
+/// revision then says nothing about the changes that the watch has missed. A
+/// poll that gets no answer is abandoned and sent again over a new connection.
+/// Not thread safe: it belongs to the thread of its loop.
 class PrefixWatch {
 public:
   /// Receives a change. Empty changes are reported too, since they show that
@@ -82,6 +89,8 @@
 
 private:
   void poll();
+  void onRestore();
+  void listRestored();
   void list();
   void listPart(const std::string &after);
   void watch();
@@ -101,6 +110,8 @@
   ObjectVersion Revision;
   Listing Parts; ///< The parts received so far of a list in progress.
   bool Listed = false;
+  bool HasReported = false;
+  bool HasFailed = false; ///< No call has succeeded since a failure or start().
   bool Running = false;
   std::uint64_t Round = 0; ///< Answers to calls of earlier rounds are ignored.
   Guard CallbackGuard;
--- a/src/store/http_pool.cpp
+++ b/src/store/http_pool.cpp
@@ -276,19 +276,24 @@
 HttpPool::~HttpPool() = default;
 
 void HttpPool::send(HttpRequest request, Callback done) {
+  detail::PoolState::RequestQueue &queue = S->queueOf(request.Kind);
+  if (queue.Queued.size() >= S->Options.MaxQueued)
+    return refuse("too many requests are waiting", std::move(done));
   auto exchange = std::make_unique<detail::Exchange>();
   exchange->Pool = S.get();
   exchange->Request = std::move(request);
   exchange->Done = std::move(done);
-  detail::PoolState::RequestQueue &queue = S->queueOf(exchange->Request.Kind);
-  if (queue.Queued.size() >= S->Options.MaxQueued) {
-    exchange->Answer = failedAnswer("too many requests are waiting", false);
-    S->Finished.push_back(std::move(exchange));
-    event_active(S->FinishEvent.get(), EV_TIMEOUT, 0);
-    return;
-  }
   queue.Queued.push_back(std::move(exchange));
   S->startQueued(queue);
 }
 
+void HttpPool::refuse(std::string why, Callback done) {
+  auto exchange = std::make_unique<detail::Exchange>();
+  exchange->Pool = S.get();
+  exchange->Done = std::move(done);
+  exchange->Answer = failedAnswer(std::move(why), false);
+  S->Finished.push_back(std::move(exchange));
+  event_active(S->FinishEvent.get(), EV_TIMEOUT, 0);
+}
+
 } // namespace greengagespar
--- a/src/store/object_client.cpp
+++ b/src/store/object_client.cpp
@@ -100,6 +100,17 @@
   return isWhole ? out : StoreTimeline{};
 }
 
+void setTimelineOf(Object &object, StoreTimeline timeline) {
+  object.Version.Timeline = timeline;
+}
+
+// For a Listing or a WatchAnswer.
+template <class T> void setTimelineOf(T &answer, StoreTimeline timeline) {
+  answer.Revision.Timeline = timeline;
+  for (Object &it : answer.Objects)
+    setTimelineOf(it, timeline);
+}
+
 std::size_t indexOf(CallKind kind) { return static_cast<std::size_t>(kind); }
 
 } // namespace
@@ -120,17 +131,26 @@
                 ++Counts.Sent[indexOf(kind)];
               if (answer.Sent && answer.Status == 0)
                 ++Counts.Lost[indexOf(kind)];
-              noteTimeline(answer);
-              done(std::move(answer));
+              done(checkTimeline(std::move(answer)));
             });
 }
 
-// Records the timeline of an answer, and reports that the store was restored if
-// it is a later one than that of the answers before.
-void ObjectClient::noteTimeline(const HttpAnswer &answer) {
+// Follows the timeline that an answer states. Returns the answer, or in place
+// of one of an earlier timeline that the answer was lost.
+HttpAnswer ObjectClient::checkTimeline(HttpAnswer answer) {
   if (answer.Status == 0)
-    return;
+    return answer;
   StoreTimeline stated = timelineOf(answer);
+  if (stated.Value > 0 && stated < Timeline) {
+    HttpAnswer lost;
+    lost.Failure = "the answer is from before the store was restored";
+    return lost;
+  }
+  setTimeline(stated);
+  return answer;
+}
+
+void ObjectClient::setTimeline(StoreTimeline stated) {
   bool isRestored = std::exchange(IsAnswered, true) && stated > Timeline;
   StoreTimeline before = Timeline;
   Timeline = std::max(Timeline, stated);
@@ -140,11 +160,43 @@
     callback(before);
 }
 
+bool ObjectClient::isOutdated(
+    const std::optional<ObjectVersion> &ifVersion) const {
+  return ifVersion && ifVersion->Value > 0 && ifVersion->Timeline < Timeline;
+}
+
+template <class T>
+void ObjectClient::read(CallKind kind, HttpRequest request,
+                        Result<T> (*parse)(std::string_view),
+                        Callback<T> done) {
+  send(kind, std::move(request),
+       [this, parse, done = std::move(done)](const HttpAnswer &answer) {
+         done(captured([&]() -> Result<T> {
+           BOOST_LEAF_AUTO(value, readAnswer(answer, parse));
+           setTimelineOf(value, Timeline);
+           return value;
+         }));
+       });
+}
+
 void ObjectClient::write(CallKind kind, HttpRequest request,
+                         std::optional<ObjectVersion> ifVersion,
                          Callback<PutOutcome> done) {
+  if (isOutdated(ifVersion))
+    return Pool.refuse("", [done = std::move(done)](const HttpAnswer &) {
+      done(PutOutcome{
+          WriteState::Conflict, {}, "the store was restored meanwhile"});
+    });
   send(kind, std::move(request),
-       [done = std::move(done), api = Options.Api](const HttpAnswer &answer) {
-         done(captured([&] { return writeOutcomeOf(answer, *api); }));
+       [this, ifVersion, done = std::move(done)](const HttpAnswer &answer) {
+         done(captured([&]() -> Result<PutOutcome> {
+           BOOST_LEAF_AUTO(outcome, writeOutcomeOf(answer, *Options.Api));
+           outcome.Version.Timeline = Timeline;
+           if (outcome.State == WriteState::Written && isOutdated(ifVersion))
+             return PutOutcome{
+                 WriteState::Unknown, {}, "the store was restored meanwhile"};
+           return outcome;
+         }));
        });
 }
 
@@ -152,10 +204,8 @@
   HttpRequest request{.Target = Options.Api->ObjectTarget(path, std::nullopt),
                       .Body = {},
                       .Timeout = Options.RequestTimeout};
-  send(CallKind::Get, std::move(request),
-       [done = std::move(done), api = Options.Api](const HttpAnswer &answer) {
-         done(captured([&] { return readAnswer(answer, api->ParseObject); }));
-       });
+  read(CallKind::Get, std::move(request), Options.Api->ParseObject,
+       std::move(done));
 }
 
 void ObjectClient::put(const std::string &path, const boost::json::value &value,
@@ -166,7 +216,7 @@
                     .Target = Options.Api->ObjectTarget(path, ifVersion),
                     .Body = Options.Api->WriteBody(path, value),
                     .Timeout = Options.RequestTimeout},
-        std::move(done));
+        ifVersion, std::move(done));
 }
 
 void ObjectClient::remove(const std::string &path,
@@ -177,7 +227,7 @@
                     .Target = Options.Api->ObjectTarget(path, ifVersion),
                     .Body = {},
                     .Timeout = Options.RequestTimeout},
-        std::move(done));
+        ifVersion, std::move(done));
 }
 
 void ObjectClient::list(const std::string &prefix, const std::string &after,
@@ -185,10 +235,8 @@
   HttpRequest request{.Target = Options.Api->ListTarget(prefix, after),
                       .Body = {},
                       .Timeout = Options.RequestTimeout};
-  send(CallKind::List, std::move(request),
-       [done = std::move(done), api = Options.Api](const HttpAnswer &answer) {
-         done(captured([&] { return readAnswer(answer, api->ParseListing); }));
-       });
+  read(CallKind::List, std::move(request), Options.Api->ParseListing,
+       std::move(done));
 }
 
 void ObjectClient::watch(const std::string &prefix, ObjectVersion after,
@@ -200,8 +248,12 @@
                       .Timeout = wait + grace,
                       .Kind = HttpRequestKind::LongPoll};
   send(CallKind::Watch, std::move(request),
-       [done = std::move(done), api = Options.Api](const HttpAnswer &answer) {
-         done(captured([&] { return watchAnswerOf(answer, *api); }));
+       [this, done = std::move(done)](const HttpAnswer &answer) {
+         done(captured([&]() -> Result<WatchAnswer> {
+           BOOST_LEAF_AUTO(value, watchAnswerOf(answer, *Options.Api));
+           setTimelineOf(value, Timeline);
+           return value;
+         }));
        });
 }
 
--- a/src/store/prefix_watch.cpp
+++ b/src/store/prefix_watch.cpp
@@ -6,6 +6,13 @@
 
 namespace greengagespar {
 
+namespace {
+
+// Wait of the first poll after a failure: the platform answers at once.
+constexpr std::chrono::milliseconds ProbeWait{1};
+
+} // namespace
+
 std::chrono::milliseconds graceAfterLoss(std::chrono::milliseconds grace,
                                          const GraceOptions &options) {
   return std::min(grace * 2, options.Max);
@@ -22,13 +29,16 @@
     : Client(client), Options(std::move(options)), Change(std::move(change)),
       Failure(std::move(failure)),
       NextPoll(loop, [this] { poll(); }), Delay{Options.Retry},
-      Grace(Options.Grace.Min), Rng(seed) {}
+      Grace(Options.Grace.Min), Rng(seed) {
+  client.onRestore(CallbackGuard.wrap([this](StoreTimeline) { onRestore(); }));
+}
 
 void PrefixWatch::start() {
   if (Running)
     return;
   Running = true;
   ++Round;
+  HasFailed = true;
   poll();
 }
 
@@ -47,6 +57,21 @@
   poll();
 }
 
+// Another call to the store has shown that it was restored. A list under way
+// shows by its own answer whether it is from behind the restore.
+void PrefixWatch::onRestore() {
+  if (Running && Listed)
+    listRestored();
+}
+
+void PrefixWatch::listRestored() {
+  Listed = false;
+  ++Round;
+  std::uniform_int_distribution<std::int64_t> pick(
+      0, Options.RestoreSpread.count());
+  NextPoll.start(std::chrono::milliseconds(pick(Rng)));
+}
+
 void PrefixWatch::poll() {
   if (Listed)
     watch();
@@ -79,11 +104,16 @@
     handle(std::move(result), [this](Listing part) {
       if (Parts.Objects.empty())
         Parts.Revision = part.Revision;
+      // The store was restored between two parts.
+      if (part.Revision.Timeline != Parts.Revision.Timeline)
+        return listRestored();
       std::ranges::move(part.Objects, std::back_inserter(Parts.Objects));
       if (!part.Next.empty())
         return listPart(part.Next);
       Listed = Parts.Revision >= Revision;
       report({.IsSnapshot = true,
+              .IsRestored =
+                  HasReported && Parts.Revision.Timeline > Revision.Timeline,
               .Revision = Parts.Revision,
               .Objects = std::move(Parts.Objects),
               .Deleted = {}});
@@ -92,20 +122,23 @@
   Client.list(Options.Prefix, after, CallbackGuard.wrap(done));
 }
 
+// The store may have been restored while it could not be reached, and may hold
+// a long poll from a revision that it has given out again. So the first poll
+// after a failure does not wait.
 void PrefixWatch::watch() {
-  auto done = [this, round = Round,
+  auto wait = HasFailed ? ProbeWait : Options.Wait;
+  auto done = [this, wait, round = Round,
                sent = Clock::now()](Result<WatchAnswer> result) {
     if (round != Round)
       return;
     auto took = std::chrono::duration_cast<std::chrono::milliseconds>(
         Clock::now() - sent);
-    Grace = result ? graceAfterAnswer(took - Options.Wait, Options.Grace)
+    Grace = result ? graceAfterAnswer(took - wait, Options.Grace)
                    : graceAfterLoss(Grace, Options.Grace);
     handle(std::move(result),
            [this](WatchAnswer answer) { handleAnswer(std::move(answer)); });
   };
-  Client.watch(Options.Prefix, Revision, Options.Wait, Grace,
-               CallbackGuard.wrap(done));
+  Client.watch(Options.Prefix, Revision, wait, Grace, CallbackGuard.wrap(done));
 }
 
 void PrefixWatch::handleAnswer(WatchAnswer answer) {
@@ -114,7 +147,10 @@
     poll();
     return;
   }
+  if (answer.Revision.Timeline != Revision.Timeline)
+    return listRestored();
   report({.IsSnapshot = false,
+          .IsRestored = false,
           .Revision = answer.Revision,
           .Objects = std::move(answer.Objects),
           .Deleted = std::move(answer.Deleted)});
@@ -130,11 +166,14 @@
   }
   reset(Delay);
   Revision = change.Revision;
+  HasReported = true;
+  HasFailed = false;
   NextPoll.start(Options.Pause);
   Change(change);
 }
 
 void PrefixWatch::retry(const Error &error) {
+  HasFailed = true;
   NextPoll.start(nextDelay(Delay, Rng));
   if (Failure)
     Failure(error);
--- a/src/store/prefix_watch_test.cpp
+++ b/src/store/prefix_watch_test.cpp
@@ -1,6 +1,7 @@
 #include "greengagespar/store/prefix_watch.h"
 
 #include "scripted_server.h"
+#include <boost/json.hpp>
 #include <boost/test/unit_test.hpp>
 #include <string>
 #include <vector>
@@ -20,11 +21,18 @@
                    R"(,"objects":[],"deleted":["/p/a"]})"};
 }
 
+ScriptedAnswer from(int timeline, ScriptedAnswer answer) {
+  answer.Timeline = timeline;
+  return answer;
+}
+
 /// Answers requests one by one from a script, then repeats its last answer.
 struct WatchFixture {
   ScriptedServer Server;
-  ObjectClient Client{Server.Loop.get(),
-                      {.Platform = Server.At, .RequestTimeout = 100ms}};
+  const ObjectApi *Api = &ownObjectApi();
+  ObjectClient Client{
+      Server.Loop.get(),
+      {.Platform = Server.At, .RequestTimeout = 100ms, .Api = Api}};
   std::vector<ScriptedAnswer> Script;
   std::vector<PrefixChange> Changes;
   int Failures = 0;
@@ -34,12 +42,13 @@
                      .Wait = 50ms,
                      .Pause = 1ms,
                      .Grace = {.Min = 50ms, .Max = 200ms},
+                     .RestoreSpread = 5ms,
                      .Retry = {.Base = 1ms, .Cap = 4ms}},
                     1,
                     [this](const PrefixChange &c) { Changes.push_back(c); },
                     [this](const Error &) { ++Failures; }};
 
-  WatchFixture() {
+  explicit WatchFixture(const ObjectApi &api = ownObjectApi()) : Api(&api) {
     Server.Answer = [this](auto &) {
       return Script.at(std::min(Server.Requests.size(), Script.size()) - 1);
     };
@@ -60,6 +69,35 @@
   }
 };
 
+// Reads the member "next" besides those of a whole list.
+Result<Listing> parsePart(std::string_view body) {
+  BOOST_LEAF_AUTO(listing, parseListing(body));
+  boost::json::value parsed = boost::json::parse({body.data(), body.size()});
+  listing.Next = parsed.at("next").as_string().c_str();
+  return listing;
+}
+
+ScriptedAnswer part(int revision, const std::string &path,
+                    const std::string &next) {
+  return {200, R"({"revision":)" + std::to_string(revision) +
+                   R"(,"objects":[{"path":")" + path +
+                   R"(","version":1,"value":1}],"next":")" + next + "\"}"};
+}
+
+/// A watch of a store that lists in parts.
+struct PartsFixture : WatchFixture {
+  static const ObjectApi &api() {
+    static const ObjectApi api = [] {
+      ObjectApi it = ownObjectApi();
+      it.ParseListing = parsePart;
+      return it;
+    }();
+    return api;
+  }
+
+  PartsFixture() : WatchFixture(api()) {}
+};
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(WatchedPrefix, WatchFixture)
@@ -117,4 +155,98 @@
   BOOST_TEST(Changes.at(2).Revision.Value == 10);
 }
 
+// Guards against a watch that takes each answer of a restored store for a stale
+// read, because its revisions have gone back.
+BOOST_AUTO_TEST_CASE(watch_restoredStore_listsAgainFromLowerRevision) {
+  Script = {from(1, listing(9)), from(2, {410, ""}), from(2, listing(4)),
+            from(2, change(5))};
+  Watch.start();
+  Server.runUntil([&] { return Changes.size() == 3; });
+  BOOST_TEST(lists(2));
+  BOOST_TEST(Changes.at(1).IsSnapshot);
+  BOOST_TEST(Changes.at(1).IsRestored);
+  BOOST_TEST(Changes.at(1).Revision.Value == 4);
+  BOOST_TEST(watchesAfter(3, "4"));
+  BOOST_TEST(!Changes.at(2).IsRestored);
+  BOOST_TEST(Failures == 0);
+}
+
+// Guards against a watch that goes on from a revision of before the restore
+// when the revision has passed it, and misses what was written under lower
+// numbers.
+BOOST_AUTO_TEST_CASE(watch_restoredStoreWithHigherRevision_listsAgain) {
+  Script = {
+      from(1, listing(5)), {0, ""}, from(2, change(8)), from(2, listing(8))};
+  Watch.start();
+  Server.runUntil([&] { return Changes.size() == 2; });
+  BOOST_TEST(lists(3));
+  BOOST_TEST(Changes.at(1).IsRestored);
+}
+
+// Guards against a long poll from a revision that a restored store has given
+// out again: the store would hold it although other changes were written.
+BOOST_AUTO_TEST_CASE(watch_firstPollAfterFailure_doesNotWait) {
+  Script = {listing(5), {0, ""}, change(7), change(8)};
+  runScript();
+  auto waits = [&](std::size_t i, const std::string &ms) {
+    return Server.Requests.at(i).Target.ends_with("timeout_ms=" + ms);
+  };
+  BOOST_TEST(waits(1, "50"));
+  BOOST_TEST(waits(2, "1"));
+  BOOST_TEST(waits(3, "50"));
+}
+
+BOOST_AUTO_TEST_CASE(watch_failureOfRestoredStore_listsAgain) {
+  Script = {from(1, listing(5)), from(2, {503, ""}), from(2, listing(3))};
+  Watch.start();
+  Server.runUntil([&] { return Changes.size() == 2; });
+  BOOST_TEST(lists(2));
+  BOOST_TEST(Changes.at(1).Revision.Value == 3);
+}
+
+BOOST_AUTO_TEST_CASE(watch_twoRestores_listsAfterEach) {
+  Script = {from(1, listing(9)), from(2, {503, ""}), from(3, {503, ""}),
+            from(3, listing(4)), from(3, change(5))};
+  Watch.start();
+  Server.runUntil([&] { return Changes.size() == 3; });
+  BOOST_TEST(Changes.at(1).IsRestored);
+  BOOST_TEST(Changes.at(1).Revision.Timeline.Value == 3U);
+  BOOST_TEST(Changes.at(1).Revision.Value == 4);
+}
+
+BOOST_AUTO_TEST_CASE(list_lateAnswerOfEarlierTimeline_isNotReported) {
+  Script = {from(1, listing(5)), from(2, {503, ""}), from(1, listing(9)),
+            from(2, listing(3))};
+  Watch.start();
+  Server.runUntil([&] { return Changes.size() == 2; });
+  BOOST_TEST(Failures == 1);
+  BOOST_TEST(Changes.at(1).Revision.Value == 3);
+}
+
+BOOST_AUTO_TEST_CASE(watch_storeWithoutTimeline_keepsRefusingStaleReads) {
+  Script = {from(3, listing(5)), {410, ""}, listing(4), listing(6)};
+  Watch.start();
+  Server.runUntil([&] { return Changes.size() == 2; });
+  BOOST_TEST(Failures == 1);
+  BOOST_TEST(!Changes.at(1).IsRestored);
+  BOOST_TEST(Changes.at(1).Revision.Value == 6);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(WatchedPrefixInParts, PartsFixture)
+
+// Guards against one list of parts from before and from behind a restore.
+BOOST_AUTO_TEST_CASE(list_restoredBetweenParts_beginsAgain) {
+  Script = {from(1, part(9, "/p/a", "a")), from(2, part(4, "/p/b", "")),
+            from(2, part(4, "/p/c", "c")), from(2, part(5, "/p/d", ""))};
+  Watch.start();
+  Server.runUntil([&] { return Changes.size() == 1; });
+  BOOST_TEST(Server.Requests.size() == 4U);
+  BOOST_TEST(Changes.at(0).Revision.Value == 4);
+  BOOST_REQUIRE(Changes.at(0).Objects.size() == 2U);
+  BOOST_TEST(Changes.at(0).Objects.at(0).Path == "/p/c");
+  BOOST_TEST(Changes.at(0).Objects.at(1).Path == "/p/d");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/store/scripted_server.h
+++ b/src/store/scripted_server.h
@@ -21,6 +21,7 @@
 struct ScriptedAnswer {
   int Status = 200; ///< 0: closes the connection; -1: sends no answer.
   std::string Body;
+  int Timeline = 0; ///< That the answer states; 0: none.
 };
 
 /// An event loop, a server on it and the requests that it received.
@@ -80,6 +81,10 @@
       return;
     evbuffer_add(evhttp_request_get_output_buffer(req), answer.Body.data(),
                  answer.Body.size());
+    if (answer.Timeline > 0)
+      evhttp_add_header(evhttp_request_get_output_headers(req),
+                        "Store-Timeline",
+                        std::to_string(answer.Timeline).c_str());
     evhttp_send_reply(req, answer.Status, nullptr, nullptr);
   }
 };
--- a/testsuite/direct/site.cpp
+++ b/testsuite/direct/site.cpp
@@ -43,22 +43,39 @@
 
 void FakeStore::put(const std::string &kind, const std::string &name,
                     const json::value &spec) {
-  Kinds[kind][name] = {Revision + 1, spec};
+  Now.Kinds[kind][name] = {Now.Revision + 1, spec};
   change(kind, name, false, spec);
 }
 
 void FakeStore::remove(const std::string &kind, const std::string &name) {
-  Kinds[kind].erase(name);
+  Now.Kinds[kind].erase(name);
   change(kind, name, true, nullptr);
 }
 
+void FakeStore::keepCopy() { Copy = Now; }
+
+void FakeStore::restore() {
+  Now = Copy;
+  ++Timeline;
+  History.clear();
+  HistoryAfter = Now.Revision;
+  for (const Poll &it : std::exchange(Polls, {}))
+    it.Reply->abort();
+}
+
+void FakeStore::answer(HttpReply &reply, int status, const json::object &body) {
+  HttpFields fields;
+  if (StatesTimeline)
+    fields.push_back({"Store-Era", std::to_string(Timeline)});
+  reply.sendWhole(status, std::move(fields), json::serialize(body));
+}
+
 void FakeStore::change(const std::string &kind, const std::string &name,
                        bool isRemoved, const json::value &spec) {
-  History.push_back({++Revision, kind, name, isRemoved, spec});
+  History.push_back({++Now.Revision, kind, name, isRemoved, spec});
   for (Poll &it : std::exchange(Polls, {})) {
     if (it.Kind == kind)
-      it.Reply->sendWhole(200, {},
-                          json::serialize(eventsAfter(kind, it.After)));
+      answer(*it.Reply, 200, eventsAfter(kind, it.After));
     else
       Polls.push_back(std::move(it));
   }
@@ -75,33 +92,35 @@
         {"spec", it.Spec}};
     events.push_back({{"removed", it.IsRemoved}, {"object", object}});
   }
-  return {{"events", events}, {"asOf", Revision}};
+  return {{"events", events}, {"asOf", Now.Revision}};
 }
 
 void FakeStore::onCall(const HttpRequestMessage &request,
                        const std::shared_ptr<HttpReply> &reply) {
   ++Calls;
   if (IsUnavailable)
-    return reply->sendWhole(503, {}, "");
+    return answer(*reply, 503, {});
   std::string target = request.Head.Target;
   std::string path = target.substr(0, target.find('?'));
   std::string kind = path.substr(path.rfind('/') + 1);
   std::size_t watch = target.find("watch=");
   if (watch == std::string::npos) {
     json::array items;
-    for (const auto &[name, it] : Kinds[kind])
+    for (const auto &[name, it] : Now.Kinds[kind])
       items.push_back(
           {{"metadata", {{"name", name}, {"revision", it.Revision}}},
            {"spec", it.Spec}});
-    return reply->sendWhole(200, {},
-                            json::serialize(json::object{{"items", items},
-                                                         {"more", false},
-                                                         {"asOf", Revision}}));
+    return answer(*reply, 200,
+                  {{"items", items}, {"more", false}, {"asOf", Now.Revision}});
   }
   std::uint64_t after = std::strtoull(target.c_str() + watch + 6, nullptr, 10);
+  if (after > Now.Revision || after < HistoryAfter)
+    return answer(*reply, 410, {});
   json::object events = eventsAfter(kind, after);
-  if (!events["events"].as_array().empty())
-    return reply->sendWhole(200, {}, json::serialize(events));
+  std::size_t wait = target.find("waitMs=");
+  bool isLong = std::strtoul(target.c_str() + wait + 7, nullptr, 10) > 1;
+  if (!events["events"].as_array().empty() || !isLong)
+    return answer(*reply, 200, events);
   Polls.push_back({kind, after, reply});
 }
 
--- a/testsuite/direct/site.h
+++ b/testsuite/direct/site.h
@@ -36,8 +36,16 @@
            const boost::json::value &spec);
   void remove(const std::string &kind, const std::string &name);
 
+  /// Keeps what the store holds now for a later restore().
+  void keepCopy();
+  /// Replaces what the store holds by the kept copy, as a restore does:
+  /// revisions go back, the history is gone and all polls are cut.
+  void restore();
+
   /// While this is set, the store answers every call with 503.
   bool IsUnavailable = false;
+  /// Whether answers state which restore they come from.
+  bool StatesTimeline = true;
   const Address &at() const { return At; }
   int calls() const { return Calls; }
 
@@ -59,8 +67,15 @@
     boost::json::value Spec;
   };
 
+  /// All objects at one revision.
+  struct Contents {
+    std::uint64_t Revision = 1;
+    std::map<std::string, std::map<std::string, Entry>> Kinds;
+  };
+
   void onCall(const HttpRequestMessage &request,
               const std::shared_ptr<HttpReply> &reply);
+  void answer(HttpReply &reply, int status, const boost::json::object &body);
   void change(const std::string &kind, const std::string &name, bool isRemoved,
               const boost::json::value &spec);
   boost::json::object eventsAfter(const std::string &kind,
@@ -68,8 +83,10 @@
 
   Address At;
   HttpListener CallListener;
-  std::uint64_t Revision = 1;
-  std::map<std::string, std::map<std::string, Entry>> Kinds;
+  Contents Now;
+  Contents Copy;
+  std::uint64_t Timeline = 1;
+  std::uint64_t HistoryAfter = 0; ///< The history holds what came later.
   std::vector<Change> History;
   std::vector<Poll> Polls;
   int Calls = 0;
