Accept settings above all known generations after a restore of the store

Acceptors gave the lost generations out again, with other contents; processes that had the first ones in force took none of them. A team's acceptance that is lost in the index would have reverted with the next acceptance of another team.

Cases of settled and conditional writes behind a restore are added for the order itself.

--- a/src/config/config_follower.cpp
+++ b/src/config/config_follower.cpp
@@ -78,6 +78,7 @@
     updateNewestIndex(index);
   };
   hooks.Turn = Hooks.Turn;
+  hooks.HighestKnown = [this] { return State.HighestKnown; };
   Acceptor = std::make_unique<TeamAcceptor>(Loop, Client, Options.Acceptor,
                                             std::move(hooks));
   if (NewestIndex)
--- a/src/config/config_follower_test.cpp
+++ b/src/config/config_follower_test.cpp
@@ -3,6 +3,7 @@
 #include "fake_platform.h"
 #include <boost/test/unit_test.hpp>
 #include <list>
+#include <set>
 #include <string>
 
 using namespace greengagespar;
@@ -39,6 +40,13 @@
     };
     return hooks;
   }
+  // Returns the first server of each service in force.
+  std::set<std::string> servers() const {
+    std::set<std::string> ids;
+    for (const auto &[id, it] : Installed.back()->Services)
+      ids.insert(it.Servers.front().Id.Value);
+    return ids;
+  }
   std::uint64_t at() const {
     return Follower.generation().value_or(Generation{}).Value;
   }
@@ -200,4 +208,45 @@
   BOOST_TEST(refused);
 }
 
+// Guards against generations that are given out a second time, with other
+// settings, after the index was restored from an older copy: no process that
+// has the first ones in force would take them.
+BOOST_AUTO_TEST_CASE(accept_afterRestore_getsHigherGenerationThanInForce) {
+  Process &acceptor = add(ConfigRole::Accepts);
+  Process &watcher = add(ConfigRole::Watches);
+  Platform.write(LedgerPath, service("l-1", "7201").c_str());
+  until([&] { return watcher.at() == 1 && status() == "accepted"; });
+  auto copy = Platform.Objects;
+  for (int i = 2; i <= 3; ++i) {
+    Platform.write(LedgerPath,
+                   service("l-" + std::to_string(i), "7201").c_str());
+    until([&] { return watcher.at() == static_cast<std::uint64_t>(i); });
+  }
+  Platform.restore(copy);
+  Platform.write(LedgerPath, service("l-4", "7201").c_str());
+  until([&] { return watcher.at() > 3; });
+  BOOST_TEST(watcher.at() == 4U);
+  until([&] { return acceptor.at() == 4; });
+  BOOST_TEST((watcher.servers() == std::set<std::string>{"l-4"}));
+}
+
+// Guards against a team's settings that revert when another team's are accepted
+// after a restore, since the restored index has the earlier ones.
+BOOST_AUTO_TEST_CASE(accept_otherTeamAfterRestore_revertsNothing) {
+  add(ConfigRole::Accepts);
+  Process &watcher = add(ConfigRole::Watches);
+  Platform.write(LedgerPath, service("l-1", "7201").c_str());
+  until([&] { return watcher.at() == 1 && status() == "accepted"; });
+  auto copy = Platform.Objects;
+  Platform.write(LedgerPath, service("l-2", "7202").c_str());
+  until([&] { return watcher.at() == 2; });
+  Platform.restore(copy);
+  Platform.write("/teams/other/settings/services/books",
+                 service("b-1", "7301").c_str());
+  until([&] { return watcher.at() == 3; });
+  BOOST_TEST((watcher.servers() == std::set<std::string>{"b-1", "l-2"}));
+  Platform.write(LedgerPath, service("l-2", "7202").c_str());
+  until([&] { return watcher.at() == 4; });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/config/fake_platform.h
+++ b/src/config/fake_platform.h
@@ -4,6 +4,7 @@
 #define GREENGAGESPAR_CONFIG_FAKE_PLATFORM_H
 
 #include "../store/scripted_server.h"
+#include <algorithm>
 #include <boost/json.hpp>
 #include <cstdlib>
 #include <map>
@@ -38,6 +39,7 @@
   int Writes = 0; ///< Writes that took effect.
 
   FakePlatform() {
+    Server.Timeline = 1;
     Server.Answer = [this](const ScriptedServer::Seen &seen) {
       return Outage ? ScriptedAnswer{503, ""} : answer(seen);
     };
@@ -52,6 +54,16 @@
     auto it = Objects.find(path);
     return it == Objects.end() ? boost::json::value() : it->second.Value;
   }
+  /// Replaces all objects by \p copy, as a restore does, and cuts all watches.
+  void restore(const std::map<std::string, Stored> &copy) {
+    Objects = copy;
+    Revision = 0;
+    for (const auto &[path, it] : Objects)
+      Revision = std::max(Revision, it.Version);
+    ++Server.Timeline;
+    for (const WaitingWatch &it : std::exchange(Watches, {}))
+      ScriptedServer::reply(it.Raw, {0, ""});
+  }
   /// Starts or ends an outage. Answers all waiting watches with 503.
   void setOutage(bool outage) {
     Outage = outage;
@@ -66,7 +78,8 @@
     std::vector<WaitingWatch> waiting = std::exchange(Watches, {});
     for (const WaitingWatch &it : waiting) {
       if (path.starts_with(it.Prefix))
-        ScriptedServer::reply(it.Raw, {200, changes(it.Prefix, it.After)});
+        ScriptedServer::reply(
+            it.Raw, {200, changes(it.Prefix, it.After), Server.Timeline});
       else
         Watches.push_back(it);
     }
@@ -111,6 +124,8 @@
       return {200, changes(prefix, 0)};
     if (path == "/v1/watch") {
       std::uint64_t after = std::stoull(queryValue(query, "after"));
+      if (after > Revision)
+        return {410, ""};
       for (const auto &[name, it] : Objects)
         if (name.starts_with(prefix) && it.Version > after)
           return {200, changes(prefix, after)};
--- a/src/config/snapshot.cpp
+++ b/src/config/snapshot.cpp
@@ -51,13 +51,21 @@
   return readSnapshotTeam(accepted, *form);
 }
 
+// Whether \p held has settings of \p team that were accepted later. An index
+// that was restored from an older copy lacks acceptances that are in force.
+bool hasLater(const Snapshot &held, const TeamId &team, Generation accepted) {
+  auto it = held.Teams.find(team);
+  return it != held.Teams.end() && it->second.Accepted.At > accepted;
+}
+
 } // namespace
 
 std::vector<TeamId> teamsToFetch(const Snapshot &held, const Index &index) {
   std::vector<TeamId> missing;
   for (const auto &[team, accepted] : index.Teams) {
     auto it = held.Teams.find(team);
-    if (it == held.Teams.end() || it->second.Accepted != accepted)
+    bool isSame = it != held.Teams.end() && it->second.Accepted == accepted;
+    if (!isSame && !hasLater(held, team, accepted.At))
       missing.push_back(team);
   }
   return missing;
@@ -110,7 +118,9 @@
   next.At = at;
   for (const auto &it : teams->get_object()) {
     BOOST_LEAF_AUTO(team, teamOf(it.value()));
-    next.Teams[{std::string(it.key())}] = std::move(team);
+    TeamId id{std::string(it.key())};
+    if (!hasLater(held, id, team.Accepted.At))
+      next.Teams[id] = std::move(team);
   }
   return next;
 }
--- a/src/config/team_acceptor.cpp
+++ b/src/config/team_acceptor.cpp
@@ -90,8 +90,11 @@
 void TeamAcceptor::evaluate(const TeamId &team) {
   const TeamObjects &objects = Mirror.Teams[team];
   ParsedTeam parsed = parseTeam(team, settingsOf(objects));
+  Index index = KnownIndex->Value;
+  if (Hooks.HighestKnown)
+    index.At = std::max(index.At, Hooks.HighestKnown());
   AcceptDecision decision =
-      acceptTeam(KnownIndex->Value, team, parsed, Mirror.Revision.Value);
+      acceptTeam(index, team, parsed, Mirror.Revision.Value);
   Refused.erase(team);
   switch (decision.Outcome) {
   case AcceptOutcome::Accepted:
--- a/src/entry/control_plane.cpp
+++ b/src/entry/control_plane.cpp
@@ -69,7 +69,18 @@
                   Peers.addSeeds(found);
                 }),
       Reporter(Platform, self.ProcessIncarnation.Value),
-      Review(base, [this] { review(); }) {}
+      Review(base, [this] { review(); }) {
+  Platform.onRestore([this](StoreTimeline before) { onRestore(before); });
+}
+
+// What this entry wrote to the platform in the last seconds may be gone.
+void ControlPlane::onRestore(StoreTimeline before) {
+  logWarning(Part::Platform, "the platform's store was restored: timeline " +
+                                 std::to_string(Platform.timeline().Value) +
+                                 " after " + std::to_string(before.Value));
+  Directory.start();
+  Reporter.reportAgain();
+}
 
 PeerLinksHooks ControlPlane::peerHooks() {
   PeerLinksHooks hooks;
--- a/src/entry/control_plane.h
+++ b/src/entry/control_plane.h
@@ -88,6 +88,7 @@
   PeerLinksHooks peerHooks();
   ConfigFollowerHooks followerHooks();
   MemberRow ownRow() const;
+  void onRestore(StoreTimeline before);
   void review();
   void reviewRole();
   std::size_t watcherPosition(const TeamId &team) const;
--- a/src/entry/in_force_reporter.h
+++ b/src/entry/in_force_reporter.h
@@ -52,6 +52,9 @@
   void review(const Snapshot &held, const MemberView &view,
               const std::function<bool(const TeamId &)> &isFirst);
 
+  /// Forgets which reports are written, since the platform may have lost them.
+  void reportAgain() { Reports.clear(); }
+
 private:
   void write(const TeamId &team, const InForceStatus &status);
   void writeIfNewer(const TeamId &team, const InForceStatus &status,
--- a/src/include/greengagespar/config/snapshot.h
+++ b/src/include/greengagespar/config/snapshot.h
@@ -31,7 +31,7 @@
 };
 
 /// Returns the teams of \p index whose accepted settings \p held lacks or has
-/// in another version.
+/// in an earlier version.
 std::vector<TeamId> teamsToFetch(const Snapshot &held, const Index &index);
 
 /// Reads \p value, the accepted form of a team's settings. Fails with
@@ -47,9 +47,9 @@
 std::string serializeSnapshot(const Snapshot &snapshot, Generation since);
 
 /// Applies \p text, which a peer wrote with serializeSnapshot, to \p held and
-/// returns the result. Fails with Conflict when the text starts after the
-/// generation of \p held or ends before it, and with BadSettings when the text
-/// is malformed.
+/// returns the result. Settings of a team that were accepted later stay. Fails
+/// with Conflict when the text starts after the generation of \p held or ends
+/// before it, and with BadSettings when the text is malformed.
 Result<Snapshot> parseSnapshot(const Snapshot &held, std::string_view text);
 
 } // namespace greengagespar
--- a/src/include/greengagespar/config/team_acceptor.h
+++ b/src/include/greengagespar/config/team_acceptor.h
@@ -37,6 +37,10 @@
   /// acceptor at position n waits n times TurnDelay before it evaluates the
   /// team. If the function is empty, the position is 0.
   std::function<std::size_t(const TeamId &)> Turn;
+  /// Returns the highest generation that this process knows of. An acceptance
+  /// gets a higher one even if the platform was restored and its index has gone
+  /// back. Empty: the index alone decides.
+  std::function<Generation()> HighestKnown;
 };
 
 /// Accepts settings, one team at a time. Several processes may run an acceptor:
--- a/src/store/object_client_test.cpp
+++ b/src/store/object_client_test.cpp
@@ -106,6 +106,69 @@
   BOOST_TEST(Server.Requests.at(0).Body == R"({"k":1})");
 }
 
+// Guards against a condition on a version of before a restore: its number may
+// have been given out again, to an object with other contents.
+BOOST_AUTO_TEST_CASE(put_versionOfBeforeRestore_isConflictAndNotSent) {
+  Server.Timeline = 2;
+  Server.Answer = [](auto &) {
+    return ScriptedAnswer{200, R"({"path":"/a","version":3,"value":1})"};
+  };
+  auto read = [&] {
+    return failureKind<Object>(
+        [&](auto done) { Client.get("/a", std::move(done)); });
+  };
+  read();
+  Server.Timeline = 3;
+  read();
+  std::size_t before = Server.Requests.size();
+  BOOST_TEST(
+      (put(ObjectVersion{3, StoreTimeline{2}}).State == WriteState::Conflict));
+  BOOST_TEST(Server.Requests.size() == before);
+  PutOutcome outcome = put(ObjectVersion{3, StoreTimeline{3}});
+  BOOST_TEST((outcome.State == WriteState::Written));
+  BOOST_TEST((outcome.Version == ObjectVersion{3, StoreTimeline{3}}));
+  // That no object exists is a condition in any timeline.
+  BOOST_TEST((put(ObjectVersion{0}).State == WriteState::Written));
+}
+
+BOOST_AUTO_TEST_CASE(put_restoredBeforeAnswer_isUnknown) {
+  Server.Answer = [](auto &) {
+    return ScriptedAnswer{200, R"({"version":9})"};
+  };
+  Server.Timeline = 2;
+  BOOST_TEST(
+      (put(ObjectVersion{3, StoreTimeline{1}}).State == WriteState::Unknown));
+}
+
+// Guards against an answer of before a restore that arrives late and passes for
+// news.
+BOOST_AUTO_TEST_CASE(get_lateAnswerOfEarlierTimeline_isLost) {
+  Server.Answer = [](auto &) {
+    return ScriptedAnswer{200, R"({"path":"/a","version":3,"value":1})"};
+  };
+  std::vector<std::uint64_t> restores;
+  Client.onRestore(
+      [&](StoreTimeline before) { restores.push_back(before.Value); });
+  auto read = [&] {
+    return failureKind<Object>(
+        [&](auto done) { Client.get("/a", std::move(done)); });
+  };
+  Server.Timeline = 1;
+  BOOST_TEST(!read().has_value());
+  Server.Answer = [](auto &) { return ScriptedAnswer{503, ""}; };
+  Server.Timeline = 2;
+  BOOST_TEST((read() == ErrorKind::PlatformUnavailable));
+  Server.Answer = [](auto &) {
+    return ScriptedAnswer{200, R"({"path":"/a","version":3,"value":1})"};
+  };
+  Server.Timeline = 1;
+  BOOST_TEST((read() == ErrorKind::PlatformUnavailable));
+  Server.Timeline = 2;
+  BOOST_TEST(!read().has_value());
+  BOOST_TEST((restores == std::vector<std::uint64_t>{1}));
+  BOOST_TEST(Client.timeline().Value == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(watch_goneRevision_isTooOld) {
   Server.Answer = [](auto &) { return ScriptedAnswer{410, ""}; };
   std::optional<WatchAnswer> answer;
--- a/src/store/scripted_server.h
+++ b/src/store/scripted_server.h
@@ -21,7 +21,7 @@
 struct ScriptedAnswer {
   int Status = 200; ///< 0: closes the connection; -1: sends no answer.
   std::string Body;
-  int Timeline = 0; ///< That the answer states; 0: none.
+  int Timeline = 0; ///< That the answer states; 0: the server's.
 };
 
 /// An event loop, a server on it and the requests that it received.
@@ -40,6 +40,7 @@
   Address At;
   std::vector<Seen> Requests;
   std::function<ScriptedAnswer(const Seen &)> Answer;
+  int Timeline = 0; ///< Of the store; 0: answers state none.
 
   ScriptedServer() {
     evhttp_set_gencb(Http.get(), onRequest, this);
@@ -69,7 +70,10 @@
     evhttp_connection_get_peer(connection, &host, &port);
     seen.ClientPort = port;
     self->Requests.push_back(seen);
-    reply(req, self->Answer(seen));
+    ScriptedAnswer answer = self->Answer(seen);
+    if (answer.Timeline == 0)
+      answer.Timeline = self->Timeline;
+    reply(req, answer);
   }
 
   /// Answers a request. May also be called later, for a request that status -1
