Count an endpoint process as restarted if the store was ever restored

The first endpoint process before a server creates a record in the store, and a process that can create it takes itself for the first and for one that has forgotten no votes on keys. A restore may lose that record, and then a restarted process would grant votes that contradict those it has forgotten: a booking could run twice.

--- a/src/endpoint/first_incarnation_check.cpp
+++ b/src/endpoint/first_incarnation_check.cpp
@@ -1,5 +1,6 @@
 #include "first_incarnation_check.h"
 
+#include "greengagespar/base/log.h"
 #include <boost/json.hpp>
 #include <utility>
 
@@ -24,7 +25,7 @@
   if (!result)
     return;
   if (result->State == WriteState::Written)
-    OnFirst();
+    reportFirst();
   else if (result->State == WriteState::Unknown)
     resolveUnknownWrite();
 }
@@ -39,8 +40,17 @@
     const auto *stored = object ? object->if_contains("life") : nullptr;
     if (stored && stored->is_number() &&
         stored->to_number<std::uint64_t>() == SelfIncarnation.Value)
-      OnFirst();
+      reportFirst();
   });
 }
 
+// A restore may have lost the record of an earlier incarnation.
+void FirstIncarnationCheck::reportFirst() {
+  if (Platform.timeline() > FirstTimeline)
+    logInfo(Part::Platform, "the store was restored before, so this process "
+                            "counts as restarted");
+  else
+    OnFirst();
+}
+
 } // namespace greengagespar
--- a/src/endpoint/first_incarnation_check.h
+++ b/src/endpoint/first_incarnation_check.h
@@ -14,7 +14,8 @@
 namespace greengagespar {
 
 /// Creates the object /system/lives/<server> once, at the start. Unless the
-/// platform answers, the process counts as restarted, which is safe: a
+/// platform answers, or if its store was ever restored, the process counts as
+/// restarted, which is safe: a
 /// restarted process grants votes on keys only with a complete memory.
 class FirstIncarnationCheck {
 public:
@@ -29,6 +30,7 @@
 private:
   void onWritten(Result<PutOutcome> result);
   void resolveUnknownWrite();
+  void reportFirst();
 
   ObjectClient Platform;
   std::string Path;
--- a/src/include/greengagespar/store/object.h
+++ b/src/include/greengagespar/store/object.h
@@ -20,6 +20,9 @@
 /// the platform does not state one.
 using StoreTimeline = NumberId<struct StoreTimelineTag>;
 
+/// The timeline of a store that was never restored.
+inline constexpr StoreTimeline FirstTimeline{1};
+
 /// The platform's revision at an object's last change, or of all objects at one
 /// moment. Revisions are ordered within a timeline; each one of a later
 /// timeline follows all those of earlier ones.
