Never use a lease's fencing number again after a restore of the store

A restored store may show the lease of before the last take-over. The next holder took the number behind it, which another term had had already: servers that check numbers could not tell the orders of both apart.

A candidate now remembers the highest number seen and takes the next one, also when its own old record is shown again; an object of an old version number with another record counts as changed.

decideLease_restoredStore_numberIsNotUsedAgain failed before (the term got number 2 again) and passes now.

--- a/src/group/group_decisions_test.cpp
+++ b/src/group/group_decisions_test.cpp
@@ -97,6 +97,21 @@
   BOOST_TEST(!mayDriveUntil(A, at(10000)).has_value());
 }
 
+// Guards against two terms with one number after the store was restored from a
+// copy of before the last take-over: servers could not tell their orders apart.
+BOOST_AUTO_TEST_CASE(decideLease_restoredStore_numberIsNotUsedAgain) {
+  run(A, 0, 1000);
+  LeaseRead copy = Object;
+  run(B, 1000, 12000);
+  BOOST_REQUIRE(Object.Record->Number.Value == 2U);
+  Object = copy;
+  run(B, 12000, 14000);
+  BOOST_TEST(!mayDriveUntil(B, at(14000)).has_value());
+  run(B, 14000, 30000);
+  BOOST_TEST(mayDriveUntil(B, at(30000)).has_value());
+  BOOST_TEST(Object.Record->Number.Value == 3U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(Liveness)
--- a/src/group/lease.cpp
+++ b/src/group/lease.cpp
@@ -1,5 +1,7 @@
 #include "greengagespar/group/lease.h"
 
+#include <algorithm>
+
 namespace greengagespar {
 
 namespace {
@@ -8,18 +10,26 @@
   return record.Holder == state.Self && record.Process == state.Process;
 }
 
+void see(LeaseState &state, const std::optional<LeaseRecord> &record) {
+  state.Seen = record;
+  if (record)
+    state.HighestNumber = std::max(state.HighestNumber, record->Number);
+}
+
 void holdLease(LeaseState &state, const LeaseRecord &record,
                SteadyTime sentAt) {
-  state.Seen = record;
+  see(state, record);
   state.HeldUntil = sentAt + state.Limits.Term - state.Limits.Margin;
 }
 
 void handleRead(LeaseState &state, const LeaseRead &read, SteadyTime now) {
   state.CallOpen = false;
-  if (!state.HasRead || read.Version != state.SeenVersion)
+  // A restored store gives versions out again, so the record decides too.
+  if (!state.HasRead || read.Version != state.SeenVersion ||
+      read.Record != state.Seen)
     state.SeenSince = now;
   state.HasRead = true;
-  state.Seen = read.Record;
+  see(state, read.Record);
   state.SeenVersion = read.Version;
   // A write whose answer was lost has taken effect if its record is read back.
   // Its term counts from the time at which the write was sent.
@@ -56,8 +66,10 @@
 // Returns the record of a renewal by the holder or of a take-over.
 LeaseRecord nextRecord(const LeaseState &state) {
   LeaseRecord record = state.Seen.value_or(LeaseRecord{});
-  if (!state.Seen || !isOwn(state, *state.Seen))
-    record = {state.Self, state.Process, {record.Number.Value + 1}, 0};
+  bool isRenewal = state.Seen && isOwn(state, *state.Seen) &&
+                   record.Number == state.HighestNumber;
+  if (!isRenewal)
+    record = {state.Self, state.Process, {state.HighestNumber.Value + 1}, 0};
   ++record.Renewal;
   return record;
 }
--- a/src/include/greengagespar/group/lease.h
+++ b/src/include/greengagespar/group/lease.h
@@ -47,10 +47,13 @@
   LeaseLimits Limits;
   std::optional<LeaseRecord> Seen; ///< Latest record read or written.
   std::uint64_t SeenVersion = 0;   ///< Object version of Seen; 0: no object.
-  SteadyTime SeenSince{};          ///< When SeenVersion was first seen.
-  bool HasRead = false;            ///< A read has been answered.
-  bool CallOpen = false;           ///< A read or write has no answer yet.
-  SteadyTime CallSentAt{};         ///< When the latest call was sent.
+  /// Highest number of any record read or written. A store that was restored
+  /// from an older copy may show a lower one.
+  FencingNumber HighestNumber;
+  SteadyTime SeenSince{};  ///< When SeenVersion was first seen.
+  bool HasRead = false;    ///< A read has been answered.
+  bool CallOpen = false;   ///< A read or write has no answer yet.
+  SteadyTime CallSentAt{}; ///< When the latest call was sent.
   /// Record of the write whose outcome is not known yet; empty if none.
   std::optional<LeaseRecord> PendingWrite;
   SteadyTime WriteSentAt{}; ///< When the latest write was sent.
