Test a restored store with real processes of the own interface

The stand-in of the platform can keep a copy of its objects and come back with it, and states its timeline in all answers.

--- a/testsuite/membership/membership_test.cpp
+++ b/testsuite/membership/membership_test.cpp
@@ -132,6 +132,29 @@
     BOOST_TEST(draft(it, "late").Status == 200);
 }
 
+// Guards against processes that take nothing from a restored store, or its
+// older index, because its revisions and generations have gone back.
+BOOST_AUTO_TEST_CASE(settings_changedAfterRestore_areInForceOnAll) {
+  setFaults({{"keep_copy", true}});
+  std::uint64_t lost = 0;
+  for (const char *it : {"first", "second", "third"})
+    lost = addWorkspace(it);
+  BOOST_REQUIRE(
+      all([&](const std::string &it) { return generation(it) >= lost; }));
+  setFaults({{"restore", true}});
+  // The operators write again what the store has lost.
+  for (const char *name : {"first", "second", "third", "fourth"}) {
+    std::uint64_t accepted = addWorkspace(name);
+    BOOST_TEST(accepted > lost);
+    BOOST_TEST(
+        all([&](const std::string &it) { return generation(it) >= accepted; }),
+        diagnosis());
+  }
+  for (const std::string &it : processesOf("greengagespar-entry"))
+    for (const char *name : {"first", "third", "fourth"})
+      BOOST_TEST(draft(it, name).Status == 200);
+}
+
 BOOST_AUTO_TEST_CASE(endpoint_restartedInOutage_hasSettingsFromEntries) {
   setFaults({{"outage", true}});
   kill("helper-1");
--- a/testsuite/standins/platform.cpp
+++ b/testsuite/standins/platform.cpp
@@ -11,6 +11,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 
 using namespace greengagespar::standin;
 using std::chrono::milliseconds;
@@ -43,6 +44,8 @@
   HttpServer *Server = nullptr;
   ObjectStore Store;
   ObjectStore StaleStore; ///< The copy that stale reads return.
+  ObjectStore Copy;       ///< What a restore brings back.
+  int Timeline = 1;       ///< One more after each restore.
   boost::json::value Hosts = boost::json::array();
   Faults ActiveFaults;
   std::map<std::uint64_t, Watch> Watches;
@@ -62,7 +65,9 @@
 void answer(Platform &p, const Request &req, int status, std::string body) {
   if (p.ActiveFaults.BlackHole)
     return leaveUnanswered(p, req);
-  auto send = [req, status, body = std::move(body)] {
+  auto send = [req, status, timeline = p.Timeline, body = std::move(body)] {
+    evhttp_add_header(evhttp_request_get_output_headers(req.Raw),
+                      "Store-Timeline", std::to_string(timeline).c_str());
     sendText(req, status, body, "application/json");
   };
   if (p.ActiveFaults.Delay.count() > 0)
@@ -253,6 +258,14 @@
     answer(p, watch.Req, HTTP_SERVUNAVAIL, "{}");
 }
 
+// Replaces all objects by those of the kept copy and cuts all waiting watches.
+void restore(Platform &p) {
+  p.Store = p.Copy;
+  ++p.Timeline;
+  for (auto &[id, watch] : std::exchange(p.Watches, {}))
+    drop(watch.Req);
+}
+
 void setFaults(Platform &p, const Request &req) {
   boost::json::object body = bodyObject(req);
   bool wasStale = p.ActiveFaults.StaleReads;
@@ -267,6 +280,10 @@
     p.StaleStore = p.Store;
   if (p.ActiveFaults.Outage)
     refuseWatches(p);
+  if (isSet(body, "keep_copy"))
+    p.Copy = p.Store;
+  if (isSet(body, "restore"))
+    restore(p);
   sendJson(req, HTTP_OK, boost::json::object());
 }
 
