--- a/src/include/greengagespar/store/object_client.h
+++ b/src/include/greengagespar/store/object_client.h
@@ -116,7 +116,7 @@
   void write(CallKind kind, HttpRequest request,
              std::optional<ObjectVersion> ifVersion, Callback<PutOutcome> done);
   template <class T>
-  void read(CallKind kind, HttpRequest request,
+  void read(CallKind kind, HttpRequest &&request,
             Result<T> (*parse)(std::string_view), Callback<T> done);
   HttpAnswer checkTimeline(HttpAnswer answer);
   void setTimeline(StoreTimeline stated);
--- a/src/store/object_client.cpp
+++ b/src/store/object_client.cpp
@@ -166,7 +166,7 @@
 }
 
 template <class T>
-void ObjectClient::read(CallKind kind, HttpRequest request,
+void ObjectClient::read(CallKind kind, HttpRequest &&request,
                         Result<T> (*parse)(std::string_view),
                         Callback<T> done) {
   send(kind, std::move(request),
