--- a/testsuite/direct/restore_test.cpp
+++ b/testsuite/direct/restore_test.cpp
@@ -33,8 +33,8 @@
     return sendAndWait("GET", "/new/1").Head.Status == 200;
   }
 
-  // Raises the store's revision without a change for entries.
-  void passTime(int revisions) {
+  // Raises the store's revision by writes that entries do not watch.
+  void writeOthers(int revisions) {
     for (int i = 0; i < revisions; ++i)
       Objects.put("other", "x", i);
   }
@@ -46,6 +46,7 @@
     Objects.put("servers", server.id(), entry);
   }
 
+  // Whether \p server gets any of some requests.
   bool serves(const FakeServer &server) {
     std::size_t before = server.Requests.size();
     for (int i = 0; i < 8; ++i)
@@ -54,9 +55,6 @@
   }
 };
 
-/// Several entries of such a site.
-struct RestoreEntriesFixture : EntriesFixture {};
-
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(RestoredStore, RestoreFixture)
@@ -67,7 +65,7 @@
   addServer("ledger", done);
   startEntry();
   Objects.keepCopy();
-  passTime(5);
+  writeOthers(5);
   Objects.put("config", "main", configuration(2));
   runFor(300ms);
   Objects.restore();
@@ -82,14 +80,14 @@
   addServer("ledger", done);
   startEntry();
   Objects.keepCopy();
-  passTime(5);
+  writeOthers(5);
   Objects.put("config", "main", configuration(2));
   runFor(300ms);
   Objects.IsUnavailable = true;
   Objects.StatesTimeline = false;
   Objects.restore();
   declareNewRoute(3);
-  passTime(20);
+  writeOthers(20);
   runFor(500ms);
   Objects.IsUnavailable = false;
   Objects.StatesTimeline = true;
@@ -101,7 +99,7 @@
   addServer("ledger", done);
   startEntry();
   Objects.keepCopy();
-  passTime(5);
+  writeOthers(5);
   declareNewRoute(2);
   runFor(300ms);
   BOOST_TEST(isNewRouteServed());
@@ -127,7 +125,7 @@
   registerServer(live, "ledger");
   FakeServer &gone = addServer("ledger", done);
   registerServer(gone, "ledger");
-  passTime(3);
+  writeOthers(3);
   runFor(300ms);
   Objects.restore();
   runFor(700ms);
@@ -148,7 +146,7 @@
   startEntry();
   Objects.keepCopy();
   registerServer(leaving, "ledger", "draining");
-  passTime(3);
+  writeOthers(3);
   runFor(300ms);
   Objects.restore();
   runFor(700ms);
@@ -175,7 +173,7 @@
   Objects.keepCopy();
   Objects.remove("servers", gone.id());
   Objects.remove("servers", back.id());
-  passTime(3);
+  writeOthers(3);
   runFor(300ms);
   BOOST_TEST(!serves(gone));
   Objects.restore();
@@ -195,7 +193,7 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
-BOOST_FIXTURE_TEST_SUITE(RestoredStoreOfEntries, RestoreEntriesFixture)
+BOOST_FIXTURE_TEST_SUITE(RestoredStoreOfEntries, EntriesFixture)
 
 // Guards against an entry that starts during the drill and stays with the
 // copy's configuration, although its peers have a newer one in force.
