Take ports of tests from below the ephemeral range

An entry ends its start so only if it can't listen on one of its addresses. Those came from the kernel's ephemeral range and were free for a moment before use, while the other run's tests took ports from the same range. That is read from the code; the log does not name the port, and the failure was not provoked again.

Ports are now picked at random below that range, and none twice in a process. Two runs of direct_site_tests beside each other: no errors in both.

--- a/testsuite/direct/site.cpp
+++ b/testsuite/direct/site.cpp
@@ -7,6 +7,8 @@
 #include <event2/event.h>
 #include <event2/listener.h>
 #include <event2/util.h>
+#include <random>
+#include <set>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -15,17 +17,35 @@
 namespace json = boost::json;
 using namespace std::chrono_literals;
 
-Address freeAddress() {
+namespace {
+
+bool canBind(int port) {
   int fd = socket(AF_INET, SOCK_STREAM, 0);
   sockaddr_in name{};
   name.sin_family = AF_INET;
   name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  if (bind(fd, reinterpret_cast<sockaddr *>(&name), sizeof(name)) != 0)
-    throw std::runtime_error("no free port");
-  socklen_t size = sizeof(name);
-  getsockname(fd, reinterpret_cast<sockaddr *>(&name), &size);
+  name.sin_port = htons(static_cast<std::uint16_t>(port));
+  bool isFree =
+      bind(fd, reinterpret_cast<sockaddr *>(&name), sizeof(name)) == 0;
   close(fd);
-  return {"127.0.0.1:" + std::to_string(ntohs(name.sin_port))};
+  return isFree;
+}
+
+} // namespace
+
+Address freeAddress() {
+  // Below the kernel's range of ephemeral ports, so that no other process gets
+  // the port from the kernel before its user listens on it.
+  static std::uniform_int_distribution<int> pick(10000, 32000);
+  static std::mt19937 random{std::random_device{}()};
+  static std::set<int> given;
+  constexpr int maxTries = 1000;
+  for (int i = 0; i < maxTries; ++i) {
+    int port = pick(random);
+    if (canBind(port) && given.insert(port).second)
+      return {"127.0.0.1:" + std::to_string(port)};
+  }
+  throw std::runtime_error("no free port");
 }
 
 // FakeStore.
