--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,8 @@
 BUILD ?= build
 ARGS ?=
 JOBS ?= $(shell nproc)
+# ON makes compiler warnings errors, as in CI.
+WERROR ?= OFF
 export CCACHE_BASEDIR := $(CURDIR)
 export CCACHE_NOHASHDIR := 1
 
@@ -15,13 +17,13 @@
 	@tools/install-packages
 
 configure: setup
-	@cmake -S . -B $(BUILD) -G Ninja -DCMAKE_BUILD_TYPE=Release >/dev/null
+	@cmake -S . -B $(BUILD) -G Ninja -DCMAKE_BUILD_TYPE=Release -DGREENGAGESPAR_WERROR=$(WERROR) >/dev/null
 
 test: all
 	@tools/run-tests $(BUILD)
 
 test-sanitize: setup
-	@cmake -S . -B $(BUILD)-sanitize -G Ninja -DCMAKE_BUILD_TYPE=Debug -DGREENGAGESPAR_SANITIZE=ON >/dev/null
+	@cmake -S . -B $(BUILD)-sanitize -G Ninja -DCMAKE_BUILD_TYPE=Debug -DGREENGAGESPAR_WERROR=$(WERROR) -DGREENGAGESPAR_SANITIZE=ON >/dev/null
 	@cmake --build $(BUILD)-sanitize -j $(JOBS)
 	@ASAN_OPTIONS=quarantine_size_mb=16 tools/run-tests $(BUILD)-sanitize
 
--- a/src/entry/call_router.cpp
+++ b/src/entry/call_router.cpp
@@ -424,8 +424,8 @@
   answer.Tokens = call.State.ReceivedTokens;
   if (call.Draft->Stream) {
     call.Reply->beginStream("text/event-stream");
-    call.Reply->sendPart(renderPart(call.Draft->Shape, answer) +
-                         std::string(StreamEnd));
+    call.Reply->sendPart(
+        renderPart(call.Draft->Shape, answer).append(StreamEnd));
     return call.Reply->endStream();
   }
   answer.Text = std::move(call.AnswerText);
