Show how each retry is paid for

Change: attempt_ended states the payment and the tokens left; counters of retries by payment; gauges of the tokens, the entry's part and the number of entries that it divides by. No decision changes.

--- a/src/direct/exchange.cpp
+++ b/src/direct/exchange.cpp
@@ -316,14 +316,19 @@
     next = decideNext(history, end);
     next.Reason = "server_ended";
   }
-  if (next.Step == NextStep::SendAgain && !isFree &&
-      !spendRetryToken(Pool.budget(), HasSentHead)) {
+  RetryPayment payment = RetryPayment::None;
+  if (next.Step == NextStep::SendAgain)
+    payment = isFree ? RetryPayment::Free
+              : spendRetryToken(Pool.budget(), HasSentHead)
+                  ? RetryPayment::Token
+                  : RetryPayment::Refused;
+  if (payment == RetryPayment::Refused) {
     history.AllowedRuns = 0;
     next = decideNext(history, end);
     next.Reason = "retry_budget";
   }
   logAttemptEnd(*Context.Counters, Call, *CurrentAttempt, Stream, Runs, why,
-                next.Reason);
+                next.Reason, payment, Pool.budget().Tokens);
   if (next.Step == NextStep::ForwardAnswer && !HasSentHead)
     return forwardAnswer();
   PoolOutcome outcome;
--- a/src/direct/exchange_log.cpp
+++ b/src/direct/exchange_log.cpp
@@ -19,6 +19,20 @@
   return "";
 }
 
+std::string_view nameOf(RetryPayment payment) {
+  switch (payment) {
+  case RetryPayment::None:
+    return "none";
+  case RetryPayment::Token:
+    return "token";
+  case RetryPayment::Free:
+    return "free";
+  case RetryPayment::Refused:
+    return "refused";
+  }
+  return "";
+}
+
 } // namespace
 
 void logSend(const AcceptedCall &call, const detail::Attempt &attempt, int run,
@@ -39,7 +53,8 @@
 
 void logAttemptEnd(Metrics &counters, const AcceptedCall &call,
                    const detail::Attempt &attempt, const EventRelay &stream,
-                   int runs, std::string_view why, std::string_view next) {
+                   int runs, std::string_view why, std::string_view next,
+                   RetryPayment payment, double tokens) {
   auto now = Clock::now();
   LogLine line("attempt_ended");
   line.add("id", call.Facts.RequestId)
@@ -53,10 +68,16 @@
       .add("events_here", attempt.Events)
       .add("parts", describeParts(call.Facts.SharedParts))
       .add("failed_server", attempt.Answer.FailedServer.Value)
-      .add("next", next);
+      .add("next", next)
+      .add("paid", nameOf(payment))
+      .add("tokens", static_cast<std::int64_t>(tokens));
   logInfo(Part::Route, line.text());
   countUp(counters,
           {"greengagespar_attempts_failed_total", {{"why", std::string(why)}}});
+  if (payment != RetryPayment::None)
+    countUp(counters, {"greengagespar_retries_total",
+                       {{"service", call.Service.Value},
+                        {"paid", std::string(nameOf(payment))}}});
 }
 
 void logAnswer(Metrics &counters, const AcceptedCall &call,
--- a/src/direct/exchange_log.h
+++ b/src/direct/exchange_log.h
@@ -12,11 +12,20 @@
 void logSend(const AcceptedCall &call, const detail::Attempt &attempt, int run,
              std::optional<std::uint64_t> after);
 
+/// How another attempt is paid for.
+enum class RetryPayment {
+  None,    ///< No other attempt is wanted.
+  Token,   ///< By a token of the retry budget.
+  Free,    ///< It needs none, as the last attempt reached no server.
+  Refused, ///< The budget has no token.
+};
+
 /// Logs and counts that \p attempt ended because of \p why. \p next says what
-/// follows.
+/// follows, \p payment how it is paid for; \p tokens are left in the budget.
 void logAttemptEnd(Metrics &counters, const AcceptedCall &call,
                    const detail::Attempt &attempt, const EventRelay &stream,
-                   int runs, std::string_view why, std::string_view next);
+                   int runs, std::string_view why, std::string_view next,
+                   RetryPayment payment, double tokens);
 
 /// What the caller of a request got.
 struct FinalAnswer {
--- a/src/direct/server_pool.cpp
+++ b/src/direct/server_pool.cpp
@@ -358,6 +358,9 @@
   set("greengagespar_pace_limit", StreamLimit.Value);
   set("greengagespar_server_connections",
       static_cast<double>(ConnectionsOpened));
+  set("greengagespar_retry_tokens", Retries.Tokens);
+  set("greengagespar_retry_part", Retries.MaxTokens + Retries.Overdraft);
+  set("greengagespar_retry_entries", static_cast<double>(Entries));
 }
 
 } // namespace greengagespar
