--- a/testsuite/direct/site.cpp
+++ b/testsuite/direct/site.cpp
@@ -246,9 +246,10 @@
   }
 };
 
-FakeServer::FakeServer(event_base *loop, std::string id, Script script)
+FakeServer::FakeServer(event_base *loop, std::string id, Script script,
+                       const Address &at)
     : Respond(std::move(script)), Loop(loop), Id(std::move(id)),
-      At(freeAddress()) {
+      At(at.Value.empty() ? freeAddress() : at) {
   sockaddr_storage name{};
   int size = sizeof(name);
   evutil_parse_sockaddr_port(At.Value.c_str(),
@@ -270,9 +271,13 @@
 
 json::object FakeServer::entry(const std::string &service,
                                const std::string &state) const {
-  return {{"service", service},   {"address", At.Value}, {"zone", "z"},
-          {"version", "v1"},      {"slots", 12},         {"state", state},
-          {"coldRemainingMs", 0}, {"sequence", 1}};
+  json::object spec{{"service", service},   {"address", At.Value},
+                    {"zone", "z"},          {"version", "v1"},
+                    {"slots", 12},          {"state", state},
+                    {"coldRemainingMs", 0}, {"sequence", 1}};
+  if (StartedMs > 0)
+    spec["born"] = StartedMs;
+  return spec;
 }
 
 void FakeServer::sendMore(std::string_view bytes) {
--- a/testsuite/direct/site.h
+++ b/testsuite/direct/site.h
@@ -109,7 +109,9 @@
 public:
   using Script = std::function<FakeAnswer(const HttpRequestMessage &)>;
 
-  FakeServer(event_base *loop, std::string id, Script script);
+  /// Listens at \p at, or at a free address if it is empty.
+  FakeServer(event_base *loop, std::string id, Script script,
+             const Address &at = {});
   ~FakeServer();
   FakeServer(const FakeServer &) = delete;
   FakeServer &operator=(const FakeServer &) = delete;
@@ -119,6 +121,7 @@
   /// Returns the server's object in the store.
   boost::json::object entry(const std::string &service,
                             const std::string &state = "ready") const;
+  std::uint64_t StartedMs = 0; ///< In the server's object; 0: left out.
 
   std::vector<HttpRequestMessage> Requests;
   Script Respond;
