Do not use a server that a later one has replaced at its address

Cause: a server that crashes stays registered for three heartbeats. A server that started later at the same address proves that it is gone, but the table of servers kept both as choices, and each entry learned by refusals (421) that the former one was not there.

Change: the table derives which servers are used from the starts registered for each address. A replaced server is used again if the later registration lapses.

Ruled out: to drop the earlier registration for good, as a server whose clock was set back would then never be used.

Three cases of direct_tests are new.

--- a/src/direct/server_table.cpp
+++ b/src/direct/server_table.cpp
@@ -1,5 +1,6 @@
 #include "greengagespar/direct/server_table.h"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -19,10 +20,32 @@
   if (it == table.Servers.end())
     return;
   table.Departed[id] = {it->second.Record.StartedMs, now};
-  changes.Removed.push_back(std::move(it->second.Record));
+  if (it->second.IsUsed)
+    changes.Removed.push_back(std::move(it->second.Record));
   table.Servers.erase(it);
 }
 
+// Decides anew which servers are used, and adds what that changes.
+void updateUsed(ServerTable &table, ServerChanges &changes) {
+  std::map<Address, std::uint64_t> latestStart;
+  for (const auto &[id, it] : table.Servers) {
+    std::uint64_t &latest = latestStart[it.Record.At];
+    latest = std::max(latest, it.Record.StartedMs);
+  }
+  for (auto &[id, it] : table.Servers) {
+    bool isUsed = it.Record.StartedMs >= latestStart[it.Record.At];
+    bool wasUsed = std::exchange(it.IsUsed, isUsed);
+    if (isUsed && !wasUsed)
+      changes.Updated.push_back(it.Record);
+    if (isUsed || !wasUsed)
+      continue;
+    std::erase_if(changes.Updated, [&](const ServerRecord &record) {
+      return record.Id == it.Record.Id;
+    });
+    changes.Removed.push_back(it.Record);
+  }
+}
+
 void restartGrace(ServerTable &table, Clock::time_point now) {
   table.OutageGraceUntil = now + ReregistrationTime;
   for (auto &[id, it] : table.Servers)
@@ -91,11 +114,13 @@
     known.RemoveAt.reset();
     if (!isNew && isSame(known.Record, it))
       continue;
-    if (!isNew && known.Record.Service != it.Service)
+    if (known.IsUsed && known.Record.Service != it.Service)
       changes.Removed.push_back(known.Record);
     known.Record = it;
-    changes.Updated.push_back(it);
+    if (known.IsUsed)
+      changes.Updated.push_back(it);
   }
+  updateUsed(table, changes);
   return changes;
 }
 
@@ -117,6 +142,7 @@
     }
     remove(table, id, now, changes);
   }
+  updateUsed(table, changes);
   return changes;
 }
 
@@ -143,8 +169,11 @@
   for (const auto &[id, it] : table.Servers)
     if (it.RemoveAt && now >= *it.RemoveAt)
       expired.push_back(id);
+  if (expired.empty())
+    return changes;
   for (const ServerId &id : expired)
     remove(table, id, now, changes);
+  updateUsed(table, changes);
   return changes;
 }
 
--- a/src/direct/server_table_test.cpp
+++ b/src/direct/server_table_test.cpp
@@ -21,7 +21,7 @@
     ServerRecord it;
     it.Id = {id};
     it.Service = {"ledger"};
-    it.At = {"10.0.0.1:80"};
+    it.At = {"10.0.0.1:80" + id};
     it.Leaving = isLeaving;
     it.StartedMs = born;
     return it;
@@ -103,6 +103,45 @@
   BOOST_TEST(changes.Updated.size() == 1);
 }
 
+// Guards against requests to a server that has crashed: it stays registered
+// for seconds after another one has started at its address.
+BOOST_AUTO_TEST_CASE(registration_laterAtSameAddress_replacesTheFormer) {
+  ServerRecord later = record("s3", false, 2);
+  later.At = record("s1", false).At;
+  ServerChanges changes = recordRegistrations(Table, {later});
+  BOOST_REQUIRE(changes.Updated.size() == 1);
+  BOOST_TEST(changes.Updated[0].Id.Value == "s3");
+  BOOST_REQUIRE(changes.Removed.size() == 1);
+  BOOST_TEST(changes.Removed[0].Id.Value == "s1");
+  // The former one is not used again, and its removal is no change.
+  BOOST_TEST(recordRegistrations(Table, {record("s1", true)}).Updated.empty());
+  BOOST_TEST(recordMissing(Table, {{"s1"}}, Now).Removed.empty());
+}
+
+BOOST_AUTO_TEST_CASE(registration_earlierAtSameAddress_isNotUsed) {
+  ServerRecord later = record("s3", false, 9);
+  ServerRecord former = record("s4", false, 8);
+  former.At = later.At;
+  ServerChanges changes = recordListing(Table, {later, former}, false, Now);
+  BOOST_REQUIRE(changes.Updated.size() == 1);
+  BOOST_TEST(changes.Updated[0].Id.Value == "s3");
+  BOOST_TEST(changes.Removed.empty());
+}
+
+// A server whose clock was set back registers an earlier start than the one
+// before it: it is used once that one's registration has lapsed.
+BOOST_AUTO_TEST_CASE(registration_replacedWhenTheLaterOneLapses_isUsedAgain) {
+  ServerRecord later = record("s3", false, 9);
+  ServerRecord former = record("s4", false, 8);
+  former.At = later.At;
+  recordListing(Table, {later, former}, false, Now);
+  ServerChanges changes = recordMissing(Table, {{"s3"}}, Now);
+  BOOST_REQUIRE(changes.Updated.size() == 1);
+  BOOST_TEST(changes.Updated[0].Id.Value == "s4");
+  BOOST_REQUIRE(changes.Removed.size() == 1);
+  BOOST_TEST(changes.Removed[0].Id.Value == "s3");
+}
+
 // Guards against servers that registered after the copy was made and are
 // removed at once when a restored store does not list them.
 BOOST_AUTO_TEST_CASE(restore_missingServer_isKeptForReregistrationTime) {
--- a/src/include/greengagespar/direct/server_table.h
+++ b/src/include/greengagespar/direct/server_table.h
@@ -9,6 +9,10 @@
 /// entry keeps using the first until it has had time to register again. It does
 /// not use the second before its registration changes, or has stood long enough
 /// to show that the server lives.
+///
+/// A server that crashes stays registered until the store removes it. A later
+/// server at its address proves that it is gone, so the entry stops using it at
+/// once.
 #ifndef GREENGAGESPAR_DIRECT_SERVER_TABLE_H
 #define GREENGAGESPAR_DIRECT_SERVER_TABLE_H
 
@@ -27,6 +31,8 @@
   /// Set while the registration is missing after an outage: the server is
   /// removed at this time unless it registers again.
   std::optional<Clock::time_point> RemoveAt;
+  /// No server that started later is registered at its address.
+  bool IsUsed = false;
 };
 
 /// A server that was removed.
@@ -72,7 +78,8 @@
   return heartbeatsToRemoval * heartbeat + removalDelay;
 }
 
-/// What one update of the table changed.
+/// What one update of the table changed, as far as servers are used: one that
+/// is replaced counts as removed.
 struct ServerChanges {
   std::vector<ServerRecord> Updated; ///< Added, or with a changed record.
   std::vector<ServerRecord> Removed;
