Keep the retries of all entries within one allowance

Cause: the extra retries were a sum of local buckets, whose sizes followed from the entries that each knew just then. An entry that started had ten tokens of its own and, until it knew others, the whole overdraft; those left after a kill took over parts that had just been used. Class: a bound on a whole that is kept by parts, which each holder computes from its own view.

Change: an entry has no part of the extra retries before it has run for a window, and knows others if its settings name any; until then it has what its own requests add, and at most one token. Entries that are silent or have ended keep their parts until the membership forgets them; those that left, for a window.

Ruled out: parts by demand, which would move between entries within a window.

The fixture of direct_site_tests waits until its entry has its part: a window of 100 ms.

--- a/src/direct/direct_entry.cpp
+++ b/src/direct/direct_entry.cpp
@@ -273,6 +273,7 @@
   Settings.RetryShare = settings.RetryShare;
   Settings.ExtraRetries = settings.ExtraRetries;
   Settings.RetryWindow = settings.RetryWindow;
+  Settings.Peers = settings.Peers;
   Site.setRegistrationHeartbeat(settings.RegistrationHeartbeat);
   Peers.addSeeds(settings.Peers);
   shareRetries();
@@ -320,6 +321,7 @@
   expireEvidence(Shared.Guard.Evidence, now);
   expireLimits(Shared.Limits, now);
   shareLimits(now);
+  shareRetries();
   bool isWaiting = LeavingSince.has_value();
   for (auto &[id, pool] : Pools) {
     pool->tick(now);
@@ -350,25 +352,18 @@
 }
 
 // Sets each pool's retry budget to this entry's part of the retries that all
-// entries may make. The token bucket holds the extra retries of one window, so
-// that it never grants more than those in a window beyond the share of
-// requests. Resumed streams have their own part of the extra retries as an
-// overdraft.
+// entries may make.
 void DirectEntry::shareRetries() {
   const auto &members = Peers.view().Members;
-  auto entries = std::max<std::ptrdiff_t>(
-      1, std::ranges::count_if(
-             members, [](const auto &it) { return acceptsWork(it.second); }));
-  double part = Settings.ExtraRetries / static_cast<double>(entries);
-  constexpr double resumeShare = 0.4;
-  constexpr double safetyFactor = 0.9;
+  auto entries = std::ranges::count_if(
+      members, [](const auto &it) { return acceptsWork(it.second); });
+  SharedRetries shared{Settings.ExtraRetries, Settings.RetryWindow, StartedAt,
+                       !Settings.Peers.empty()};
+  RetryAllowance allowance{Settings.RetryShare,
+                           extraRetryPart(Peers.view(), shared, Clock::now())};
   for (auto &[id, pool] : Pools) {
     pool->setEntries(static_cast<std::size_t>(entries));
-    RetryBudget &budget = pool->budget();
-    budget.Share = safetyFactor * Settings.RetryShare;
-    budget.Overdraft = resumeShare * part * safetyFactor;
-    budget.MaxTokens = (1 - resumeShare) * part * safetyFactor;
-    budget.Tokens = std::min(budget.Tokens, budget.MaxTokens);
+    applyAllowance(pool->budget(), allowance);
   }
 }
 
--- a/src/direct/server_pool.cpp
+++ b/src/direct/server_pool.cpp
@@ -18,11 +18,6 @@
 // that the one with the most calls determines the speed of all.
 constexpr std::size_t CompareAll = 1024;
 
-// Retries that a new pool may make before requests add to its budget: those
-// that the platform's pages allow the whole system beyond the share of first
-// attempts, divided among its entries.
-constexpr double InitialRetries = 10;
-
 // A rank agent reports a broken group each second. After this time without a
 // report the agent may have been lost, and the pool assumes that the group
 // accepts work.
@@ -51,7 +46,8 @@
 ServerPool::ServerPool(event_base *loop, ServiceId service, std::uint64_t seed)
     : Loop(loop), Service(std::move(service)), Random(seed) {
   AdmissionControl.Options = admissionOptions();
-  Retries.Tokens = InitialRetries;
+  Retries.Tokens = 0;
+  Retries.HasPart = false;
 }
 
 void ServerPool::configure(const Backend &backend) {
--- a/src/direct/shared_state.cpp
+++ b/src/direct/shared_state.cpp
@@ -76,6 +76,20 @@
   return sharers;
 }
 
+double extraRetryPart(const MemberView &members, const SharedRetries &shared,
+                      Clock::time_point now) {
+  std::size_t known = members.Members.size();
+  bool isAlone = known <= 1 && shared.HasPeers;
+  if (isAlone || known == 0 || now - shared.StartedAt < shared.Window)
+    return 0;
+  auto holders = std::ranges::count_if(members.Members, [&](const auto &it) {
+    const Member &member = it.second;
+    return !member.Row.Leaving || now - member.LastReceivedAt <= shared.Window;
+  });
+  return shared.Extra /
+         static_cast<double>(std::max<std::ptrdiff_t>(1, holders));
+}
+
 ServiceDemand demandRow(const ServiceId &service, double perSecond) {
   return {stableHash(service.Value), perSecond};
 }
--- a/src/include/greengagespar/direct/shared_state.h
+++ b/src/include/greengagespar/direct/shared_state.h
@@ -49,6 +49,23 @@
                                       const ServiceId &service,
                                       double ownDemand, Clock::time_point now);
 
+/// The retries that all entries share.
+struct SharedRetries {
+  int Extra = 0; ///< In any Window, beyond a share of the requests.
+  std::chrono::milliseconds Window{0};
+  Clock::time_point StartedAt; ///< When this entry started.
+  bool HasPeers = false;       ///< The settings name other entries.
+};
+
+/// Returns this entry's part of the extra retries of \p shared. All known
+/// entries have equal parts. One that leaves, is silent or has ended keeps its
+/// part as long as it may have used it in the last window; a silent one may
+/// only be cut off, so it keeps its part until the membership forgets it. An
+/// entry that has just started has none: the entry before it at its address may
+/// have used that part in the same window, and it doesn't know all others yet.
+double extraRetryPart(const MemberView &members, const SharedRetries &shared,
+                      Clock::time_point now);
+
 /// Returns the demand \p perSecond for \p service as a member row carries it.
 ServiceDemand demandRow(const ServiceId &service, double perSecond);
 
--- a/src/include/greengagespar/route/retry_budget.h
+++ b/src/include/greengagespar/route/retry_budget.h
@@ -21,6 +21,7 @@
 /// than Overdraft; only retries that resume a stream may use Overdraft.
 struct RetryBudget {
   static constexpr double InitialTokens = 2;
+  bool HasPart = true;   ///< See RetryAllowance::ExtraPart.
   double Share = 0.18;   ///< Tokens that each first attempt adds.
   double MaxTokens = 20; ///< Greatest number of tokens in the bucket.
   /// How far below zero resumed streams may bring Tokens.
@@ -32,6 +33,23 @@
   int HedgesInFlight = 0; ///< Hedges that have not ended.
 };
 
+/// Most tokens in the bucket of an entry that has no part of the extra retries.
+inline constexpr double TokensWithoutPart = 1;
+
+/// What all entries together may send as retries of one service, and this
+/// entry's part of it.
+struct RetryAllowance {
+  double Share = 0.2; ///< Retries for each request.
+  /// This entry's part of the retries beyond Share in any window; 0: none yet.
+  double ExtraPart = 0;
+};
+
+/// Sets the bounds of \p budget so that in any window its retries stay within
+/// \p allowance, with a margin. An entry whose part begins gets the tokens of
+/// a window at once. After its part has ended or become smaller it never has
+/// more tokens than the smaller part allows.
+void applyAllowance(RetryBudget &budget, const RetryAllowance &allowance);
+
 /// A failed attempt to run a call.
 struct FailedAttempt {
   ErrorKind Kind = ErrorKind::LinkDown;
--- a/src/route/retry_budget.cpp
+++ b/src/route/retry_budget.cpp
@@ -1,6 +1,7 @@
 #include "greengagespar/route/retry_budget.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace greengagespar {
 
@@ -12,6 +13,12 @@
 constexpr milliseconds FirstBackoff{50};
 constexpr milliseconds LongestBackoff{1000};
 
+// Part of an allowance that is used: the rest covers what entries count a
+// little differently from those who judge them.
+constexpr double UsedAllowance = 0.9;
+// Part of the extra retries that is kept for streams to resume.
+constexpr double ResumeShare = 0.4;
+
 constexpr double MaxHedgeShare = 0.05;
 constexpr double MaxHedgeLoad = 0.7;
 
@@ -55,6 +62,19 @@
   budget.Tokens = std::min(budget.Tokens + budget.Share, budget.MaxTokens);
 }
 
+void applyAllowance(RetryBudget &budget, const RetryAllowance &allowance) {
+  double extra = UsedAllowance * allowance.ExtraPart;
+  bool hadPart = std::exchange(budget.HasPart, extra > 0);
+  budget.Share = UsedAllowance * allowance.Share;
+  budget.Overdraft = ResumeShare * extra;
+  budget.MaxTokens = std::max(TokensWithoutPart, extra - budget.Overdraft);
+  // What was used without a part counts against the part's first window.
+  if (budget.HasPart && !hadPart)
+    budget.Tokens =
+        std::max(budget.Tokens, budget.MaxTokens - TokensWithoutPart);
+  budget.Tokens = std::min(budget.Tokens, budget.MaxTokens);
+}
+
 RetryDecision decideRetry(RetryBudget &budget, const FailedAttempt &failed,
                           double draw) {
   if (isPermanent(failed.Kind))
--- a/testsuite/direct/site.cpp
+++ b/testsuite/direct/site.cpp
@@ -340,6 +340,7 @@
   Settings.Link = freeAddress();
   Settings.Store = Objects.at();
   Settings.Grace = 3000ms;
+  Settings.RetryWindow = 100ms;
   Objects.put("config", "main", configuration(1));
 }
 
@@ -395,6 +396,8 @@
     throw std::runtime_error("the entry can't start");
   runUntil(
       [&] { return getFrom(Settings.Ready, "/-/ready").Head.Status == 200; });
+  // Then it has its part of the retries.
+  runFor(Settings.RetryWindow + 250ms);
 }
 
 bool SiteFixture::runUntil(const std::function<bool()> &done) {
