Tell other entries that a server is gone

Cause: an answer 421 proves that the server which the registration means is gone, but it counted as one failure of a link. The server stayed among the choices until the third failure at each entry, and each of 46 entries learned that by itself.

--- a/src/direct/digest_messages.cpp
+++ b/src/direct/digest_messages.cpp
@@ -80,4 +80,25 @@
   return rows;
 }
 
+void writeNotices(const std::vector<NoticeRow> &rows, wire::Members &digest) {
+  for (const NoticeRow &row : rows) {
+    wire::ServerNotice &out = *digest.add_notices();
+    out.set_server(row.Server.Value);
+    out.set_gone(row.Kind == NoticeKind::Gone);
+    out.set_age_ms(millisecondsOf(row.Age));
+  }
+}
+
+std::vector<NoticeRow> readNotices(const wire::Members &digest) {
+  std::vector<NoticeRow> rows;
+  int count = std::min(digest.notices_size(), static_cast<int>(MaxNoticeRows));
+  for (int i = 0; i < count; ++i) {
+    const wire::ServerNotice &in = digest.notices(i);
+    rows.push_back({{in.server()},
+                    in.gone() ? NoticeKind::Gone : NoticeKind::Leaving,
+                    ageOf(in.age_ms())});
+  }
+  return rows;
+}
+
 } // namespace greengagespar
--- a/src/direct/digest_messages_test.cpp
+++ b/src/direct/digest_messages_test.cpp
@@ -84,4 +84,21 @@
   BOOST_TEST(bytes <= mostBytes);
 }
 
+BOOST_AUTO_TEST_CASE(notices_writtenAndRead_areTheSameUpToTheLimit) {
+  wire::Members digest;
+  std::vector<NoticeRow> rows;
+  for (std::uint64_t i = 0; i < MaxNoticeRows + 5; ++i)
+    rows.push_back({{i},
+                    i % 2 ? NoticeKind::Gone : NoticeKind::Leaving,
+                    std::chrono::milliseconds(i)});
+  writeNotices(rows, digest);
+  auto read = readNotices(digest);
+  BOOST_REQUIRE(read.size() == MaxNoticeRows);
+  for (std::size_t i = 0; i < read.size(); ++i) {
+    BOOST_TEST(read[i].Server.Value == rows[i].Server.Value);
+    BOOST_TEST((read[i].Kind == rows[i].Kind));
+    BOOST_TEST((read[i].Age == rows[i].Age));
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/direct/direct_entry.cpp
+++ b/src/direct/direct_entry.cpp
@@ -127,6 +127,10 @@
                                std::optional<double> perSecond) {
     onRateLimit(server, perSecond);
   };
+  Context.OnNotice = [this](const ServerRecord &server, NoticeKind kind,
+                            std::string_view requestId) {
+    onNotice(server, kind, requestId);
+  };
   Context.OnEnded = [this](CallId id) { scheduleDestruction(id); };
 }
 
@@ -148,7 +152,10 @@
     writeShared(Shared, digest, Clock::now());
   };
   hooks.OnDigest = [this](const wire::Members &digest) {
-    return mergeShared(Shared, digest, Clock::now());
+    bool isNews = mergeShared(Shared, digest, Clock::now());
+    if (isNews)
+      applyNotices();
+    return isNews;
   };
   return hooks;
 }
@@ -162,6 +169,19 @@
   Peers.announce();
 }
 
+void DirectEntry::onNotice(const ServerRecord &server, NoticeKind kind,
+                           std::string_view requestId) {
+  if (!recordServerNotice(Shared, server, kind, requestId, Clock::now()))
+    return;
+  applyNotices();
+  Peers.announceSoon();
+}
+
+void DirectEntry::applyNotices() {
+  for (auto &[service, pool] : Pools)
+    pool->applyNotices();
+}
+
 // Sets each pool's parts of the rate limits of its servers.
 void DirectEntry::shareLimits(Clock::time_point now) {
   for (auto &[service, pool] : Pools) {
@@ -320,6 +340,8 @@
   Site.tick(now);
   expireEvidence(Shared.Guard.Evidence, now);
   expireLimits(Shared.Limits, now);
+  if (expireNotices(Shared.Notices, now))
+    applyNotices();
   shareLimits(now);
   shareRetries();
   bool isWaiting = LeavingSince.has_value();
@@ -345,7 +367,8 @@
 ServerPool &DirectEntry::poolOf(const ServiceId &service) {
   auto &pool = Pools[service];
   if (!pool) {
-    pool = std::make_unique<ServerPool>(Loop, service, Random());
+    pool =
+        std::make_unique<ServerPool>(Loop, service, Shared.Notices, Random());
     shareRetries();
   }
   return *pool;
--- a/src/direct/exchange.cpp
+++ b/src/direct/exchange.cpp
@@ -176,7 +176,10 @@
   CurrentAttempt->Head = head;
   CurrentAttempt->Answer = facts;
   CurrentAttempt->HasHead = true;
-  if (!facts.IsOtherServer)
+  if (facts.IsOtherServer)
+    Context.OnNotice(CurrentAttempt->Server, NoticeKind::Gone,
+                     Call.Facts.RequestId);
+  else
     Context.OnRateLimit(CurrentAttempt->Server, facts.RateLimit);
   CurrentAttempt->RelaysEvents = head.Status == StatusOk &&
                                  facts.IsEventStream && facts.IsSigned &&
--- a/src/direct/server_pool.cpp
+++ b/src/direct/server_pool.cpp
@@ -43,8 +43,9 @@
 
 } // namespace
 
-ServerPool::ServerPool(event_base *loop, ServiceId service, std::uint64_t seed)
-    : Loop(loop), Service(std::move(service)), Random(seed) {
+ServerPool::ServerPool(event_base *loop, ServiceId service,
+                       const ServerNotices &notices, std::uint64_t seed)
+    : Loop(loop), Service(std::move(service)), Notices(notices), Random(seed) {
   AdmissionControl.Options = admissionOptions();
   Retries.Tokens = 0;
   Retries.HasPart = false;
@@ -77,11 +78,30 @@
     BrokenGroupReportedAt[id] = Clock::now();
   if (isOpen == wasOpen || !view)
     return;
-  view->Target.Leaving = !isOpen || Servers[id].Record.Leaving;
+  view->Target.Leaving = takesNoWork(Servers[id]);
   updateStreamLimit();
   startWaiting(Clock::now());
 }
 
+// Whether \p server gets no new work: it leaves, is gone, or its group is
+// broken.
+bool ServerPool::takesNoWork(const KeptConnections &server) const {
+  return server.Record.Leaving ||
+         BrokenGroupReportedAt.contains(server.Record.Id) ||
+         hasNotice(Notices, server.Incarnation);
+}
+
+void ServerPool::applyNotices() {
+  bool isChanged = false;
+  for (EndpointView &view : Views) {
+    bool leaves = takesNoWork(Servers[view.Target.Id]);
+    isChanged = isChanged || leaves != view.Target.Leaving;
+    view.Target.Leaving = leaves;
+  }
+  if (isChanged)
+    updateStreamLimit();
+}
+
 // Returns \p why; for a model group, with a RetryAfter of at least
 // StreamRetryAfter. A refused stream has missed its objective however soon it
 // is sent again, so its caller should wait until the load peak has probably
@@ -199,7 +219,7 @@
     view->Limit = {limit, limit, Clock::now()};
   }
   view->Target = {record.Id, record.At, record.DataCentre, false,
-                  record.Leaving || BrokenGroupReportedAt.contains(record.Id)};
+                  takesNoWork(kept)};
   view->Slots = slotsOfServer(record);
   updateStreamLimit();
   startWaiting(Clock::now());
--- a/src/direct/shared_state.cpp
+++ b/src/direct/shared_state.cpp
@@ -21,6 +21,7 @@
   writeEvidence(evidenceRows(state.Guard.Evidence, now, MaxEvidenceRows),
                 digest);
   writeLimits(takeLimitRows(state.Limits, MaxLimitRows, now), digest);
+  writeNotices(noticeRows(state.Notices, MaxNoticeRows, now), digest);
 }
 
 bool mergeShared(SharedState &state, const wire::Members &digest,
@@ -30,6 +31,8 @@
     isNews = mergeEvidence(state.Guard.Evidence, it, now) || isNews;
   for (const LimitRow &it : readLimits(digest))
     isNews = mergeLimit(state.Limits, it, now) || isNews;
+  for (const NoticeRow &it : readNotices(digest))
+    isNews = mergeNotice(state.Notices, it, now) || isNews;
   return isNews;
 }
 
@@ -48,6 +51,22 @@
   return true;
 }
 
+bool recordServerNotice(SharedState &state, const ServerRecord &server,
+                        NoticeKind kind, std::string_view requestId,
+                        Clock::time_point now) {
+  if (!recordNotice(state.Notices, incarnationIdOf(server.Id, server.StartedMs),
+                    kind, now))
+    return false;
+  logInfo(Part::Route,
+          LogLine("server_notice")
+              .add("id", requestId)
+              .add("server", server.Id.Value)
+              .add("at", server.At.Value)
+              .add("says", kind == NoticeKind::Gone ? "gone" : "leaving")
+              .text());
+  return true;
+}
+
 bool isTrialEntry(const MemberView &members, PromptPartId part) {
   std::vector<Address> entries;
   for (const auto &[address, it] : members.Members)
@@ -100,6 +119,8 @@
            static_cast<double>(state.Guard.Evidence.Parts.size()));
   setGauge(counters, {"greengagespar_parts_blocked"},
            static_cast<double>(blockedParts(state.Guard.Evidence, now)));
+  setGauge(counters, {"greengagespar_server_notices"},
+           static_cast<double>(state.Notices.Servers.size()));
   auto limited = std::ranges::count_if(state.Limits.Servers, [](auto &it) {
     return it.second.PerSecond.has_value();
   });
--- a/src/include/greengagespar/direct/digest_messages.h
+++ b/src/include/greengagespar/direct/digest_messages.h
@@ -1,13 +1,14 @@
 /// \file
 /// Converts what entries add to their digests to and from messages: evidence
-/// about parts of prompts, and rate limits of servers. Pure functions; thread
-/// safe.
+/// about parts of prompts, rate limits of servers and notices about servers.
+/// Pure functions; thread safe.
 #ifndef GREENGAGESPAR_DIRECT_DIGEST_MESSAGES_H
 #define GREENGAGESPAR_DIRECT_DIGEST_MESSAGES_H
 
 #include "greengagespar/link/link.pb.h"
 #include "greengagespar/route/crash_evidence.h"
 #include "greengagespar/route/rate_limit.h"
+#include "greengagespar/route/server_notice.h"
 
 namespace greengagespar {
 
@@ -19,6 +20,9 @@
 /// Most rate limits in one digest. A row takes at most 34 bytes.
 inline constexpr std::size_t MaxLimitRows = 8;
 
+/// Most notices in one digest. A row takes at most 17 bytes.
+inline constexpr std::size_t MaxNoticeRows = 32;
+
 /// Adds \p rows to \p digest.
 void writeEvidence(const std::vector<EvidenceRow> &rows, wire::Members &digest);
 
@@ -34,6 +38,12 @@
 /// are no finite rates of zero or more.
 std::vector<LimitRow> readLimits(const wire::Members &digest);
 
+/// Adds \p rows to \p digest.
+void writeNotices(const std::vector<NoticeRow> &rows, wire::Members &digest);
+
+/// Reads the first MaxNoticeRows notices of \p digest.
+std::vector<NoticeRow> readNotices(const wire::Members &digest);
+
 } // namespace greengagespar
 
 #endif // GREENGAGESPAR_DIRECT_DIGEST_MESSAGES_H
--- a/src/include/greengagespar/direct/direct_entry.h
+++ b/src/include/greengagespar/direct/direct_entry.h
@@ -57,6 +57,9 @@
   PeerLinksHooks peerHooks();
   MemberRow ownRow() const;
   void onRateLimit(const ServerRecord &server, std::optional<double> perSecond);
+  void onNotice(const ServerRecord &server, NoticeKind kind,
+                std::string_view requestId);
+  void applyNotices();
   void shareLimits(Clock::time_point now);
   void pullFrom(const Address &peer, Generation at);
   bool isReady() const;
--- a/src/include/greengagespar/direct/exchange.h
+++ b/src/include/greengagespar/direct/exchange.h
@@ -14,6 +14,7 @@
 #include "greengagespar/direct/route_table.h"
 #include "greengagespar/direct/server_pool.h"
 #include "greengagespar/report/metrics.h"
+#include "greengagespar/route/server_notice.h"
 #include "greengagespar/store/timer.h"
 
 namespace greengagespar {
@@ -27,6 +28,10 @@
   /// Reports the rate limit that an answer of a server states; empty: none.
   std::function<void(const ServerRecord &, std::optional<double> perSecond)>
       OnRateLimit;
+  /// Reports what an answer to the request \p requestId says about its server.
+  std::function<void(const ServerRecord &, NoticeKind,
+                     std::string_view requestId)>
+      OnNotice;
   /// Reports to the owner that the exchange has ended. The exchange still runs
   /// during the call; the owner may destroy it after the call has returned.
   std::function<void(CallId)> OnEnded;
--- a/src/include/greengagespar/direct/server_pool.h
+++ b/src/include/greengagespar/direct/server_pool.h
@@ -15,6 +15,7 @@
 #include "greengagespar/route/pace_limit.h"
 #include "greengagespar/route/rate_limit.h"
 #include "greengagespar/route/retry_budget.h"
+#include "greengagespar/route/server_notice.h"
 #include "greengagespar/route/stall.h"
 
 namespace greengagespar {
@@ -49,8 +50,9 @@
 /// The servers of one service and its waiting calls.
 class ServerPool {
 public:
-  /// Precondition: \p loop outlives the pool.
-  ServerPool(event_base *loop, ServiceId service, std::uint64_t seed);
+  /// Precondition: \p loop and \p notices outlive the pool.
+  ServerPool(event_base *loop, ServiceId service, const ServerNotices &notices,
+             std::uint64_t seed);
 
   /// Applies what the operator declares about the service.
   void configure(const Backend &backend);
@@ -76,6 +78,8 @@
   /// Records whether the group of server \p id accepts work, as the server's
   /// rank agent reports.
   void recordGroupOpen(const ServerId &id, bool isOpen);
+  /// Applies the notices about servers; call it after a change of them.
+  void applyNotices();
   /// Sets this entry's parts of the servers' rate limits \p limits, which the
   /// entries \p sharers share. Precondition: the entry \p self is one of them.
   void shareLimits(const RateLimits &limits, const Address &self,
@@ -120,6 +124,7 @@
   Capacity capacity() const;
   Refusal refusalOf(const Refusal &why) const;
   bool hasRoom(Clock::time_point now) const;
+  bool takesNoWork(const KeptConnections &server) const;
   void updateStreamLimit();
   void updateRates(Clock::time_point now);
   int slotsOfServer(const ServerRecord &record) const;
@@ -129,6 +134,7 @@
 
   event_base *Loop;
   ServiceId Service;
+  const ServerNotices &Notices;
   Backend Declared;
   std::vector<EndpointView> Views;
   std::map<ServerId, KeptConnections> Servers;
--- a/src/include/greengagespar/direct/shared_state.h
+++ b/src/include/greengagespar/direct/shared_state.h
@@ -1,8 +1,8 @@
 /// \file
 /// What entries learn from each other beside membership and settings: evidence
-/// about parts of prompts that crash servers, and rate limits of servers. Both
-/// travel in the digests of the membership. Not thread safe: belongs to the
-/// thread of its loop.
+/// about parts of prompts that crash servers, rate limits of servers, and
+/// notices about servers. All travel in the digests of the membership. Not
+/// thread safe: belongs to the thread of its loop.
 #ifndef GREENGAGESPAR_DIRECT_SHARED_STATE_H
 #define GREENGAGESPAR_DIRECT_SHARED_STATE_H
 
@@ -11,6 +11,7 @@
 #include "greengagespar/link/link.pb.h"
 #include "greengagespar/report/metrics.h"
 #include "greengagespar/route/rate_limit.h"
+#include "greengagespar/route/server_notice.h"
 
 namespace greengagespar {
 
@@ -18,6 +19,7 @@
 struct SharedState {
   PartGuard Guard;
   RateLimits Limits;
+  ServerNotices Notices;
   std::uint64_t NextObservation = 0;
 };
 
@@ -37,6 +39,12 @@
                      std::optional<double> perSecond, Incarnation self,
                      Clock::time_point now);
 
+/// Records and logs a notice about \p server, which an answer to the request
+/// \p requestId gave. Returns whether other entries should know.
+bool recordServerNotice(SharedState &state, const ServerRecord &server,
+                        NoticeKind kind, std::string_view requestId,
+                        Clock::time_point now);
+
 /// Whether this entry is the one of all that may try requests with a suspect
 /// \p part: the first in the rendezvous order of the part.
 bool isTrialEntry(const MemberView &members, PromptPartId part);
--- a/src/include/greengagespar/peers/peer_links.h
+++ b/src/include/greengagespar/peers/peer_links.h
@@ -87,6 +87,9 @@
   /// Starts a round of heartbeats at once, for example because this process is
   /// leaving.
   void announce();
+  /// Starts a round of heartbeats within a few tenths of a second. Further
+  /// calls until then start none of their own.
+  void announceSoon() { NextRound = {}; }
 
   /// Sends \p envelope to the entry at \p peer, over a new link if there is
   /// none. Returns false when it was not sent.
