--- a/src/direct/direct_entry.cpp
+++ b/src/direct/direct_entry.cpp
@@ -127,6 +127,10 @@
                                std::optional<double> perSecond) {
     onRateLimit(server, perSecond);
   };
+  Context.OnNotice = [this](const ServerRecord &server, NoticeKind kind,
+                            std::string_view requestId) {
+    onNotice(server, kind, requestId);
+  };
   Context.OnEnded = [this](CallId id) { scheduleDestruction(id); };
 }
 
@@ -148,7 +152,10 @@
     writeShared(Shared, digest, Clock::now());
   };
   hooks.OnDigest = [this](const wire::Members &digest) {
-    return mergeShared(Shared, digest, Clock::now());
+    bool isNews = mergeShared(Shared, digest, Clock::now());
+    if (isNews)
+      applyNotices();
+    return isNews;
   };
   return hooks;
 }
@@ -162,6 +169,19 @@
   Peers.announce();
 }
 
+void DirectEntry::onNotice(const ServerRecord &server, NoticeKind kind,
+                           std::string_view requestId) {
+  if (!recordServerNotice(Shared, server, kind, requestId, Clock::now()))
+    return;
+  applyNotices();
+  Peers.announceSoon();
+}
+
+void DirectEntry::applyNotices() {
+  for (auto &[service, pool] : Pools)
+    pool->applyNotices();
+}
+
 // Sets each pool's parts of the rate limits of its servers.
 void DirectEntry::shareLimits(Clock::time_point now) {
   for (auto &[service, pool] : Pools) {
@@ -273,6 +293,7 @@
   Settings.RetryShare = settings.RetryShare;
   Settings.ExtraRetries = settings.ExtraRetries;
   Settings.RetryWindow = settings.RetryWindow;
+  Settings.Peers = settings.Peers;
   Site.setRegistrationHeartbeat(settings.RegistrationHeartbeat);
   Peers.addSeeds(settings.Peers);
   shareRetries();
@@ -319,7 +340,10 @@
   Site.tick(now);
   expireEvidence(Shared.Guard.Evidence, now);
   expireLimits(Shared.Limits, now);
+  if (expireNotices(Shared.Notices, now))
+    applyNotices();
   shareLimits(now);
+  shareRetries();
   bool isWaiting = LeavingSince.has_value();
   for (auto &[id, pool] : Pools) {
     pool->tick(now);
@@ -343,32 +367,26 @@
 ServerPool &DirectEntry::poolOf(const ServiceId &service) {
   auto &pool = Pools[service];
   if (!pool) {
-    pool = std::make_unique<ServerPool>(Loop, service, Random());
+    pool =
+        std::make_unique<ServerPool>(Loop, service, Shared.Notices, Random());
     shareRetries();
   }
   return *pool;
 }
 
 // Sets each pool's retry budget to this entry's part of the retries that all
-// entries may make. The token bucket holds the extra retries of one window, so
-// that it never grants more than those in a window beyond the share of
-// requests. Resumed streams have their own part of the extra retries as an
-// overdraft.
+// entries may make.
 void DirectEntry::shareRetries() {
   const auto &members = Peers.view().Members;
-  auto entries = std::max<std::ptrdiff_t>(
-      1, std::ranges::count_if(
-             members, [](const auto &it) { return acceptsWork(it.second); }));
-  double part = Settings.ExtraRetries / static_cast<double>(entries);
-  constexpr double resumeShare = 0.4;
-  constexpr double safetyFactor = 0.9;
+  auto entries = std::ranges::count_if(
+      members, [](const auto &it) { return acceptsWork(it.second); });
+  SharedRetries shared{Settings.ExtraRetries, Settings.RetryWindow, StartedAt,
+                       !Settings.Peers.empty()};
+  RetryAllowance allowance{Settings.RetryShare,
+                           extraRetryPart(Peers.view(), shared, Clock::now())};
   for (auto &[id, pool] : Pools) {
     pool->setEntries(static_cast<std::size_t>(entries));
-    RetryBudget &budget = pool->budget();
-    budget.Share = safetyFactor * Settings.RetryShare;
-    budget.Overdraft = resumeShare * part * safetyFactor;
-    budget.MaxTokens = (1 - resumeShare) * part * safetyFactor;
-    budget.Tokens = std::min(budget.Tokens, budget.MaxTokens);
+    applyAllowance(pool->budget(), allowance);
   }
 }
 
--- a/src/direct/server_pool.cpp
+++ b/src/direct/server_pool.cpp
@@ -18,11 +18,6 @@
 // that the one with the most calls determines the speed of all.
 constexpr std::size_t CompareAll = 1024;
 
-// Retries that a new pool may make before requests add to its budget: those
-// that the platform's pages allow the whole system beyond the share of first
-// attempts, divided among its entries.
-constexpr double InitialRetries = 10;
-
 // A rank agent reports a broken group each second. After this time without a
 // report the agent may have been lost, and the pool assumes that the group
 // accepts work.
@@ -48,10 +43,12 @@
 
 } // namespace
 
-ServerPool::ServerPool(event_base *loop, ServiceId service, std::uint64_t seed)
-    : Loop(loop), Service(std::move(service)), Random(seed) {
+ServerPool::ServerPool(event_base *loop, ServiceId service,
+                       const ServerNotices &notices, std::uint64_t seed)
+    : Loop(loop), Service(std::move(service)), Notices(notices), Random(seed) {
   AdmissionControl.Options = admissionOptions();
-  Retries.Tokens = InitialRetries;
+  Retries.Tokens = 0;
+  Retries.HasPart = false;
 }
 
 void ServerPool::configure(const Backend &backend) {
@@ -81,11 +78,30 @@
     BrokenGroupReportedAt[id] = Clock::now();
   if (isOpen == wasOpen || !view)
     return;
-  view->Target.Leaving = !isOpen || Servers[id].Record.Leaving;
+  view->Target.Leaving = takesNoWork(Servers[id]);
   updateStreamLimit();
   startWaiting(Clock::now());
 }
 
+// Whether \p server gets no new work: it leaves, is gone, or its group is
+// broken.
+bool ServerPool::takesNoWork(const KeptConnections &server) const {
+  return server.Record.Leaving ||
+         BrokenGroupReportedAt.contains(server.Record.Id) ||
+         hasNotice(Notices, server.Incarnation);
+}
+
+void ServerPool::applyNotices() {
+  bool isChanged = false;
+  for (EndpointView &view : Views) {
+    bool leaves = takesNoWork(Servers[view.Target.Id]);
+    isChanged = isChanged || leaves != view.Target.Leaving;
+    view.Target.Leaving = leaves;
+  }
+  if (isChanged)
+    updateStreamLimit();
+}
+
 // Returns \p why; for a model group, with a RetryAfter of at least
 // StreamRetryAfter. A refused stream has missed its objective however soon it
 // is sent again, so its caller should wait until the load peak has probably
@@ -203,7 +219,7 @@
     view->Limit = {limit, limit, Clock::now()};
   }
   view->Target = {record.Id, record.At, record.DataCentre, false,
-                  record.Leaving || BrokenGroupReportedAt.contains(record.Id)};
+                  takesNoWork(kept)};
   view->Slots = slotsOfServer(record);
   updateStreamLimit();
   startWaiting(Clock::now());
@@ -358,6 +374,9 @@
   set("greengagespar_pace_limit", StreamLimit.Value);
   set("greengagespar_server_connections",
       static_cast<double>(ConnectionsOpened));
+  set("greengagespar_retry_tokens", Retries.Tokens);
+  set("greengagespar_retry_part", Retries.MaxTokens + Retries.Overdraft);
+  set("greengagespar_retry_entries", static_cast<double>(Entries));
 }
 
 } // namespace greengagespar
--- a/src/include/greengagespar/direct/shared_state.h
+++ b/src/include/greengagespar/direct/shared_state.h
@@ -1,8 +1,8 @@
 /// \file
 /// What entries learn from each other beside membership and settings: evidence
-/// about parts of prompts that crash servers, and rate limits of servers. Both
-/// travel in the digests of the membership. Not thread safe: belongs to the
-/// thread of its loop.
+/// about parts of prompts that crash servers, rate limits of servers, and
+/// notices about servers. All travel in the digests of the membership. Not
+/// thread safe: belongs to the thread of its loop.
 #ifndef GREENGAGESPAR_DIRECT_SHARED_STATE_H
 #define GREENGAGESPAR_DIRECT_SHARED_STATE_H
 
@@ -11,6 +11,7 @@
 #include "greengagespar/link/link.pb.h"
 #include "greengagespar/report/metrics.h"
 #include "greengagespar/route/rate_limit.h"
+#include "greengagespar/route/server_notice.h"
 
 namespace greengagespar {
 
@@ -18,6 +19,7 @@
 struct SharedState {
   PartGuard Guard;
   RateLimits Limits;
+  ServerNotices Notices;
   std::uint64_t NextObservation = 0;
 };
 
@@ -37,6 +39,12 @@
                      std::optional<double> perSecond, Incarnation self,
                      Clock::time_point now);
 
+/// Records and logs a notice about \p server, which an answer to the request
+/// \p requestId gave. Returns whether other entries should know.
+bool recordServerNotice(SharedState &state, const ServerRecord &server,
+                        NoticeKind kind, std::string_view requestId,
+                        Clock::time_point now);
+
 /// Whether this entry is the one of all that may try requests with a suspect
 /// \p part: the first in the rendezvous order of the part.
 bool isTrialEntry(const MemberView &members, PromptPartId part);
@@ -49,6 +57,23 @@
                                       const ServiceId &service,
                                       double ownDemand, Clock::time_point now);
 
+/// The retries that all entries share.
+struct SharedRetries {
+  int Extra = 0; ///< In any Window, beyond a share of the requests.
+  std::chrono::milliseconds Window{0};
+  Clock::time_point StartedAt; ///< When this entry started.
+  bool HasPeers = false;       ///< The settings name other entries.
+};
+
+/// Returns this entry's part of the extra retries of \p shared. All known
+/// entries have equal parts. One that leaves, is silent or has ended keeps its
+/// part as long as it may have used it in the last window; a silent one may
+/// only be cut off, so it keeps its part until the membership forgets it. An
+/// entry that has just started has none: the entry before it at its address may
+/// have used that part in the same window, and it doesn't know all others yet.
+double extraRetryPart(const MemberView &members, const SharedRetries &shared,
+                      Clock::time_point now);
+
 /// Returns the demand \p perSecond for \p service as a member row carries it.
 ServiceDemand demandRow(const ServiceId &service, double perSecond);
 
--- a/testsuite/direct/site.cpp
+++ b/testsuite/direct/site.cpp
@@ -246,9 +246,10 @@
   }
 };
 
-FakeServer::FakeServer(event_base *loop, std::string id, Script script)
+FakeServer::FakeServer(event_base *loop, std::string id, Script script,
+                       const Address &at)
     : Respond(std::move(script)), Loop(loop), Id(std::move(id)),
-      At(freeAddress()) {
+      At(at.Value.empty() ? freeAddress() : at) {
   sockaddr_storage name{};
   int size = sizeof(name);
   evutil_parse_sockaddr_port(At.Value.c_str(),
@@ -270,9 +271,13 @@
 
 json::object FakeServer::entry(const std::string &service,
                                const std::string &state) const {
-  return {{"service", service},   {"address", At.Value}, {"zone", "z"},
-          {"version", "v1"},      {"slots", 12},         {"state", state},
-          {"coldRemainingMs", 0}, {"sequence", 1}};
+  json::object spec{{"service", service},   {"address", At.Value},
+                    {"zone", "z"},          {"version", "v1"},
+                    {"slots", 12},          {"state", state},
+                    {"coldRemainingMs", 0}, {"sequence", 1}};
+  if (StartedMs > 0)
+    spec["born"] = StartedMs;
+  return spec;
 }
 
 void FakeServer::sendMore(std::string_view bytes) {
@@ -335,6 +340,7 @@
   Settings.Link = freeAddress();
   Settings.Store = Objects.at();
   Settings.Grace = 3000ms;
+  Settings.RetryWindow = 100ms;
   Objects.put("config", "main", configuration(1));
 }
 
@@ -390,6 +396,8 @@
     throw std::runtime_error("the entry can't start");
   runUntil(
       [&] { return getFrom(Settings.Ready, "/-/ready").Head.Status == 200; });
+  // Then it has its part of the retries.
+  runFor(Settings.RetryWindow + 250ms);
 }
 
 bool SiteFixture::runUntil(const std::function<bool()> &done) {
