--- a/src/direct/exchange.cpp
+++ b/src/direct/exchange.cpp
@@ -181,6 +181,9 @@
                      Call.Facts.RequestId);
   else
     Context.OnRateLimit(CurrentAttempt->Server, facts.RateLimit);
+  if (facts.IsLeaving && !facts.IsOtherServer)
+    Context.OnNotice(CurrentAttempt->Server, NoticeKind::Leaving,
+                     Call.Facts.RequestId);
   CurrentAttempt->RelaysEvents = head.Status == StatusOk &&
                                  facts.IsEventStream && facts.IsSigned &&
                                  Call.MatchedRoute->Kind == RequestKind::Stream;
--- a/src/include/greengagespar/direct/site.h
+++ b/src/include/greengagespar/direct/site.h
@@ -143,6 +143,7 @@
   bool DidNotRun = false;     ///< The server did not run the request.
   bool IsOtherServer = false; ///< Another server has the address now.
   bool IsEventStream = false;
+  bool IsLeaving = false; ///< The server that answers leaves.
   /// The server that the answer reports as failed or wrong; empty: none. In a
   /// group it is another one than the server that answers.
   ServerId FailedServer;
