Send nothing to a server for the time that its refusal names

A server that asked for a pause went on getting requests.

A paused server counts in neither capacity nor choice. When all servers of a service pause, waiting and new requests are refused at once with the least time left.

--- a/src/direct/exchange.cpp
+++ b/src/direct/exchange.cpp
@@ -181,6 +181,9 @@
                      Call.Facts.RequestId);
   else
     Context.OnRateLimit(CurrentAttempt->Server, facts.RateLimit);
+  if (facts.Pause)
+    Pool.pauseServer(CurrentAttempt->Server, *facts.Pause,
+                     Call.Facts.RequestId);
   if (facts.IsLeaving && !facts.IsOtherServer)
     Context.OnNotice(CurrentAttempt->Server, NoticeKind::Leaving,
                      Call.Facts.RequestId);
--- a/src/direct/server_pool.cpp
+++ b/src/direct/server_pool.cpp
@@ -1,6 +1,8 @@
 #include "greengagespar/direct/server_pool.h"
 
 #include "greengagespar/base/hash.h"
+#include "greengagespar/base/log.h"
+#include "greengagespar/base/log_output.h"
 #include <algorithm>
 #include <utility>
 
@@ -41,6 +43,12 @@
   return options;
 }
 
+// Returns the refusal for calls while no server takes any for \p left.
+Refusal refusalOfPause(Clock::duration left) {
+  return {ErrorKind::Overloaded,
+          std::chrono::ceil<std::chrono::milliseconds>(left), Ran::No};
+}
+
 } // namespace
 
 ServerPool::ServerPool(event_base *loop, ServiceId service,
@@ -149,6 +157,30 @@
   return greengagespar::reportedDemand(Demand, Clock::now());
 }
 
+void ServerPool::pauseServer(const ServerRecord &server,
+                             std::chrono::milliseconds time,
+                             std::string_view requestId) {
+  EndpointView *view = viewOf(server.Id);
+  if (!view || Servers[server.Id].Record.StartedMs != server.StartedMs)
+    return;
+  auto now = Clock::now();
+  pauseCalls(*view, time, now);
+  logInfo(Part::Route, LogLine("server_pause")
+                           .add("id", requestId)
+                           .add("server", server.Id.Value)
+                           .addMs("for_ms", *view->PausedUntil - now)
+                           .text());
+  if (auto left = timeToFirstPauseEnd(Views, now))
+    refuseWaiting(refusalOfPause(*left));
+}
+
+void ServerPool::refuseWaiting(const Refusal &why) {
+  for (auto &[id, call] : std::exchange(Waiting, {})) {
+    greengagespar::remove(AdmissionControl.Queue, id);
+    call.OnRefused(why);
+  }
+}
+
 // Adds the tokens that are due to this entry's parts of rate limits.
 void ServerPool::updateRates(Clock::time_point now) {
   if (!HasRates)
@@ -242,6 +274,9 @@
   auto now = Clock::now();
   recordDemand(Demand, now);
   updateRates(now);
+  endPauses(Views, now);
+  if (auto left = timeToFirstPauseEnd(Views, now))
+    return call.OnRefused(refusalOfPause(*left));
   ArrivingCall arriving;
   arriving.Id = call.Id;
   arriving.Workspace = call.Workspace;
@@ -285,6 +320,7 @@
     return;
   IsStarting = true;
   updateHealthStates(Views, now);
+  endPauses(Views, now);
   updateRates(now);
   while (hasRoom(now)) {
     auto placed = placeNext(
--- a/src/include/greengagespar/direct/server_pool.h
+++ b/src/include/greengagespar/direct/server_pool.h
@@ -78,6 +78,11 @@
   /// Records whether the group of server \p id accepts work, as the server's
   /// rank agent reports.
   void recordGroupOpen(const ServerId &id, bool isOpen);
+  /// Sends nothing to \p server for \p time, as it asked in its answer to the
+  /// request \p requestId. When no server is left that takes calls, refuses
+  /// those that wait.
+  void pauseServer(const ServerRecord &server, std::chrono::milliseconds time,
+                   std::string_view requestId);
   /// Applies the notices about servers; call it after a change of them.
   void applyNotices();
   /// Sets this entry's parts of the servers' rate limits \p limits, which the
@@ -127,6 +132,7 @@
   bool takesNoWork(const KeptConnections &server) const;
   void updateStreamLimit();
   void updateRates(Clock::time_point now);
+  void refuseWaiting(const Refusal &why);
   int slotsOfServer(const ServerRecord &record) const;
   void startWaiting(Clock::time_point now);
   std::optional<std::size_t> choose(const QueuedCall &call,
--- a/src/include/greengagespar/direct/site.h
+++ b/src/include/greengagespar/direct/site.h
@@ -147,6 +147,9 @@
   /// The server that the answer reports as failed or wrong; empty: none. In a
   /// group it is another one than the server that answers.
   ServerId FailedServer;
+  /// Time for which a server that has refused the request wants no other ones
+  /// from this entry; empty: it names none.
+  std::optional<std::chrono::milliseconds> Pause;
   /// Requests a second that the server takes from all entries together, for as
   /// long as its answers say so; empty: it states none.
   std::optional<double> RateLimit;
--- a/src/include/greengagespar/route/endpoint_view.h
+++ b/src/include/greengagespar/route/endpoint_view.h
@@ -50,6 +50,8 @@
   ConcurrencyLimit Limit{16, 16};
   /// This entry's part of the rate that the server takes; empty: no limit.
   std::optional<RateShare> Rate;
+  /// Until when the server wants no calls of this entry; empty: it takes them.
+  std::optional<Clock::time_point> PausedUntil;
   /// The newest load report; empty before the first.
   std::optional<LoadReport> Report;
   /// Decayed mean of the other entries' calls on the server.
@@ -105,6 +107,28 @@
 /// doubles with each consecutive ejection, up to a maximum.
 void eject(EndpointView &view, Clock::time_point now);
 
+/// Longest time for which a server may ask for a pause.
+inline constexpr std::chrono::hours MaxPause{1};
+
+/// Records that the server wants no calls of this entry for \p time, at most
+/// MaxPause. A pause that ends later stays as it is.
+void pauseCalls(EndpointView &view, std::chrono::milliseconds time,
+                Clock::time_point now);
+
+/// Ends the pauses that are over at \p now.
+void endPauses(std::vector<EndpointView> &views, Clock::time_point now);
+
+/// Returns how long all servers that do not leave want no calls; empty if any
+/// takes calls, or all leave.
+std::optional<Clock::duration>
+timeToFirstPauseEnd(const std::vector<EndpointView> &views,
+                    Clock::time_point now);
+
+/// Whether new calls may be sent to the server.
+inline bool takesCalls(const EndpointView &view) {
+  return !view.Target.Leaving && !view.PausedUntil;
+}
+
 /// Starts probing the servers whose ejection time has passed, and ejects those
 /// whose latency is far above the median of the others. Call it before a choice
 /// or on a timer. \p views are the servers of one group or service.
--- a/src/route/choose.cpp
+++ b/src/route/choose.cpp
@@ -42,7 +42,7 @@
 }
 
 bool isEligible(const EndpointView &view, const ChoiceRequest &request) {
-  return !view.Target.Leaving && !contains(request.Exclude, view.Target.Id);
+  return takesCalls(view) && !contains(request.Exclude, view.Target.Id);
 }
 
 bool isHealthy(const EndpointView &view) {
@@ -202,7 +202,7 @@
   Capacity healthy;
   Capacity all;
   for (const EndpointView &it : views) {
-    if (it.Target.Leaving)
+    if (!takesCalls(it))
       continue;
     addServer(all, it);
     if (isHealthy(it))
--- a/src/route/endpoint_view.cpp
+++ b/src/route/endpoint_view.cpp
@@ -196,6 +196,33 @@
   view.ProbesInFlight = 0;
 }
 
+void pauseCalls(EndpointView &view, std::chrono::milliseconds time,
+                Clock::time_point now) {
+  Clock::time_point until = now + std::min<milliseconds>(time, MaxPause);
+  view.PausedUntil = std::max(view.PausedUntil.value_or(until), until);
+}
+
+void endPauses(std::vector<EndpointView> &views, Clock::time_point now) {
+  for (EndpointView &it : views)
+    if (it.PausedUntil && now >= *it.PausedUntil)
+      it.PausedUntil.reset();
+}
+
+std::optional<Clock::duration>
+timeToFirstPauseEnd(const std::vector<EndpointView> &views,
+                    Clock::time_point now) {
+  std::optional<Clock::duration> least;
+  for (const EndpointView &it : views) {
+    if (it.Target.Leaving)
+      continue;
+    if (!it.PausedUntil)
+      return std::nullopt;
+    Clock::duration left = *it.PausedUntil - now;
+    least = std::min(least.value_or(left), left);
+  }
+  return least;
+}
+
 void updateHealthStates(std::vector<EndpointView> &views,
                         Clock::time_point now) {
   for (EndpointView &it : views) {
--- a/testsuite/direct/server_answer_test.cpp
+++ b/testsuite/direct/server_answer_test.cpp
@@ -1,5 +1,6 @@
 #include "entries_site.h"
 
+#include <array>
 #include <boost/test/unit_test.hpp>
 
 using namespace greengagespar;
@@ -91,4 +92,67 @@
   BOOST_TEST(leaving.Requests.size() == before);
 }
 
+// Guards against requests to a server that has turned one away and named the
+// time for which it wants none.
+BOOST_AUTO_TEST_CASE(server_thatNamesAPause_getsNothingUntilItsEnd) {
+  FakeServer &pausing = addRefusing("Retry-After: 1.5\r\n");
+  addLedger("");
+  startEntry();
+  reach(pausing);
+  auto at = Clock::now();
+  auto before = pausing.Requests.size();
+  while (Clock::now() < at + 1400ms)
+    BOOST_TEST(serve(1) == 1);
+  BOOST_TEST(pausing.Requests.size() == before);
+  pausing.Respond = [](const HttpRequestMessage &it) {
+    return FakeAnswer{signedAnswer(it, 200, "done")};
+  };
+  runFor(200ms);
+  serve(60);
+  BOOST_TEST(pausing.Requests.size() > before);
+}
+
+// A shorter pause, and an answer to a request that was sent before, do not end
+// a longer one.
+BOOST_AUTO_TEST_CASE(server_thatNamesAShorterPauseLater_keepsTheLongerOne) {
+  FakeServer &pausing = addServer("ledger", [](const HttpRequestMessage &) {
+    return FakeAnswer{.SendsNothing = true};
+  });
+  startEntry();
+  auto first = send("GET", "/status/1");
+  auto second = send("GET", "/status/1");
+  auto third = send("GET", "/status/1");
+  BOOST_REQUIRE(runUntil([&] { return pausing.Requests.size() == 3; }));
+  int n = 0;
+  pausing.answerPending([&](const HttpRequestMessage &it) {
+    static const std::array<const char *, 2> pauses = {"2", "0.1"};
+    if (n == 2)
+      return FakeAnswer{signedAnswer(it, 200, "done")};
+    return FakeAnswer{signedAnswer(it, 503, "",
+                                   std::string("X-Not-Executed: 1\r\n"
+                                               "Retry-After: ") +
+                                       pauses.at(n++) + "\r\n")};
+  });
+  runFor(400ms);
+  BOOST_TEST(serve(3) == 0);
+  BOOST_TEST(pausing.Requests.size() == 3);
+}
+
+// Guards against callers that wait for servers of which none takes requests.
+BOOST_AUTO_TEST_CASE(request_whileAllServersPause_isRefusedWithTheLeastTime) {
+  addRefusing("Retry-After: 3\r\n");
+  addRefusing("Retry-After: 2\r\n");
+  startEntry();
+  for (int i = 0; i < 4; ++i)
+    serve(1);
+  auto at = Clock::now();
+  Reply response = sendAndWait("GET", "/status/1");
+  BOOST_TEST(response.Head.Status == 503);
+  BOOST_TEST((Clock::now() - at < 100ms));
+  const std::string *after = findField(response.Head.Fields, "Retry-After");
+  BOOST_REQUIRE(after);
+  BOOST_TEST(std::stod(*after) > 1);
+  BOOST_TEST(std::stod(*after) <= 2);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
