Read each entry of the store by itself

Cause: a list or watch was decoded as one document. One entry of another writer that was nested too deeply, held a number out of range or bytes that are no UTF-8, or lacked its metadata cost the whole list, each time it was asked for again; in watches and lists of every kind. Class: a batch that is decoded as a whole.

Ruled out: options of the parser, as none accepts a number out of range.

--- a/src/direct/site_follower.cpp
+++ b/src/direct/site_follower.cpp
@@ -29,6 +29,8 @@
 // after 2 s, so the entry has to notice the store's return well within one
 // second.
 constexpr BackoffOptions Retry{milliseconds{200}, milliseconds{800}};
+// Unreadable entries that are remembered so that each is logged once.
+constexpr std::size_t MaxLoggedUnreadable = 256;
 
 ObjectClientOptions clientOptions(const Address &store,
                                   const SiteDialect &dialect) {
@@ -152,10 +154,22 @@
 
 void SiteFollower::onConfiguration(const PrefixChange &change) {
   onStoreAnswered();
+  logUnreadable(change.Unreadable);
   for (const Object &it : change.Objects)
     applyConfiguration(it.Value, "store");
 }
 
+// Logs each unreadable entry once, as the store returns it with each list.
+void SiteFollower::logUnreadable(const std::vector<std::string> &entries) {
+  for (const std::string &it : entries) {
+    if (LoggedUnreadable.size() >= MaxLoggedUnreadable)
+      LoggedUnreadable.clear();
+    if (LoggedUnreadable.insert(it).second)
+      logWarning(Part::Platform,
+                 LogLine("store_entry_unreadable").add("entry", it).text());
+  }
+}
+
 std::vector<ServerRecord>
 SiteFollower::readServers(const std::vector<Object> &objects) {
   std::vector<ServerRecord> records;
@@ -178,6 +192,7 @@
 
 void SiteFollower::onServers(const PrefixChange &change) {
   onStoreAnswered();
+  logUnreadable(change.Unreadable);
   auto now = Clock::now();
   std::vector<ServerRecord> records = readServers(change.Objects);
   report(change.IsSnapshot
--- a/src/include/greengagespar/direct/site_follower.h
+++ b/src/include/greengagespar/direct/site_follower.h
@@ -8,6 +8,7 @@
 #include "greengagespar/direct/route_table.h"
 #include "greengagespar/direct/server_table.h"
 #include "greengagespar/store/prefix_watch.h"
+#include <set>
 
 namespace greengagespar {
 
@@ -69,6 +70,7 @@
   void onServers(const PrefixChange &change);
   std::vector<ServerRecord> readServers(const std::vector<Object> &objects);
   void report(const ServerChanges &changes);
+  void logUnreadable(const std::vector<std::string> &entries);
   void onStoreAnswered();
   void onStoreRestored(StoreTimeline before);
   void onStoreUnavailable(const Error &error);
@@ -86,6 +88,7 @@
   bool HasServers = false;     ///< The store's whole list was read.
   std::optional<Clock::time_point> UnavailableSince;
   std::optional<Clock::time_point> AnsweredAt; ///< Of the store's last answer.
+  std::set<std::string> LoggedUnreadable;      ///< To log each entry once.
 };
 
 } // namespace greengagespar
--- a/src/include/greengagespar/store/object.h
+++ b/src/include/greengagespar/store/object.h
@@ -63,14 +63,16 @@
   ObjectVersion Revision;
   std::vector<Object> Objects; ///< In order of path.
   std::string Next; ///< Pass it as `after` for the rest; empty at the end.
+  std::vector<std::string> Unreadable; ///< See describeEntry().
 };
 
 /// The changes under a prefix, as a watch returns them.
 struct WatchAnswer {
   bool TooOld = false;    ///< The store no longer has the revision: list again.
   ObjectVersion Revision; ///< The revision for the next watch to begin after.
-  std::vector<Object> Objects;      ///< Written objects.
-  std::vector<std::string> Deleted; ///< Paths of removed objects.
+  std::vector<Object> Objects;         ///< Written objects.
+  std::vector<std::string> Deleted;    ///< Paths of removed objects.
+  std::vector<std::string> Unreadable; ///< See describeEntry().
 };
 
 /// One host as the platform lists it. The list lags by up to a minute.
@@ -86,7 +88,8 @@
 Result<Object> parseObject(std::string_view body);
 /// Parses the body of an answer to a write: its version.
 Result<ObjectVersion> parseVersion(std::string_view body);
-/// Parses the body of an answer to a list.
+/// Parses the body of an answer to a list. Objects that can't be read are left
+/// out, here and in a watch.
 Result<Listing> parseListing(std::string_view body);
 /// Parses the body of an answer to a watch.
 Result<WatchAnswer> parseWatchAnswer(std::string_view body);
--- a/src/include/greengagespar/store/prefix_watch.h
+++ b/src/include/greengagespar/store/prefix_watch.h
@@ -21,9 +21,10 @@
   /// A snapshot of a store that was restored since the last report: its objects
   /// may be older than those reported before.
   bool IsRestored = false;
-  ObjectVersion Revision;           ///< Never lower than in earlier reports.
-  std::vector<Object> Objects;      ///< Written since the last report.
-  std::vector<std::string> Deleted; ///< Paths removed since the last report.
+  ObjectVersion Revision;              ///< Never lower than in earlier reports.
+  std::vector<Object> Objects;         ///< Written since the last report.
+  std::vector<std::string> Deleted;    ///< Paths removed since the last report.
+  std::vector<std::string> Unreadable; ///< See describeEntry().
 };
 
 /// Bounds of the grace: the time beyond a poll's wait within which the answer
--- a/src/store/prefix_watch.cpp
+++ b/src/store/prefix_watch.cpp
@@ -108,6 +108,7 @@
       if (part.Revision.Timeline != Parts.Revision.Timeline)
         return listRestored();
       std::ranges::move(part.Objects, std::back_inserter(Parts.Objects));
+      std::ranges::move(part.Unreadable, std::back_inserter(Parts.Unreadable));
       if (!part.Next.empty())
         return listPart(part.Next);
       Listed = Parts.Revision >= Revision;
@@ -116,7 +117,8 @@
                   HasReported && Parts.Revision.Timeline > Revision.Timeline,
               .Revision = Parts.Revision,
               .Objects = std::move(Parts.Objects),
-              .Deleted = {}});
+              .Deleted = {},
+              .Unreadable = std::move(Parts.Unreadable)});
     });
   };
   Client.list(Options.Prefix, after, CallbackGuard.wrap(done));
@@ -153,7 +155,8 @@
           .IsRestored = false,
           .Revision = answer.Revision,
           .Objects = std::move(answer.Objects),
-          .Deleted = std::move(answer.Deleted)});
+          .Deleted = std::move(answer.Deleted),
+          .Unreadable = std::move(answer.Unreadable)});
 }
 
 void PrefixWatch::report(const PrefixChange &change) {
--- a/testsuite/direct/trouble_test.cpp
+++ b/testsuite/direct/trouble_test.cpp
@@ -40,6 +40,25 @@
   BOOST_TEST(first.Requests.size() + second.Requests.size() == 1U);
 }
 
+// Guards against an odd entry of another writer beside those of the servers:
+// the entry lost the whole list, and followed no change any more.
+BOOST_AUTO_TEST_CASE(serverEntry_odd_costsNoOther) {
+  boost::json::value deep = 1;
+  for (int i = 0; i < 30; ++i)
+    deep = boost::json::array{deep};
+  Objects.put("servers", "a-odd", deep);
+  FakeServer::Script script = [](const auto &it) { return ok(it); };
+  addServer("ledger", script);
+  startEntry();
+  BOOST_TEST(sendAndWait("GET", "/status/1").Head.Status == 200);
+  Objects.put("servers", "z-odd", deep);
+  FakeServer &second = addServer("ledger", script);
+  Objects.remove("servers", Servers.front()->id());
+  runFor(300ms);
+  BOOST_TEST(sendAndWait("GET", "/status/1").Head.Status == 200);
+  BOOST_TEST(second.Requests.size() == 1);
+}
+
 BOOST_AUTO_TEST_CASE(booking_refusedByServer_isSentToAnother) {
   bool isFirst = true;
   FakeServer::Script script = [&](const auto &it) {
