Block requests for whole answers that end their servers

Cause: evidence of crashes was kept by part of a prompt, and asked for the head of an answer. A look-up has no parts and a whole answer that crashes its server never begins, so each crash looked like a lost answer, the request was sent on to a second server and came back as a new one. Class: a query of death that nothing recognises as it comes again.

Change: a request for a whole answer is its own part, recognised by method, target, caller and body (XXH3 of libxxhash-dev, header only). A connection that breaks before the whole answer is kept for 5 s and counts as a crash once there is other news of the server's end: its host refuses connections, it answers for another server, or a later one is registered at its address. A request under suspicion is tried by one entry, one at a time, at one server, and blocked after three crashes; any answer clears it. Breaks are bounded in number, and fingerprints travel in the digests that parts travel in.

--- a/src/direct/direct_entry.cpp
+++ b/src/direct/direct_entry.cpp
@@ -171,6 +171,8 @@
 
 void DirectEntry::onNotice(const ServerRecord &server, NoticeKind kind,
                            std::string_view requestId) {
+  if (kind == NoticeKind::Gone)
+    reportServerEnd(Shared.Guard, server, Clock::now());
   if (!recordServerNotice(Shared, server, kind, requestId, Clock::now()))
     return;
   applyNotices();
@@ -400,8 +402,14 @@
 }
 
 void DirectEntry::onServers(const ServerChanges &changes) {
-  for (const ServerRecord &it : changes.Removed)
+  for (const ServerRecord &it : changes.Removed) {
     poolOf(it.Service).remove(it.Id);
+    auto isAtItsAddress = [&](const ServerRecord &other) {
+      return other.At == it.At && other.StartedMs > it.StartedMs;
+    };
+    if (std::ranges::any_of(changes.Updated, isAtItsAddress))
+      reportServerEnd(Shared.Guard, it, Clock::now());
+  }
   for (const ServerRecord &it : changes.Updated)
     poolOf(it.Service).update(it);
   updateRankAgents();
--- a/src/direct/exchange.cpp
+++ b/src/direct/exchange.cpp
@@ -44,14 +44,23 @@
 constexpr int StatusUnavailable = 503;
 constexpr int StatusGatewayTimeout = 504;
 
+// Returns the parts of the prompt of a stream; any other request is one part.
+PromptParts partsOf(const AcceptedCall &call,
+                    const HttpRequestMessage &request) {
+  if (call.MatchedRoute->Kind == RequestKind::Stream)
+    return promptPartsOf(call.Service, call.Facts.SharedParts);
+  return wholeRequestOf(call.Service, {request.Head.Method, request.Head.Target,
+                                       call.Workspace, request.Body});
+}
+
 } // namespace
 
 Exchange::Exchange(ExchangeContext &context, ServerPool &pool,
                    AcceptedCall call, HttpRequestMessage request,
                    std::shared_ptr<HttpReply> reply)
     : Context(context), Pool(pool), Call(std::move(call)),
-      Parts(promptPartsOf(Call.Service, Call.Facts.SharedParts)),
       Request(std::move(request)), Reply(std::move(reply)),
+      Parts(partsOf(Call, Request)),
       LimitTimer(context.Loop, [this] { onTimer(); }) {
   Stream.LastId = Call.Facts.LastEventId;
   Reply->onDisconnect([this] { onCallerGone(); });
@@ -291,6 +300,11 @@
   attempt.HasBegun = CurrentAttempt->HasHead;
   attempt.Events = CurrentAttempt->Events;
   attempt.Silence = now - CurrentAttempt->LastReceivedAt;
+  if (end == AttemptEnd::NotConnected &&
+      CurrentAttempt->Connection->isRefused())
+    reportServerEnd(*Context.Guard, attempt.Server, now);
+  if (Call.MatchedRoute->Kind != RequestKind::Stream)
+    return reportBreak(*Context.Guard, Parts, attempt, now);
   if (!looksLikeCrash(attempt))
     return false;
   reportCrash(*Context.Guard, Parts, attempt, now);
--- a/src/direct/part_guard.cpp
+++ b/src/direct/part_guard.cpp
@@ -4,6 +4,9 @@
 #include "greengagespar/base/log.h"
 #include "greengagespar/base/log_output.h"
 #include <algorithm>
+#include <sstream>
+#define XXH_INLINE_ALL
+#include <xxhash.h>
 
 namespace greengagespar {
 
@@ -40,6 +43,22 @@
   return parts;
 }
 
+PromptParts wholeRequestOf(const ServiceId &service,
+                           const RequestFingerprint &request) {
+  std::string text;
+  for (std::string_view it : {request.Method, request.Target,
+                              std::string_view(request.Caller.Value)}) {
+    text.append(it);
+    text.push_back('\0');
+  }
+  XXH64_hash_t head = XXH3_64bits(text.data(), text.size());
+  XXH64_hash_t all =
+      XXH3_64bits_withSeed(request.Body.data(), request.Body.size(), head);
+  std::ostringstream name;
+  name << "request-" << std::hex << all;
+  return promptPartsOf(service, {name.str()});
+}
+
 std::string describeParts(const std::vector<std::string> &names) {
   std::string text;
   for (std::size_t i = 0; i < std::min(names.size(), MaxLoggedParts); ++i) {
@@ -85,6 +104,44 @@
          attempt.Silence < CrashSilenceLimit;
 }
 
+bool reportBreak(PartGuard &guard, const PromptParts &parts,
+                 const BrokenAttempt &attempt, Clock::time_point now) {
+  if (!attempt.IsDisconnected || areKnownSound(guard.Evidence, parts.Ids))
+    return false;
+  PartDecision decision = decideParts(guard.Evidence, parts.Ids, now);
+  if (decision.State != PartState::Clear) {
+    reportCrash(guard, parts, attempt, now);
+    return true;
+  }
+  if (guard.Breaks.size() >= MaxUnexplainedBreaks)
+    guard.Breaks.pop_front();
+  guard.Breaks.push_back(
+      {incarnationIdOf(attempt.Server.Id, attempt.Server.StartedMs), parts,
+       std::string(attempt.RequestId), now});
+  return false;
+}
+
+void reportServerEnd(PartGuard &guard, const ServerRecord &server,
+                     Clock::time_point now) {
+  while (!guard.Breaks.empty() &&
+         now - guard.Breaks.front().At > BreakRetention)
+    guard.Breaks.pop_front();
+  ServerIncarnationId id = incarnationIdOf(server.Id, server.StartedMs);
+  std::vector<UnexplainedBreak> explained;
+  std::erase_if(guard.Breaks, [&](const UnexplainedBreak &it) {
+    if (it.Server != id)
+      return false;
+    explained.push_back(it);
+    return true;
+  });
+  for (const UnexplainedBreak &it : explained) {
+    BrokenAttempt attempt;
+    attempt.RequestId = it.RequestId;
+    attempt.Server = server;
+    reportCrash(guard, it.Parts, attempt, now);
+  }
+}
+
 void reportCrash(PartGuard &guard, const PromptParts &parts,
                  const BrokenAttempt &attempt, Clock::time_point now) {
   ServerIncarnationId crash =
--- /dev/null
+++ b/src/direct/part_guard_test.cpp
@@ -0,0 +1,98 @@
+#include "greengagespar/direct/part_guard.h"
+
+#include <boost/test/unit_test.hpp>
+#include <set>
+
+using namespace greengagespar;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A guard and a request for a whole answer whose connections break.
+struct BreakFixture {
+  PartGuard Guard;
+  PromptParts Request = wholeRequestOf({"ledger"}, {"GET", "/a?b", {"t"}, ""});
+  Clock::time_point Now = Clock::now();
+
+  BreakFixture() {
+    Guard.MayTry = [](PromptPartId) { return true; };
+    Guard.OnNews = [] {};
+  }
+
+  static ServerRecord server(std::uint64_t started) {
+    ServerRecord it;
+    it.Id = {"i-1"};
+    it.StartedMs = started;
+    return it;
+  }
+
+  bool breakAt(std::uint64_t started) {
+    BrokenAttempt attempt;
+    attempt.RequestId = "r";
+    attempt.Server = server(started);
+    attempt.IsDisconnected = true;
+    return reportBreak(Guard, Request, attempt, Now);
+  }
+
+  std::size_t crashes() const {
+    return decideParts(Guard.Evidence, Request.Ids, Now).Crashes;
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(BrokenRequests, BreakFixture)
+
+BOOST_AUTO_TEST_CASE(fingerprint_ofRequest_differsByEachOfItsFields) {
+  std::set<PromptPartId> ids;
+  for (const RequestFingerprint &it :
+       {RequestFingerprint{"GET", "/a?b", {"t"}, ""},
+        {"PUT", "/a?b", {"t"}, ""},
+        {"GET", "/a?c", {"t"}, ""},
+        {"GET", "/a?b", {"u"}, ""},
+        {"GET", "/a?b", {"t"}, "x"},
+        {"GET", "/a?bt", {""}, ""}})
+    ids.insert(wholeRequestOf({"ledger"}, it).Ids.front());
+  BOOST_TEST(ids.size() == 6);
+  BOOST_TEST(ids.contains(Request.Ids.front()));
+}
+
+// Guards against lost answers that count as crashes.
+BOOST_AUTO_TEST_CASE(break_withoutNewsOfTheServersEnd_isNoCrash) {
+  BOOST_TEST(!breakAt(1));
+  reportServerEnd(Guard, server(2), Now);
+  BOOST_TEST(crashes() == 0);
+  reportServerEnd(Guard, server(1), Now + BreakRetention + 1ms);
+  BOOST_TEST(crashes() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(break_explainedByTheServersEnd_isACrashOnce) {
+  breakAt(1);
+  reportServerEnd(Guard, server(1), Now);
+  reportServerEnd(Guard, server(1), Now);
+  BOOST_TEST(crashes() == 1);
+  // From then on each break is one.
+  BOOST_TEST(breakAt(2));
+  BOOST_TEST(breakAt(3));
+  BOOST_TEST(crashes() == 3);
+  auto refusal = checkParts(Guard, Request, "r", Now);
+  BOOST_REQUIRE(refusal.has_value());
+  BOOST_TEST(refusal->IsBlocked);
+}
+
+// Guards against a sound request that is blocked as it was in progress at a
+// crash: it was answered elsewhere before the news came.
+BOOST_AUTO_TEST_CASE(break_ofRequestAnsweredSince_isNoCrash) {
+  breakAt(1);
+  reportSurvival(Guard, Request, Now);
+  reportServerEnd(Guard, server(1), Now);
+  BOOST_TEST(crashes() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(breaks_ofManyRequests_areBounded) {
+  for (std::uint64_t i = 0; i < MaxUnexplainedBreaks + 10; ++i)
+    breakAt(i);
+  BOOST_TEST(Guard.Breaks.size() == MaxUnexplainedBreaks);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -1,6 +1,7 @@
 #include "greengagespar/http/client.h"
 
 #include <algorithm>
+#include <cerrno>
 #include <charconv>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -72,6 +73,7 @@
   bool IsConnected = false;
   bool IsUnusable = false; ///< Closed, or must not be used again.
   bool IsClosedByServer = false;
+  bool IsRefused = false;
   bool InExchange = false;
   bool HeadSeen = false;
   /// Skips an interim answer, or an answer that belongs to another request.
@@ -103,6 +105,7 @@
 }
 
 void onEvent(bufferevent *, short what, void *arg) {
+  int ec = EVUTIL_SOCKET_ERROR(); // Valid until the next call.
   auto keep = stateOf(arg).shared_from_this();
   if (what & BEV_EVENT_CONNECTED) {
     keep->IsConnected = true;
@@ -112,8 +115,10 @@
   if (!(what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)))
     return;
   keep->read();
-  if (!keep->IsConnected)
+  if (!keep->IsConnected) {
+    keep->IsRefused = ec == ECONNREFUSED;
     return keep->end(ExchangeEnd::NotConnected, "connection refused");
+  }
   keep->IsClosedByServer = true;
   if ((what & BEV_EVENT_EOF) && keep->InExchange && keep->Reader) {
     keep->Reader->takeEnd();
@@ -296,6 +301,8 @@
          evbuffer_get_length(bufferevent_get_input(S->Stream)) == 0;
 }
 
+bool HttpClientConnection::isRefused() const { return S->IsRefused; }
+
 bool HttpClientConnection::isClosedByServer() const {
   return S->IsClosedByServer;
 }
--- a/src/include/greengagespar/direct/exchange.h
+++ b/src/include/greengagespar/direct/exchange.h
@@ -115,9 +115,9 @@
   ExchangeContext &Context;
   ServerPool &Pool;
   AcceptedCall Call;
-  PromptParts Parts;
   HttpRequestMessage Request;
   std::shared_ptr<HttpReply> Reply;
+  PromptParts Parts;                             ///< Of Call and Request.
   std::optional<detail::Attempt> CurrentAttempt; ///< Empty while waiting.
   std::vector<ServerId> TriedServers; ///< Servers on which an attempt failed.
   EventRelay Stream;
--- a/src/include/greengagespar/direct/part_guard.h
+++ b/src/include/greengagespar/direct/part_guard.h
@@ -8,6 +8,7 @@
 #include "greengagespar/direct/site.h"
 #include "greengagespar/route/admission.h"
 #include "greengagespar/route/crash_evidence.h"
+#include <deque>
 #include <functional>
 #include <optional>
 #include <string>
@@ -30,25 +31,52 @@
 /// a trial has usually ended by then.
 inline constexpr std::chrono::milliseconds SuspectRetryAfter{1000};
 
+/// The parts of one request's prompt. A request without any is its own part.
+struct PromptParts {
+  std::vector<std::string> Names;
+  std::vector<PromptPartId> Ids;
+};
+
+/// A connection that broke before the whole answer to a request had arrived.
+/// Its server has ended, or lives and the answer got lost.
+struct UnexplainedBreak {
+  ServerIncarnationId Server;
+  PromptParts Parts;
+  std::string RequestId;
+  Clock::time_point At;
+};
+
+/// Time after a break in which news of the server's end explain it.
+inline constexpr std::chrono::milliseconds BreakRetention{5000};
+/// Most unexplained breaks that are kept; the oldest make room.
+inline constexpr std::size_t MaxUnexplainedBreaks = 256;
+
 /// What the requests of one entry share.
 struct PartGuard {
   CrashEvidence Evidence;
+  std::deque<UnexplainedBreak> Breaks; ///< The oldest first.
   /// Whether this entry is the one that may try requests with a part.
   std::function<bool(PromptPartId)> MayTry;
   /// The evidence has changed in a way that other entries should know.
   std::function<void()> OnNews;
 };
 
-/// The parts of one request's prompt.
-struct PromptParts {
-  std::vector<std::string> Names;
-  std::vector<PromptPartId> Ids;
-};
-
 /// Returns the parts of a request with \p names for \p service.
 PromptParts promptPartsOf(const ServiceId &service,
                           const std::vector<std::string> &names);
 
+/// What a request is recognised by when it comes again under another id.
+struct RequestFingerprint {
+  std::string_view Method;
+  std::string_view Target; ///< Path and query.
+  WorkspaceId Caller;
+  std::string_view Body;
+};
+
+/// Returns the one part of a request for \p service without parts.
+PromptParts wholeRequestOf(const ServiceId &service,
+                           const RequestFingerprint &request);
+
 /// Returns the names of \p parts for a log line, separated by commas; bounded
 /// in number and length.
 std::string describeParts(const std::vector<std::string> &names);
@@ -92,6 +120,17 @@
 void reportCrash(PartGuard &guard, const PromptParts &parts,
                  const BrokenAttempt &attempt, Clock::time_point now);
 
+/// Keeps the break of \p attempt, a request for a whole answer, until it is
+/// explained. If a part is under suspicion already, it counts as a crash at
+/// once. Returns whether it does.
+bool reportBreak(PartGuard &guard, const PromptParts &parts,
+                 const BrokenAttempt &attempt, Clock::time_point now);
+
+/// Records that \p server has ended: it refuses connections, or another server
+/// is at its address. Breaks of the last seconds there were crashes.
+void reportServerEnd(PartGuard &guard, const ServerRecord &server,
+                     Clock::time_point now);
+
 /// Records that a server answered a request with \p parts beyond its beginning.
 void reportSurvival(PartGuard &guard, const PromptParts &parts,
                     Clock::time_point now);
--- a/src/include/greengagespar/http/client.h
+++ b/src/include/greengagespar/http/client.h
@@ -64,6 +64,10 @@
   /// announced that it will close it.
   bool isReusable() const;
 
+  /// Whether nothing listens at the address: the server's host refused the
+  /// connection.
+  bool isRefused() const;
+
   /// Whether the server closed or reset the connection.
   bool isClosedByServer() const;
 
