--- a/src/direct/server_table.cpp
+++ b/src/direct/server_table.cpp
@@ -32,7 +32,8 @@
     std::uint64_t &latest = latestStart[it.Record.At];
     latest = std::max(latest, it.Record.StartedMs);
   }
-  for (auto &[id, it] : table.Servers) {
+  for (auto &entry : table.Servers) {
+    KnownServer &it = entry.second;
     bool isUsed = it.Record.StartedMs >= latestStart[it.Record.At];
     bool wasUsed = std::exchange(it.IsUsed, isUsed);
     if (isUsed && !wasUsed)
