Believe no answer without an id on a connection that was used before

Cause: a server that writes an earlier refusal once more on a kept connection was believed if that refusal bore no request id: the caller was told that its booking had not run, and the booking was sent again, while the server ran it. An answer with another request's id was skipped already, and bytes on an idle connection ended it.

Change: an answer that names no request counts only on a connection without an earlier answer. Otherwise the attempt is lost, and may have run.

--- a/src/direct/exchange.cpp
+++ b/src/direct/exchange.cpp
@@ -178,13 +178,20 @@
 
 bool Exchange::onHead(const HttpHead &head) {
   AnswerMetadata facts = Context.Dialect->ReadAnswer(head);
-  // The answer to an earlier request on this connection may be delayed.
+  // The answer to an earlier request on this connection may be delayed, or come
+  // once more. On a connection that was used before, one that names no request
+  // may be such an answer, and says nothing of this request.
   if (!facts.RequestId.empty() && facts.RequestId != Call.Facts.RequestId)
     return false;
+  bool isForeign =
+      facts.RequestId.empty() && CurrentAttempt->Connection->isUsedAgain();
+  if (isForeign)
+    facts = {};
   CurrentAttempt->LastReceivedAt = Clock::now();
   CurrentAttempt->Head = head;
   CurrentAttempt->Answer = facts;
   CurrentAttempt->HasHead = true;
+  CurrentAttempt->IsForeign = isForeign;
   if (facts.IsOtherServer)
     Context.OnNotice(CurrentAttempt->Server, NoticeKind::Gone,
                      Call.Facts.RequestId);
@@ -261,6 +268,8 @@
 }
 
 void Exchange::onAnswerComplete() {
+  if (CurrentAttempt->IsForeign)
+    return endAttempt(AttemptEnd::Lost, "the answer names no request");
   if (CurrentAttempt->Answer.DidNotRun)
     return endAttempt(AttemptEnd::DidNotRun,
                       CurrentAttempt->Answer.IsOtherServer
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -74,6 +74,7 @@
   bool IsUnusable = false; ///< Closed, or must not be used again.
   bool IsClosedByServer = false;
   bool IsRefused = false;
+  std::size_t Answers = 0; ///< Complete answers on this connection.
   bool InExchange = false;
   bool HeadSeen = false;
   /// Skips an interim answer, or an answer that belongs to another request.
@@ -220,6 +221,7 @@
   if (IsSkipping)
     return resetReader();
   LastHead = Reader->head();
+  ++Answers;
   InExchange = false;
   IdleSince = Clock::now();
   bool isSent = evbuffer_get_length(bufferevent_get_output(Stream)) == 0;
@@ -301,6 +303,8 @@
          evbuffer_get_length(bufferevent_get_input(S->Stream)) == 0;
 }
 
+bool HttpClientConnection::isUsedAgain() const { return S->Answers > 0; }
+
 bool HttpClientConnection::isRefused() const { return S->IsRefused; }
 
 bool HttpClientConnection::isClosedByServer() const {
--- a/src/include/greengagespar/http/client.h
+++ b/src/include/greengagespar/http/client.h
@@ -64,6 +64,10 @@
   /// announced that it will close it.
   bool isReusable() const;
 
+  /// Whether an earlier exchange on this connection had an answer: bytes that
+  /// come now may belong to it.
+  bool isUsedAgain() const;
+
   /// Whether nothing listens at the address: the server's host refused the
   /// connection.
   bool isRefused() const;
--- /dev/null
+++ b/testsuite/direct/foreign_answer_test.cpp
@@ -0,0 +1,132 @@
+#include "site.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace greengagespar;
+using namespace greengagespar::site;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Servers that send what belongs to no request, or can't go on with a stream.
+struct ForeignAnswerFixture : SiteFixture {
+  static std::string refusal(const std::string &idField) {
+    return "HTTP/1.1 503 X\r\n" + idField +
+           "X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+  }
+
+  static std::string idFieldOf(const HttpRequestMessage &request) {
+    return "X-Request-Id: " + *findField(request.Head.Fields, "X-Request-Id") +
+           "\r\n";
+  }
+
+  // Adds a server that refuses the booking "a", and writes \p again on the kept
+  // connection when another one comes, which it runs and never answers.
+  FakeServer &addRefusingTwice(const std::string &again) {
+    return addServer("ledger", [this, again](const HttpRequestMessage &it) {
+      if (it.Body == "a")
+        return FakeAnswer{refusal(idFieldOf(it))};
+      ++Runs;
+      return FakeAnswer{.Bytes = again, .IsPartial = true};
+    });
+  }
+
+  // Sends a booking that the server refuses, and one that it runs while it
+  // writes \p again.
+  void checkRefusedTwice(const std::string &again) {
+    FakeServer &server = addRefusingTwice(again);
+    startEntry();
+    NextId = 0;
+    BOOST_TEST(
+        sendAndWait("POST", "/book/1", "X-Api-Key: k1\r\n", "a").Head.Status ==
+        503);
+    Reply response = sendAndWait("POST", "/book/1", "X-Api-Key: k1\r\n", "b");
+    BOOST_TEST(server.Connections == 1);
+    BOOST_TEST(Runs == 1);
+    // It has run: no refusal may promise the opposite.
+    BOOST_TEST((response.Head.Status == 502 || response.Head.Status == 504));
+  }
+
+  int Runs = 0; ///< Bookings that a server runs.
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(ForeignAnswers, ForeignAnswerFixture)
+
+// Guards against a caller who is told that a booking did not run, or one that
+// runs twice, because a server writes an earlier refusal once more.
+BOOST_AUTO_TEST_CASE(refusal_ofEarlierBookingWrittenAgain_isNotBelieved) {
+  checkRefusedTwice(refusal("X-Request-Id: r1\r\n"));
+}
+
+BOOST_AUTO_TEST_CASE(refusal_withoutIdOnKeptConnection_isNotBelieved) {
+  checkRefusedTwice(refusal(""));
+}
+
+// The same refusal, written while the connection is idle.
+BOOST_AUTO_TEST_CASE(refusal_writtenAgainOnIdleConnection_endsIt) {
+  FakeServer &server = addServer("ledger", [](const HttpRequestMessage &it) {
+    return FakeAnswer{signedAnswer(it, 200, "done")};
+  });
+  startEntry();
+  BOOST_TEST(sendAndWait("GET", "/status/1").Head.Status == 200);
+  server.sendMore(refusal(""));
+  runFor(50ms);
+  BOOST_TEST(sendAndWait("POST", "/book/1").Head.Status == 200);
+  BOOST_TEST(server.Connections == 2);
+}
+
+// Guards against an error of the next server in the midst of a stream, or a
+// stream that looks complete without its end.
+BOOST_AUTO_TEST_CASE(stream_brokenOffAndAnsweredByAnError_isCut) {
+  auto withId = [](const HttpRequestMessage &it, const std::string &head,
+                   const std::string &body) {
+    return "HTTP/1.1 " + head + "\r\n" + idFieldOf(it) +
+           "X-Server-Signature: sig\r\nContent-Length: " +
+           std::to_string(body.size()) + "\r\n\r\n" + body;
+  };
+  using Answer = std::function<std::string(const HttpRequestMessage &)>;
+  const std::vector<Answer> errors = {
+      [&](const auto &it) { return withId(it, "500 X", "broken"); },
+      [&](const auto &it) { return withId(it, "404 X", "nothing here"); },
+      [&](const auto &it) { return withId(it, "200 OK", eventText(2)); },
+      [&](const auto &it) {
+        return withId(it, "503 X\r\nX-Not-Executed: 1", "full");
+      },
+      [&](const auto &it) {
+        return withId(it, "500 X\r\nContent-Type: text/event-stream",
+                      eventText(2));
+      },
+      [](const auto &it) {
+        std::string head = streamHead(it);
+        return head.replace(head.find("200 OK"), 6, "500 No") +
+               chunk(eventText(2)) + "0\r\n\r\n";
+      },
+      [](const auto &) { return std::string("no answer at all\r\n\r\n"); }};
+  int sent = 0;
+  std::size_t i = 0;
+  startEntry();
+  for (; i < errors.size(); ++i) {
+    sent = 0;
+    FakeServer::Script script = [&](const HttpRequestMessage &it) {
+      if (sent++ > 0)
+        return FakeAnswer{.Bytes = errors[i](it), .Closes = true};
+      std::string half = eventText(2).substr(0, 9);
+      return FakeAnswer{.Bytes =
+                            streamHead(it) + chunk(eventText(1)) + chunk(half),
+                        .Resets = true};
+    };
+    for (const auto &it : Servers)
+      Objects.remove("servers", it->id());
+    addServer("helper", script);
+    addServer("helper", script);
+    runFor(300ms);
+    Reply response = sendAndWait("POST", "/draft/1");
+    BOOST_TEST(response.Head.Status == 200, i);
+    BOOST_TEST(response.Body == eventText(1), i);
+    BOOST_TEST(bool(response.End == ExchangeEnd::Broken), i);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
