--- a/src/include/greengagespar/direct/exchange.h
+++ b/src/include/greengagespar/direct/exchange.h
@@ -63,7 +63,7 @@
   HttpHead Head;
   AnswerMetadata Answer;
   bool HasHead = false;
-  bool IsForeign = false; ///< The answer may belong to another request.
+  bool IsForeign = false;    ///< The answer may belong to another request.
   bool RelaysEvents = false; ///< The exchange forwards events as they arrive.
   std::string Body; ///< The answer so far; unused when RelaysEvents is set.
 };
