Leave a server's rate limit as it is on an answer without an id

Cause: an answer that may belong to another request was read as one that states no limit, which would have ended a limit in force.

Change: such an answer says nothing of limits either.

--- a/src/direct/exchange.cpp
+++ b/src/direct/exchange.cpp
@@ -195,7 +195,7 @@
   if (facts.IsOtherServer)
     Context.OnNotice(CurrentAttempt->Server, NoticeKind::Gone,
                      Call.Facts.RequestId);
-  else
+  else if (!isForeign)
     Context.OnRateLimit(CurrentAttempt->Server, facts.RateLimit);
   if (facts.Pause)
     Pool.pauseServer(CurrentAttempt->Server, *facts.Pause,
