--- a/src/base/schema.cpp
+++ b/src/base/schema.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 namespace json = boost::json;
+using std::chrono::milliseconds;
 
 constexpr std::size_t MaxIdBytes = 63;
 
@@ -23,6 +24,21 @@
 
 std::string numberText(double n) { return json::serialize(plainNumber(n)); }
 
+std::string describeNumbers(std::string_view what, Range<double> range) {
+  return "a " + std::string(what) + " from " + numberText(range.Min) + " to " +
+         numberText(range.Max);
+}
+
+// Returns the number in \p value; an empty optional if it is not a number in
+// \p range.
+std::optional<double> finiteNumberIn(const json::value &value,
+                                     Range<double> range) {
+  if (!value.is_number())
+    return std::nullopt;
+  auto n = value.to_number<double>();
+  return n >= range.Min && n <= range.Max ? std::optional(n) : std::nullopt;
+}
+
 } // namespace
 
 bool isIdText(std::string_view text) {
@@ -115,7 +131,6 @@
 
 Codec<std::chrono::milliseconds> millisecondCount(std::int64_t min,
                                                   std::int64_t max) {
-  using std::chrono::milliseconds;
   Range<std::int64_t> range{min, max};
   return detail::scalarCodec<milliseconds>(
       detail::describeRange("milliseconds", range),
@@ -126,6 +141,29 @@
       [](const milliseconds &time) { return json::value(time.count()); });
 }
 
+Codec<milliseconds> duration(std::string_view unit, double unitMs,
+                             Range<double> range) {
+  return detail::scalarCodec<milliseconds>(
+      describeNumbers("number of " + std::string(unit), range),
+      [unitMs, range](const json::value &value) -> std::optional<milliseconds> {
+        auto n = finiteNumberIn(value, range);
+        return n ? std::optional(milliseconds(std::llround(*n * unitMs)))
+                 : std::nullopt;
+      },
+      [unitMs](const milliseconds &time) {
+        return plainNumber(static_cast<double>(time.count()) / unitMs);
+      });
+}
+
+Codec<double> numberIn(Range<double> range) {
+  return detail::scalarCodec<double>(
+      describeNumbers("number", range),
+      [range](const json::value &value) {
+        return finiteNumberIn(value, range);
+      },
+      plainNumber);
+}
+
 Codec<double> decimalNumber(Range<double> range, bool maxIsOpen) {
   std::string expected = "a number over " + numberText(range.Min) +
                          (maxIsOpen ? " and under " : " and at most ") +
--- a/src/direct/direct_settings.cpp
+++ b/src/direct/direct_settings.cpp
@@ -10,6 +10,8 @@
 
 constexpr std::size_t MaxPeers = 64;
 
+constexpr double MsPerSecond = 1000;
+
 Schema<S> makeSchema() {
   constexpr auto required = Presence::Required;
   constexpr auto optional = Presence::Optional;
@@ -37,19 +39,20 @@
             "hosts; 0: there are none."),
       field("peers", &S::Peers, listOfValues(ipPort(), MaxPeers), optional,
             "Link addresses of some entries, to find the others by."),
-      field("grace_ms", &S::Grace, millisecondCount(500, 600000), optional,
+      field("grace_s", &S::Grace, duration("seconds", MsPerSecond, {0.5, 600}),
+            optional,
             "Time from a request to stop until the process is killed."),
       field("address_keep_ms", &S::AddressKeep, millisecondCount(100, 600000),
             optional, "Time for which callers may keep the addresses."),
-      field("retry_share", &S::RetryShare, decimalNumber({0, 1}), optional,
+      field("retry_share", &S::RetryShare, numberIn({0, 100}), optional,
             "Retries of all entries as a share of requests."),
-      field("extra_retries", &S::ExtraRetries,
-            wholeNumber("retries", {0, 1000000}), optional,
+      field("extra_retries", &S::ExtraRetries, numberIn({0, 1000000}), optional,
             "Retries of all entries beyond the share, in a window."),
-      field("retry_window_ms", &S::RetryWindow, millisecondCount(100, 600000),
-            optional, "Length of that window."),
+      field("retry_window_s", &S::RetryWindow,
+            duration("seconds", MsPerSecond, {0.1, 600}), optional,
+            "Length of that window."),
       field("registration_heartbeat_ms", &S::RegistrationHeartbeat,
-            millisecondCount(10, 600000), optional,
+            duration("milliseconds", 1, {10, 600000}), optional,
             "Interval at which servers renew their registrations."),
       field("log_lines_per_second", &S::LogLinesPerSecond,
             wholeNumber("lines", {1, 100000}), optional,
--- a/src/include/greengagespar/base/schema.h
+++ b/src/include/greengagespar/base/schema.h
@@ -155,6 +155,14 @@
 Codec<std::chrono::milliseconds> millisecondCount(std::int64_t min,
                                                   std::int64_t max);
 
+/// A time in \p unit of \p unitMs milliseconds, from \p range.Min to
+/// \p range.Max units. Fractions are accepted and rounded to milliseconds.
+Codec<std::chrono::milliseconds> duration(std::string_view unit, double unitMs,
+                                          Range<double> range);
+
+/// A number in \p range, whole or with a fraction.
+Codec<double> numberIn(Range<double> range);
+
 /// A number over range.Min, which itself is refused, and at most range.Max. If
 /// \p maxIsOpen, range.Max is refused too.
 Codec<double> decimalNumber(Range<double> range, bool maxIsOpen = false);
--- a/src/include/greengagespar/direct/direct_settings.h
+++ b/src/include/greengagespar/direct/direct_settings.h
@@ -26,7 +26,8 @@
   /// Time for which callers may keep the entries' addresses.
   std::chrono::milliseconds AddressKeep{2000};
   double RetryShare = 0.2; ///< Retries per request, of all entries together.
-  int ExtraRetries = 90;   ///< Of all entries in RetryWindow, beyond the share.
+  double ExtraRetries =
+      90; ///< Of all entries in RetryWindow, beyond the share.
   std::chrono::milliseconds RetryWindow{10000};
   /// Interval at which servers renew their registrations in the store.
   std::chrono::milliseconds RegistrationHeartbeat{1200};
--- a/src/include/greengagespar/direct/shared_state.h
+++ b/src/include/greengagespar/direct/shared_state.h
@@ -59,7 +59,7 @@
 
 /// The retries that all entries share.
 struct SharedRetries {
-  int Extra = 0; ///< In any Window, beyond a share of the requests.
+  double Extra = 0; ///< In any Window, beyond a share of the requests.
   std::chrono::milliseconds Window{0};
   Clock::time_point StartedAt; ///< When this entry started.
   bool HasPeers = false;       ///< The settings name other entries.
