Bound the questions to rank agents and the counts that a driver reads

Cause: each entry asked each rank agent once a second, 149 questions a second for a process on 0.15 core at 149 entries, and the driver read all counts since the start from all ranks each 150 ms, up to 15 MB/s at 192 ranks of 12 layers with 256 experts, on a host that may have 40 Mbit/s.

Change: the entries divide 30 questions a second to each agent (1 s between two of an entry up to 30 entries, 5 s at most); an agent tells a broken group by itself, each second while it is broken; an entry that becomes the driver, or may soon have to settle a switch, asks at once. The driver reads counts from a rotating sample of 96 ranks, and agents send only what is new since their last answer to the same entry. At up to 30 entries and 96 ranks nothing changes but the encoding.

--- a/src/direct/direct_entry.cpp
+++ b/src/direct/direct_entry.cpp
@@ -202,6 +202,7 @@
         !LeavingSince && Clock::now() - StartedAt > PeerDiscoveryTime;
     return positionAmong(Peers.view(), Self.ProcessIncarnation, takesPart);
   };
+  hooks.Entries = [this] { return liveEntries(); };
   hooks.OnRankState = [this](const Address &agent,
                              const wire::RankState &state) {
     recordRankState(agent, state.open());
@@ -376,18 +377,23 @@
   return *pool;
 }
 
+// Returns the number of entries that accept work.
+std::size_t DirectEntry::liveEntries() const {
+  return static_cast<std::size_t>(
+      std::ranges::count_if(Peers.view().Members, [](const auto &it) {
+        return acceptsWork(it.second);
+      }));
+}
+
 // Sets each pool's retry budget to this entry's part of the retries that all
 // entries may make.
 void DirectEntry::shareRetries() {
-  const auto &members = Peers.view().Members;
-  auto entries = std::ranges::count_if(
-      members, [](const auto &it) { return acceptsWork(it.second); });
   SharedRetries shared{Settings.ExtraRetries, Settings.RetryWindow, StartedAt,
                        !Settings.Peers.empty()};
   RetryAllowance allowance{Settings.RetryShare,
                            extraRetryPart(Peers.view(), shared, Clock::now())};
   for (auto &[id, pool] : Pools) {
-    pool->setEntries(static_cast<std::size_t>(entries));
+    pool->setEntries(liveEntries());
     applyAllowance(pool->budget(), allowance);
   }
 }
--- a/src/direct/map_coordinator.cpp
+++ b/src/direct/map_coordinator.cpp
@@ -2,7 +2,9 @@
 
 #include "greengagespar/base/log.h"
 #include "greengagespar/base/log_output.h"
+#include "greengagespar/direct/rank_polling.h"
 #include <algorithm>
+#include <utility>
 
 namespace greengagespar {
 
@@ -14,10 +16,10 @@
 constexpr milliseconds SwitchTick{10};
 constexpr milliseconds IdleTick{100};
 
-// How often the driver requests counts, and how often the other entries request
-// the state, which makes them known to the agents.
-constexpr milliseconds CountPeriod{150};
-constexpr milliseconds PresencePeriod{1000};
+constexpr RankPollOptions PollOptions;
+
+// How often an entry that may have to settle a switch requests all states.
+constexpr milliseconds SettlingInterval{1000};
 
 // A rank that has sent no state for this long is unresponsive, and its group is
 // not ready for a driver.
@@ -179,6 +181,17 @@
   return text;
 }
 
+// Returns whether the entry at \p position may soon have to settle a switch of
+// \p group: it needs recent states of all ranks for that.
+bool isSettlementNear(const CoordinatedGroup &group, std::size_t position,
+                      Clock::time_point now) {
+  if (!group.SettlementRequestedAt)
+    return false;
+  auto waited = now - *group.SettlementRequestedAt;
+  return waited < SettlementRequestKept &&
+         waited >= SettleStagger * static_cast<int>(position);
+}
+
 bool isSteady(const CoordinatedGroup &group) {
   return isDriving(group) && group.Driver->Phase == DriverPhase::Steady;
 }
@@ -212,8 +225,18 @@
 
 void MapCoordinator::tick() {
   auto now = Clock::now();
+  std::size_t position = Hooks.Position();
+  bool isDriver = position == 0;
+  // The states and counts of before are too old for a switch.
+  if (isDriver != std::exchange(WasDriver, isDriver))
+    NextRequestAt = {};
+  bool isSettling = std::ranges::any_of(Groups, [&](const auto &it) {
+    return isSettlementNear(it.second, position, now);
+  });
+  if (isSettling)
+    NextRequestAt = std::min(NextRequestAt, LastRequestAt + SettlingInterval);
   if (now >= NextRequestAt)
-    requestStates(now);
+    requestStates(isDriver, now);
   bool isBusy = false;
   for (auto &[name, group] : Groups) {
     drive(name, group, now);
@@ -223,26 +246,41 @@
   Ticker.start(isBusy ? SwitchTick : IdleTick);
 }
 
-void MapCoordinator::requestStates(Clock::time_point now) {
-  bool isDriver = Hooks.Position() == 0;
-  NextRequestAt = now + (isDriver ? CountPeriod : PresencePeriod);
-  for (auto &[address, client] : Agents) {
-    wire::Envelope envelope;
-    envelope.mutable_rank_ask()->set_with_counts(isDriver);
-    client->send(envelope);
-    if (!isDriver)
-      continue;
-    for (const auto &[name, group] : Groups)
-      for (const KnownRank &it : group.Ranks)
-        if (it.Agent == address && needsPlaces(it)) {
-          wire::Envelope places;
-          places.mutable_rank_ask()->set_with_places(true);
-          client->send(places);
-        }
-  }
-  if (isDriver)
-    for (auto &[name, group] : Groups)
-      endPeriod(name, group, now);
+// The driver requests the counts of one sample of the ranks after the other;
+// all samples make a period. Any other entry requests the states of all, which
+// makes it known to the agents.
+void MapCoordinator::requestStates(bool isDriver, Clock::time_point now) {
+  LastRequestAt = now;
+  NextRequestAt =
+      now + (isDriver ? PollOptions.CountInterval
+                      : presenceInterval(PollOptions, Hooks.Entries()));
+  std::size_t samples = isDriver ? sampleCount(PollOptions, Agents.size()) : 1;
+  NextSample %= samples;
+  std::size_t i = 0;
+  for (auto &[address, client] : Agents)
+    if (isInSample(i++, NextSample, samples))
+      requestState(address, *client, isDriver);
+  ++NextSample;
+  if (!isDriver || NextSample < samples)
+    return;
+  for (auto &[name, group] : Groups)
+    endPeriod(name, group, now);
+}
+
+void MapCoordinator::requestState(const Address &agent, LinkClient &client,
+                                  bool isDriver) {
+  wire::Envelope envelope;
+  envelope.mutable_rank_ask()->set_with_counts(isDriver);
+  client.send(envelope);
+  if (!isDriver)
+    return;
+  for (const auto &[name, group] : Groups)
+    for (const KnownRank &it : group.Ranks)
+      if (it.Agent == agent && needsPlaces(it)) {
+        wire::Envelope places;
+        places.mutable_rank_ask()->set_with_places(true);
+        client.send(places);
+      }
 }
 
 void MapCoordinator::onEnvelope(const Address &agent,
@@ -289,17 +327,10 @@
     rank.Places = readPlaces(state);
     rank.PlacesMap = rank.InUse;
   }
-  if (std::cmp_not_equal(state.counts_size(), group.PeriodCounts.size()))
+  if (std::cmp_not_equal(state.new_counts_size(), group.PeriodCounts.size()))
     return;
-  std::vector<std::uint64_t> counts(state.counts().begin(),
-                                    state.counts().end());
-  // The counts restart at zero when the server restarts.
-  if (rank.Counts.size() == counts.size())
-    for (std::size_t i = 0; i < counts.size(); ++i)
-      if (counts[i] >= rank.Counts[i])
-        group.PeriodCounts[i] +=
-            static_cast<double>(counts[i] - rank.Counts[i]);
-  rank.Counts = std::move(counts);
+  for (int i = 0; i < state.new_counts_size(); ++i)
+    group.PeriodCounts[static_cast<std::size_t>(i)] += state.new_counts(i);
 }
 
 void MapCoordinator::onReport(const Address &agent,
@@ -516,7 +547,7 @@
                                Clock::time_point now) {
   auto length =
       std::chrono::duration_cast<milliseconds>(now - group.PeriodStart);
-  if (length < CountPeriod / 2)
+  if (length < PollOptions.CountInterval / 2)
     return;
   double sum = 0;
   for (double it : group.PeriodCounts)
--- a/src/direct/rank_agent.cpp
+++ b/src/direct/rank_agent.cpp
@@ -4,6 +4,7 @@
 #include "greengagespar/base/log_output.h"
 #include <algorithm>
 #include <event2/event.h>
+#include <utility>
 
 namespace greengagespar {
 
@@ -17,8 +18,13 @@
 constexpr milliseconds BusyPoll{25};
 
 // An entry that has not requested the state for this long receives no
-// notifications any more.
-constexpr milliseconds WatcherTimeout{5000};
+// notifications any more. Entries may ask only every
+// RankPollOptions::MaxPresenceInterval, and one request may be lost.
+constexpr milliseconds WatcherTimeout{15000};
+
+// How often the agent notifies the entries while its group is broken: an entry
+// forgets a broken group of which it hears nothing any more.
+constexpr milliseconds BrokenGroupInterval{1000};
 
 // The hold of a cancelled map must be released within this time. Otherwise the
 // agent requests another settlement.
@@ -121,6 +127,9 @@
     readState([this] { IsPolling = false; });
   }
   checkHoldTimeout(Clock::now());
+  if (Server && IsFresh && !Server->IsOpen &&
+      Clock::now() - NotifiedAt >= BrokenGroupInterval)
+    notifyWatchers(false);
   if (Switch)
     performActions(decideRank(*Switch, RankTick{}, Clock::now()));
   bool isBusy = Work || (Switch && Switch->InProgress) ||
@@ -401,9 +410,12 @@
 void RankAgent::answerState(const PeerId &to, const wire::RankAsk &ask) {
   auto now = Clock::now();
   std::erase_if(Watchers, [&](const Watcher &it) {
-    return it.At == to || now - it.RequestedAt > WatcherTimeout;
+    return now - it.RequestedAt > WatcherTimeout;
   });
-  Watchers.push_back({to, now});
+  Watcher *watcher = watcherAt(to);
+  if (!watcher)
+    watcher = &Watchers.emplace_back(Watcher{to, now, {}});
+  watcher->RequestedAt = now;
   // A state that was read before the server became unreachable is outdated.
   if (!Server || !IsFresh)
     return;
@@ -415,10 +427,34 @@
   if (!ask.with_counts())
     return sendState(to, {}, {});
   Client.readCounts([this, to](const std::vector<std::uint64_t> &counts) {
-    sendState(to, counts, {});
+    sendState(to, newCountsFor(to, counts), {});
   });
 }
 
+RankAgent::Watcher *RankAgent::watcherAt(const PeerId &at) {
+  auto it = std::ranges::find(Watchers, at, &Watcher::At);
+  return it == Watchers.end() ? nullptr : &*it;
+}
+
+// Returns the part of \p counts that the entry \p to has not received yet;
+// empty if that is not known.
+std::vector<std::uint64_t>
+RankAgent::newCountsFor(const PeerId &to,
+                        const std::vector<std::uint64_t> &counts) {
+  Watcher *watcher = watcherAt(to);
+  if (!watcher)
+    return {};
+  std::vector<std::uint64_t> before =
+      std::exchange(watcher->CountsSent, counts);
+  if (before.size() != counts.size())
+    return {};
+  std::vector<std::uint64_t> fresh = counts;
+  // The counts restart at zero when the server restarts.
+  for (std::size_t i = 0; i < fresh.size(); ++i)
+    fresh[i] -= fresh[i] >= before[i] ? before[i] : fresh[i];
+  return fresh;
+}
+
 std::string RankAgent::renderMetrics() {
   setGauge(Counters, {"greengagespar_watchers"},
            static_cast<double>(Watchers.size()));
@@ -461,7 +497,7 @@
   wire::RankState &out = *envelope.mutable_rank_state();
   fillState(out);
   for (std::uint64_t it : counts)
-    out.add_counts(it);
+    out.add_new_counts(it);
   for (const auto &layer : places) {
     out.add_places_in_layer(static_cast<std::uint32_t>(layer.size()));
     for (Expert it : layer)
@@ -473,6 +509,7 @@
 // Notifies all entries at once of a change that they would receive too late
 // with their next request.
 void RankAgent::notifyWatchers(bool wantsSettlement) {
+  NotifiedAt = Clock::now();
   logWarning(Part::Group,
              LogLine(wantsSettlement ? "settlement_wanted" : "group_turned")
                  .add("group", Server->Group)
--- a/src/include/greengagespar/direct/direct_entry.h
+++ b/src/include/greengagespar/direct/direct_entry.h
@@ -49,6 +49,7 @@
   void onConfiguration(const std::shared_ptr<const RouteTable> &table);
   void onServers(const ServerChanges &changes);
   ServerPool &poolOf(const ServiceId &service);
+  std::size_t liveEntries() const;
   void shareRetries();
   void updateRankAgents();
   const EndpointView *serverOnHostOf(const Address &agent) const;
--- a/src/include/greengagespar/direct/map_coordinator.h
+++ b/src/include/greengagespar/direct/map_coordinator.h
@@ -1,7 +1,7 @@
 /// \file
 /// The map coordinator of an entry: adapts the expert maps of a site's groups
 /// to the current demand for experts. One entry at a time is the driver of all
-/// groups: the first live one in order of address. It collects the counts of
+/// groups: the live one that has run for longest. It collects the counts of
 /// all ranks, plans new maps and drives the switches to them (rank_server.h
 /// describes a switch). The other entries act only when a driver has died: they
 /// settle its switch, which means that they resolve a switch whose outcome is
@@ -28,11 +28,10 @@
 
 /// What this entry knows of one rank.
 struct KnownRank {
-  Address Agent;                     ///< The rank agent's address.
-  Clock::time_point LastReceivedAt;  ///< When its state was last received.
-  bool IsOpen = false;               ///< Its group serves requests.
-  MapNumber InUse;                   ///< The map that its server uses.
-  std::vector<std::uint64_t> Counts; ///< Latest count of each expert.
+  Address Agent;                    ///< The rank agent's address.
+  Clock::time_point LastReceivedAt; ///< When its state was last received.
+  bool IsOpen = false;              ///< Its group serves requests.
+  MapNumber InUse;                  ///< The map that its server uses.
   std::vector<std::vector<Expert>> Places; ///< Its experts by layer.
   MapNumber PlacesMap;                     ///< The map of Places.
 };
@@ -68,6 +67,8 @@
   /// Returns the position of this entry among the live ones. The entry at
   /// position 0 is the driver.
   std::function<std::size_t()> Position;
+  /// Returns the number of live entries, this one included.
+  std::function<std::size_t()> Entries;
   /// Called when the agent of a rank has sent the state of its server.
   std::function<void(const Address &agent, const wire::RankState &)>
       OnRankState;
@@ -96,7 +97,8 @@
 
 private:
   void tick();
-  void requestStates(Clock::time_point now);
+  void requestStates(bool isDriver, Clock::time_point now);
+  void requestState(const Address &agent, LinkClient &client, bool isDriver);
   void onEnvelope(const Address &agent, const wire::Envelope &envelope);
   void onState(const Address &agent, const wire::RankState &state);
   void onReport(const Address &agent, const wire::MapReport &message);
@@ -126,7 +128,10 @@
   std::map<std::string, CoordinatedGroup> Groups;
   std::uint64_t HighestLease = 0;
   LogLimiter RefusalLog{5, std::chrono::seconds(1), 64, {}}; ///< By group.
+  bool WasDriver = false; ///< This entry was at position 0 at the last tick.
+  Clock::time_point LastRequestAt{};
   Clock::time_point NextRequestAt{};
+  std::size_t NextSample = 0; ///< Of the samples of a period, see RankPolling.
   Timer Ticker;
 };
 
--- a/src/include/greengagespar/direct/rank_agent.h
+++ b/src/include/greengagespar/direct/rank_agent.h
@@ -71,12 +71,18 @@
   struct Watcher {
     PeerId At;
     Clock::time_point RequestedAt;
+    /// The server's counts at the last answer with counts; empty: there was
+    /// none.
+    std::vector<std::uint64_t> CountsSent;
   };
 
   void onEnvelope(const PeerId &from, const wire::Envelope &envelope);
   void answerState(const PeerId &to, const wire::RankAsk &ask);
   void sendState(const PeerId &to, const std::vector<std::uint64_t> &counts,
                  const std::vector<std::vector<Expert>> &places);
+  Watcher *watcherAt(const PeerId &at);
+  std::vector<std::uint64_t>
+  newCountsFor(const PeerId &to, const std::vector<std::uint64_t> &counts);
   void handleMapOrder(const PeerId &from, const wire::MapOrder &message);
   Result<void> logIgnoredArm(const MapOrder &order) const;
   void handleResume(const wire::MapResume &message);
@@ -115,6 +121,7 @@
   RankHistory History;
   std::map<Ballot, PeerId> Requesters; ///< The entry that uses each ballot.
   std::vector<Watcher> Watchers;
+  Clock::time_point NotifiedAt{}; ///< When all watchers were last notified.
   /// This rank's experts, layer by layer.
   std::vector<std::vector<Expert>> OwnPlaces;
   MapNumber OwnPlacesMap;          ///< The map that OwnPlaces was read for.
--- a/testsuite/direct/settlement_test.cpp
+++ b/testsuite/direct/settlement_test.cpp
@@ -23,7 +23,7 @@
       Context,
       Self,
       platformRankDialect(),
-      {[] { return std::size_t{1}; },
+      {[] { return std::size_t{1}; }, [] { return std::size_t{2}; },
        [](const Address &, const wire::RankState &) {},
        [](const Address &) { return std::optional<Address>(); }}};
   std::vector<std::unique_ptr<FakeRank>> Ranks;
