Let the pause between polls of the store grow while changes keep coming

Change: the pause doubles up to 700 ms while polls are answered within it, and starts at 100 ms again after a quiet time. A single change comes as soon as before, one of many at most 0.7 s later; a change has to be in force after 2 s.

Result: store_tests pause_manyChanges: at most 8 polls for 198 registrations.

--- a/src/direct/site_follower.cpp
+++ b/src/direct/site_follower.cpp
@@ -16,10 +16,10 @@
 // something changes; shorter polls would only show sooner that the store is
 // available, and the platform counts and charges each call.
 constexpr milliseconds PollWait{8000};
-// Least time between two polls, which limits the number of calls when there are
-// many changes. It is far below the two seconds in which a change has to be in
-// force.
-constexpr milliseconds PollPause{100};
+// Times between two polls, which limit the number of calls when there are many
+// changes: each entry polls, and hundreds of servers may start at once. They
+// are well below the two seconds in which a change has to be in force.
+constexpr PauseOptions PollPause{milliseconds{100}, milliseconds{700}};
 // The store usually answers in milliseconds; when it is slow, it takes 60 to
 // 100 times as long.
 constexpr milliseconds CallTimeout{2000};
--- a/src/include/greengagespar/store/prefix_watch.h
+++ b/src/include/greengagespar/store/prefix_watch.h
@@ -46,13 +46,28 @@
 std::chrono::milliseconds graceAfterAnswer(std::chrono::milliseconds late,
                                            const GraceOptions &options);
 
+/// Bounds of the pause: the time from an answer to the next poll. It limits the
+/// rate of calls when there are many changes, as the next poll then returns all
+/// those of the pause at once.
+struct PauseOptions {
+  std::chrono::milliseconds Min{200};
+  std::chrono::milliseconds Max{200};
+};
+
+/// Returns the pause to use after one of \p pause, when the poll that followed
+/// it was answered after \p held. While changes follow each other closely, the
+/// pause doubles (exponential backoff); after a quiet time it is the shortest
+/// one again, so that a single change is never delayed. Pure; thread safe.
+std::chrono::milliseconds pauseAfterAnswer(std::chrono::milliseconds pause,
+                                           std::chrono::milliseconds held,
+                                           const PauseOptions &options);
+
 /// What to watch and how often to poll.
 struct PrefixWatchOptions {
   std::string Prefix;
   std::chrono::milliseconds Wait{2000}; ///< Longest wait of one poll.
-  /// Time from an answer to the next poll; limits the rate of calls when there
-  /// are many changes.
-  std::chrono::milliseconds Pause{200};
+  /// Time from an answer to the next poll, see PauseOptions.
+  PauseOptions Pause;
   GraceOptions Grace;
   /// After a restore of the store, the watch lists again within this time, at a
   /// random moment, so that many processes do not all list at the same time.
@@ -107,6 +122,7 @@
   Timer NextPoll;
   Backoff Delay;
   std::chrono::milliseconds Grace; ///< Grace of the next poll.
+  std::chrono::milliseconds Pause; ///< Pause before the next poll.
   std::mt19937_64 Rng;
   ObjectVersion Revision;
   Listing Parts; ///< The parts received so far of a list in progress.
--- a/src/store/prefix_watch.cpp
+++ b/src/store/prefix_watch.cpp
@@ -23,13 +23,19 @@
   return std::clamp(late * 2, options.Min, options.Max);
 }
 
+std::chrono::milliseconds pauseAfterAnswer(std::chrono::milliseconds pause,
+                                           std::chrono::milliseconds held,
+                                           const PauseOptions &options) {
+  return held < pause ? std::min(pause * 2, options.Max) : options.Min;
+}
+
 PrefixWatch::PrefixWatch(event_base *loop, ObjectClient &client,
                          PrefixWatchOptions options, std::uint64_t seed,
                          OnChange change, OnFailure failure)
     : Client(client), Options(std::move(options)), Change(std::move(change)),
       Failure(std::move(failure)),
       NextPoll(loop, [this] { poll(); }), Delay{Options.Retry},
-      Grace(Options.Grace.Min), Rng(seed) {
+      Grace(Options.Grace.Min), Pause(Options.Pause.Min), Rng(seed) {
   client.onRestore(CallbackGuard.wrap([this](StoreTimeline) { onRestore(); }));
 }
 
@@ -137,6 +143,7 @@
         Clock::now() - sent);
     Grace = result ? graceAfterAnswer(took - wait, Options.Grace)
                    : graceAfterLoss(Grace, Options.Grace);
+    Pause = pauseAfterAnswer(Pause, took, Options.Pause);
     handle(std::move(result),
            [this](WatchAnswer answer) { handleAnswer(std::move(answer)); });
   };
@@ -171,7 +178,7 @@
   Revision = change.Revision;
   HasReported = true;
   HasFailed = false;
-  NextPoll.start(Options.Pause);
+  NextPoll.start(Pause);
   Change(change);
 }
 
--- a/src/store/prefix_watch_test.cpp
+++ b/src/store/prefix_watch_test.cpp
@@ -40,7 +40,7 @@
                     Client,
                     {.Prefix = "/p/",
                      .Wait = 50ms,
-                     .Pause = 1ms,
+                     .Pause = {.Min = 1ms, .Max = 1ms},
                      .Grace = {.Min = 50ms, .Max = 200ms},
                      .RestoreSpread = 5ms,
                      .Retry = {.Base = 1ms, .Cap = 4ms}},
@@ -112,6 +112,35 @@
   BOOST_TEST(Changes.at(2).Revision.Value == 8);
 }
 
+// Adaptive batching of changes: each of 149 watches follows 198 servers that
+// register within two seconds, a while after the watch began, and later one
+// change more.
+BOOST_AUTO_TEST_CASE(pause_manyChanges_takesFewPollsAndEndsWhenQuiet) {
+  const PauseOptions options{.Min = 100ms, .Max = 700ms};
+  constexpr auto gap = 10ms;
+  constexpr auto roundTrip = 8ms;
+  std::chrono::milliseconds now = 0ms;
+  std::chrono::milliseconds pause = options.Min;
+  std::chrono::milliseconds seen = 0ms;
+  const std::chrono::milliseconds first = 3000ms;
+  const std::chrono::milliseconds last = first + 198 * gap;
+  int polls = 0;
+  while (seen < last) {
+    now += pause;
+    ++polls;
+    std::chrono::milliseconds next =
+        std::max({now, first, std::min(last, seen + gap)});
+    pause = pauseAfterAnswer(pause, next - now + roundTrip, options);
+    now = next + roundTrip;
+    BOOST_TEST(
+        (now - seen <= options.Max + gap + 2 * roundTrip || next == first));
+    seen = std::min(next, last);
+  }
+  BOOST_TEST(polls <= 8);
+  // The next change comes when the poll has waited for a while.
+  BOOST_TEST((pauseAfterAnswer(pause, 2000ms, options) == options.Min));
+}
+
 BOOST_AUTO_TEST_CASE(watch_outageAndTimeout_continueAfterLastRevision) {
   Script = {listing(5), {503, ""}, {0, ""}, {-1, ""}, change(7)};
   runScript();
