Learn that a group has broken from the first report of any of its ranks

Cause: all ranks of a group break and form again together, but an entry marked each server only when its own agent had reported, up to 0.3 s later; until then it sent requests that the rank answered with 503, and the first streams of a group that had formed again went to few of its servers.

Change: group/standing turns the first report into news about all ranks. Within an epoch a group only breaks; what a rank read before is outdated.

--- a/src/direct/direct_entry.cpp
+++ b/src/direct/direct_entry.cpp
@@ -203,9 +203,8 @@
     return positionAmong(Peers.view(), Self.ProcessIncarnation, takesPart);
   };
   hooks.Entries = [this] { return liveEntries(); };
-  hooks.OnRankState = [this](const Address &agent,
-                             const wire::RankState &state) {
-    recordRankState(agent, state.open());
+  hooks.OnRankOpen = [this](const Address &agent, bool isOpen) {
+    recordRankState(agent, isOpen);
   };
   hooks.ServerOf = [this](const Address &agent) -> std::optional<Address> {
     const EndpointView *server = serverOnHostOf(agent);
--- a/src/direct/map_coordinator.cpp
+++ b/src/direct/map_coordinator.cpp
@@ -89,6 +89,16 @@
                                                     : std::nullopt;
 }
 
+// Forgets all but the addresses of the agents.
+void resetRanks(std::vector<KnownRank> &ranks, std::size_t size) {
+  ranks.resize(size);
+  for (KnownRank &it : ranks) {
+    Address agent = std::move(it.Agent);
+    it = {};
+    it.Agent = std::move(agent);
+  }
+}
+
 RankPlaces placesOf(const Placement &placement) {
   const GroupShape &shape = placement.Shape;
   RankPlaces places(shape.Layers,
@@ -274,17 +284,17 @@
 void MapCoordinator::onState(const Address &agent,
                              const wire::RankState &state) {
   auto now = Clock::now();
-  Hooks.OnRankState(agent, state);
   if (state.group().empty() || state.rank() >= state.size() ||
       Engine.Experts == 0)
-    return;
+    return Hooks.OnRankOpen(agent, state.open());
   CoordinatedGroup &group = Groups[state.group()];
+  recordReportedStanding(group, agent, state, now);
   if (state.epoch() < group.Epoch)
     return;
   if (state.epoch() > group.Epoch || group.Ranks.size() != state.size()) {
     group.Epoch = state.epoch();
     group.Engine = Engine;
-    group.Ranks.assign(state.size(), {});
+    resetRanks(group.Ranks, state.size());
     group.Driver.reset();
     group.HoldingServer.reset();
     group.IsHoldPending = false;
@@ -313,6 +323,22 @@
     group.PeriodCounts[static_cast<std::size_t>(i)] += state.new_counts(i);
 }
 
+// Passes on whether the ranks of \p group accept work.
+void MapCoordinator::recordReportedStanding(CoordinatedGroup &group,
+                                            const Address &agent,
+                                            const wire::RankState &state,
+                                            Clock::time_point now) {
+  StandingNews news =
+      recordStanding(group.Standing, state.epoch(), state.open(), now);
+  if (state.epoch() == group.Standing.Epoch)
+    Hooks.OnRankOpen(agent, !group.Standing.IsBroken);
+  if (news == StandingNews::None)
+    return;
+  for (const KnownRank &it : group.Ranks)
+    if (!it.Agent.Value.empty() && it.Agent != agent)
+      Hooks.OnRankOpen(it.Agent, news == StandingNews::Formed);
+}
+
 void MapCoordinator::onReport(const Address &agent,
                               const wire::MapReport &message) {
   recoverFrom(
--- a/src/direct/switch_plan_test.cpp
+++ b/src/direct/switch_plan_test.cpp
@@ -32,9 +32,8 @@
       std::iota(layer.begin(), layer.end(), 0U);
       std::ranges::shuffle(layer, Random);
     }
-    Map = {{Ranks, Engine.Experts, Engine.Layers, Engine.SlotsPerLayer},
-           {},
-           {}};
+    Map = {
+        {Ranks, Engine.Experts, Engine.Layers, Engine.SlotsPerLayer}, {}, {}};
     // The first map assigns the experts in turn.
     Map.Slots.assign(Engine.Layers * slotsOfLayer(Map.Shape), NoExpert);
     for (std::size_t l = 0; l < Engine.Layers; ++l)
--- a/src/include/greengagespar/direct/map_coordinator.h
+++ b/src/include/greengagespar/direct/map_coordinator.h
@@ -17,6 +17,7 @@
 #include "greengagespar/direct/site.h"
 #include "greengagespar/group/driver.h"
 #include "greengagespar/group/planner.h"
+#include "greengagespar/group/standing.h"
 #include "greengagespar/link/link.h"
 #include "greengagespar/report/metrics.h"
 #include "greengagespar/store/timer.h"
@@ -38,6 +39,7 @@
 
 /// One group and the switch that is in progress in it.
 struct CoordinatedGroup {
+  GroupStanding Standing;
   std::uint64_t Epoch = 0;
   EngineProfile Engine;
   std::vector<KnownRank> Ranks;
@@ -70,9 +72,9 @@
   std::function<std::size_t()> Position;
   /// Returns the number of live entries, this one included.
   std::function<std::size_t()> Entries;
-  /// Called when the agent of a rank has sent the state of its server.
-  std::function<void(const Address &agent, const wire::RankState &)>
-      OnRankState;
+  /// Called when a report shows whether the rank of the agent at \p agent
+  /// accepts work.
+  std::function<void(const Address &agent, bool isOpen)> OnRankOpen;
   /// Returns the server beside which the agent at \p agent runs; empty when it
   /// is not known.
   std::function<std::optional<Address>(const Address &agent)> ServerOf;
@@ -102,6 +104,9 @@
   void requestState(const Address &agent, LinkClient &client, bool isDriver);
   void onEnvelope(const Address &agent, const wire::Envelope &envelope);
   void onState(const Address &agent, const wire::RankState &state);
+  void recordReportedStanding(CoordinatedGroup &group, const Address &agent,
+                              const wire::RankState &state,
+                              Clock::time_point now);
   void onReport(const Address &agent, const wire::MapReport &message);
   void logRefusal(const std::string &name, const CoordinatedGroup &group,
                   const RankReport &report);
--- a/testsuite/direct/settlement_test.cpp
+++ b/testsuite/direct/settlement_test.cpp
@@ -24,7 +24,7 @@
       Self,
       platformRankDialect(),
       {[] { return std::size_t{1}; }, [] { return std::size_t{2}; },
-       [](const Address &, const wire::RankState &) {},
+       [](const Address &, bool) {},
        [](const Address &) { return std::optional<Address>(); }}};
   std::vector<std::unique_ptr<FakeRank>> Ranks;
   std::vector<std::unique_ptr<RankAgent>> Agents;
