Answer all calls that a stopping entry has taken before it ends

Change: a stopping entry takes a request for a whole answer only if its deadline comes before the end, so that its answer, or the 504 of its deadline, is sent in time; any other is refused with 503, which is true, and goes to another entry. At the end calls that wait for a server are refused, calls at a server answered with 502, and the entry goes on for 150 ms to write that.

--- a/src/direct/attempts.cpp
+++ b/src/direct/attempts.cpp
@@ -26,9 +26,9 @@
   return {NextStep::SendAgain, "again"};
 }
 
-bool canServeBeforeEnd(RequestKind kind, Clock::duration untilEnd) {
-  return untilEnd >=
-         (kind == RequestKind::Stream ? StreamDuration : WholeAnswerDuration);
+bool canServeBeforeEnd(RequestKind kind, Clock::duration left,
+                       Clock::duration untilEnd) {
+  return untilEnd >= (kind == RequestKind::Stream ? StreamDuration : left);
 }
 
 } // namespace greengagespar
--- a/src/direct/attempts_test.cpp
+++ b/src/direct/attempts_test.cpp
@@ -66,10 +66,13 @@
 }
 
 BOOST_AUTO_TEST_CASE(leavingEntry_servesWhatEndsBeforeIt) {
-  BOOST_TEST(canServeBeforeEnd(RequestKind::Stream, 7s));
-  BOOST_TEST(!canServeBeforeEnd(RequestKind::Stream, 4s));
-  BOOST_TEST(canServeBeforeEnd(RequestKind::Idempotent, 4s));
-  BOOST_TEST(!canServeBeforeEnd(RequestKind::AtMostOnce, 500ms));
+  BOOST_TEST(canServeBeforeEnd(RequestKind::Stream, 8s, 7s));
+  BOOST_TEST(!canServeBeforeEnd(RequestKind::Stream, 8s, 4s));
+  for (RequestKind kind : {RequestKind::Idempotent, RequestKind::AtMostOnce}) {
+    BOOST_TEST(canServeBeforeEnd(kind, 1200ms, 4s));
+    BOOST_TEST(!canServeBeforeEnd(kind, 1200ms, 1100ms));
+    BOOST_TEST(!canServeBeforeEnd(kind, 30s, 7s));
+  }
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/direct/direct_entry.cpp
+++ b/src/direct/direct_entry.cpp
@@ -25,8 +25,10 @@
 constexpr milliseconds LeaveLinger{1200};
 // Idle connections of a leaving entry are closed after this long.
 constexpr milliseconds IdleLinger{300};
-// A leaving entry ends its loop this long before the grace time is over.
+// A leaving entry ends its calls this long before the grace time is over, and
+// its loop when their answers have had LastAnswersTime to be written.
 constexpr milliseconds GraceMargin{400};
+constexpr milliseconds LastAnswersTime{150};
 
 // Largest number of addresses in one answer, from the platform's pages.
 constexpr std::size_t MaxAddresses = 64;
@@ -325,18 +327,33 @@
     IsDraining = true;
     RequestListener.drain(IdleLinger);
   }
+  if (now >= endsAt() && !LastCallsEnded)
+    endLastCalls();
   bool isQuiet =
       IsDraining && OpenExchanges.empty() && RequestListener.connections() == 0;
-  if (!isQuiet && now < endsAt())
+  if (!isQuiet && now < endsAt() + LastAnswersTime)
     return;
   logInfo(Part::Entry,
           LogLine("stop")
               .addMs("after_ms", since)
-              .add("cut", static_cast<std::int64_t>(OpenExchanges.size()))
+              .add("cut", static_cast<std::int64_t>(LastCallsEnded.value_or(0)))
               .text());
   event_base_loopbreak(Loop);
 }
 
+// Answers the calls that are still open, as their connections would otherwise
+// end without an answer.
+void DirectEntry::endLastCalls() {
+  std::vector<Exchange *> last;
+  for (const auto &[id, exchange] : OpenExchanges)
+    last.push_back(exchange.get());
+  LastCallsEnded = last.size();
+  // The end of a call at a server could start one that waits.
+  std::ranges::partition(last, [](auto *it) { return !it->isAtServer(); });
+  for (Exchange *it : last)
+    it->stop();
+}
+
 void DirectEntry::tick() {
   auto now = Clock::now();
   Site.tick(now);
@@ -531,13 +548,14 @@
     return reject(facts, reply, StatusUnauthorized, "unknown_key");
   if (facts.RequestId.empty())
     return reject(facts, reply, StatusBadRequest, "no_request_id");
-  if (LeavingSince && !canServeBeforeEnd(route->Kind, endsAt() - now))
-    return reject(facts, reply, StatusUnavailable, "leaving",
-                  OtherEntryRetryAfter);
   auto deadline = deadlineOf(facts, *route, now);
   if (!deadline)
     return reject(facts, reply, StatusUnavailable, "no_time",
                   NotReadyRetryAfter);
+  if (LeavingSince &&
+      !canServeBeforeEnd(route->Kind, deadline->At - now, endsAt() - now))
+    return reject(facts, reply, StatusUnavailable, "leaving",
+                  OtherEntryRetryAfter);
   std::uniform_real_distribution<double> draw(0, 1);
   const ServiceId *service = pickService(*route, draw(Random));
   if (!service)
--- a/src/direct/exchange.cpp
+++ b/src/direct/exchange.cpp
@@ -485,7 +485,7 @@
     return;
   auto now = Clock::now();
   if (hasPassed(Call.CallDeadline, now))
-    return onDeadline();
+    return giveUp(ErrorKind::DeadlineTooShort, "deadline");
   if (watchesInactivity() &&
       now - CurrentAttempt->LastReceivedAt >= inactivityLimit()) {
     HasSwitchedServer = true;
@@ -494,15 +494,21 @@
   armTimer();
 }
 
-void Exchange::onDeadline() {
+void Exchange::stop() {
+  if (!HasEnded)
+    giveUp(ErrorKind::Leaving, "leaving");
+}
+
+// Ends the exchange without an answer of a server, for \p reason.
+void Exchange::giveUp(ErrorKind kind, std::string_view reason) {
   if (!CurrentAttempt) {
     Pool.withdraw(Call.Id);
-    return refuse({ErrorKind::DeadlineTooShort}, "deadline");
+    return refuse({kind}, reason);
   }
   PoolOutcome outcome;
   outcome.IsAbandoned = true;
   releaseServer(outcome);
-  failOutcomeUnknown("deadline");
+  failOutcomeUnknown(reason);
 }
 
 void Exchange::finish(int status, std::string_view outcome,
--- a/src/include/greengagespar/direct/attempts.h
+++ b/src/include/greengagespar/direct/attempts.h
@@ -52,14 +52,17 @@
 /// Decides what follows an attempt that ended with \p end.
 NextDecision decideNext(const AttemptHistory &history, AttemptEnd end);
 
-/// Time that a usual stream, or a whole answer, needs from its request to its
-/// end while the system is busy.
+/// Time that a usual stream needs from its request to its end while the system
+/// is busy.
 inline constexpr std::chrono::milliseconds StreamDuration{4800};
-inline constexpr std::chrono::milliseconds WholeAnswerDuration{1000};
 
 /// Returns whether an entry that ends in \p untilEnd can still serve a new
-/// request of \p kind. If not, another entry should.
-bool canServeBeforeEnd(RequestKind kind, Clock::duration untilEnd);
+/// request of \p kind that has \p left until its deadline. If not, another
+/// entry should. A request for a whole answer has its answer, if only that of
+/// its deadline, before the entry ends, however slow its server is. The
+/// deadline of streams is many times as long as most of them take.
+bool canServeBeforeEnd(RequestKind kind, Clock::duration left,
+                       Clock::duration untilEnd);
 
 } // namespace greengagespar
 
--- a/src/include/greengagespar/direct/direct_entry.h
+++ b/src/include/greengagespar/direct/direct_entry.h
@@ -67,6 +67,7 @@
   void tick();
   Clock::time_point endsAt() const;
   void tickLeaving(Clock::time_point now);
+  void endLastCalls();
   void scheduleDestruction(CallId id);
 
   event_base *Loop;
@@ -91,6 +92,8 @@
   Clock::time_point StartedAt{};
   std::optional<Clock::time_point> LeavingSince;
   bool IsDraining = false;
+  /// Number of calls that were ended at endsAt(); empty before that.
+  std::optional<std::size_t> LastCallsEnded;
   std::mt19937_64 Random;
   Timer Ticker;
   Timer DestructionTimer;
--- a/src/include/greengagespar/direct/exchange.h
+++ b/src/include/greengagespar/direct/exchange.h
@@ -83,6 +83,13 @@
   /// Requests a server from the pool. May end the exchange before it returns.
   void start();
 
+  /// Ends the exchange because the entry ends: refuses a request that has
+  /// reached no server, and fails any other one.
+  void stop();
+
+  /// Whether a server has the request now.
+  bool isAtServer() const { return CurrentAttempt.has_value(); }
+
   const AcceptedCall &call() const { return Call; }
 
 private:
@@ -105,7 +112,7 @@
   void forwardAnswer();
   void onCallerGone();
   void onTimer();
-  void onDeadline();
+  void giveUp(ErrorKind kind, std::string_view reason);
   bool watchesInactivity() const;
   Clock::duration inactivityLimit() const;
   void armTimer();
