Send news about servers to other entries at once

Cause of direct_restart_tests servers_restartedWhileStoreIsSilent in KNOWN-RED.txt (9 rejected requests for 5 servers): an entry that learned that a server is gone told the others at its next tick, up to 0.1 s later, and at 150 requests a second others met the same server in between.

Change: a round starts at once, or 10 ms after the last one.

--- a/src/direct/direct_entry.cpp
+++ b/src/direct/direct_entry.cpp
@@ -178,7 +178,7 @@
   if (!recordServerNotice(Shared, server, kind, requestId, Clock::now()))
     return;
   applyNotices();
-  Peers.announceSoon();
+  Peers.announceNews();
 }
 
 void DirectEntry::applyNotices() {
--- a/src/include/greengagespar/peers/peer_links.h
+++ b/src/include/greengagespar/peers/peer_links.h
@@ -87,9 +87,9 @@
   /// Starts a round of heartbeats at once, for example because this process is
   /// leaving.
   void announce();
-  /// Starts a round of heartbeats within a few tenths of a second. Further
-  /// calls until then start none of their own.
-  void announceSoon() { NextRound = {}; }
+  /// Starts a round of heartbeats as soon as the last one is MinRoundGap ago.
+  /// Further calls until then start none of their own.
+  void announceNews();
 
   /// Sends \p envelope to the entry at \p peer, over a new link if there is
   /// none. Returns false when it was not sent.
@@ -136,9 +136,11 @@
   /// rows go into every digest until the next round is sent.
   std::set<Address> Urgent;
   std::uint64_t Rounds = 0;
+  Clock::time_point LastRoundAt{}; ///< When the last round was started.
   Clock::time_point NextRound;
   PeerCounts Counts;
   std::mt19937_64 Rng;
+  Timer NewsRound; ///< Starts the round of announceNews().
   Timer Tick;
 };
 
--- a/src/peers/peer_links.cpp
+++ b/src/peers/peer_links.cpp
@@ -12,6 +12,9 @@
 // Time between two checks for a round to start or digests to send again.
 constexpr std::chrono::milliseconds TickInterval{100};
 
+// News that come in quick succession are sent in one round.
+constexpr std::chrono::milliseconds MinRoundGap{10};
+
 // A link on which no data was received for this long is reopened: a connection
 // can become unresponsive for good while new ones work.
 constexpr std::chrono::milliseconds ReopenAfter{1500};
@@ -37,7 +40,9 @@
              [this](const PeerId &from, const wire::Envelope &envelope) {
                onRequest(from, envelope);
              }),
-      Rng(self.ProcessIncarnation.Value), Tick(base, [this] { tick(); }) {
+      Rng(self.ProcessIncarnation.Value),
+      NewsRound(base, [this] { startRound(); }),
+      Tick(base, [this] { tick(); }) {
   View.Limits.DigestRows = DigestRows;
   // The timeouts allow for the time in which all rows are sent twice.
   View.Limits.TimeoutPerMember = HeartbeatInterval * 2 / DigestRows;
@@ -57,6 +62,14 @@
 
 void PeerLinks::announce() { startRound(); }
 
+void PeerLinks::announceNews() {
+  auto since = Clock::now() - LastRoundAt;
+  if (since >= MinRoundGap)
+    return startRound();
+  NewsRound.start(
+      std::chrono::ceil<std::chrono::milliseconds>(MinRoundGap - since));
+}
+
 void PeerLinks::tick() {
   auto now = Clock::now();
   if (now >= NextRound)
@@ -68,6 +81,7 @@
 
 void PeerLinks::startRound() {
   auto now = Clock::now();
+  LastRoundAt = now;
   NextRound = now + HeartbeatInterval;
   advanceHeartbeat(View, Hooks.OwnRow(), now);
   sweep(now);
