Believe reports of an open group again when none is broken any more

Cause: within an epoch a group only broke for an entry; had one opened again without a new epoch, each of its reports would have renewed the mark, for good.

Change: an open report in a broken epoch is outdated only within the second in which broken ranks go on to report.

Result: group_tests openReports_ofBrokenEpochForAWhile_areBelieved.

--- a/src/group/standing_test.cpp
+++ b/src/group/standing_test.cpp
@@ -1,5 +1,6 @@
 #include "greengagespar/group/standing.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <random>
 #include <vector>
@@ -80,6 +81,18 @@
   BOOST_TEST(!Standing.IsBroken);
 }
 
+// A group that opens again without a new epoch is not shut out for good.
+BOOST_AUTO_TEST_CASE(openReports_ofBrokenEpochForAWhile_areBelieved) {
+  recordStanding(Standing, 4, false, Start);
+  BOOST_TEST((recordStanding(Standing, 4, true, Start + milliseconds{999}) ==
+              StandingNews::None));
+  BOOST_TEST((recordStanding(Standing, 4, true, Start + milliseconds{1000}) ==
+              StandingNews::Formed));
+  BOOST_TEST(!Standing.IsBroken);
+  BOOST_TEST((recordStanding(Standing, 4, false, Start + milliseconds{1001}) ==
+              StandingNews::Broken));
+}
+
 BOOST_AUTO_TEST_CASE(brokenReports_many_areSpreadOncePerInterval) {
   int spread = 0;
   for (int ms = 0; ms < 3000; ms += 5)
