--- a/src/direct/direct_entry.cpp
+++ b/src/direct/direct_entry.cpp
@@ -349,7 +349,8 @@
     last.push_back(exchange.get());
   LastCallsEnded = last.size();
   // The end of a call at a server could start one that waits.
-  std::ranges::partition(last, [](auto *it) { return !it->isAtServer(); });
+  std::partition(last.begin(), last.end(),
+                 [](auto *it) { return !it->isAtServer(); });
   for (Exchange *it : last)
     it->stop();
 }
