review: case 1, a booking runs twice after a frozen entry wakes

An entry that is stopped for 0.9 or 1.8 s while it opens connections to servers takes requests that it has sent for unsent ones, sends them to a second server, or refuses them with 503.

--- /dev/null
+++ b/review/1/run.sh
@@ -0,0 +1,14 @@
+#!/usr/bin/env bash
+# Exits with 1 if a booking ran twice or ran although it was refused, with 0 if
+# not, and with 2 if the case could not run. TROUBLE=0 leaves the freezes out.
+set -uo pipefail
+here=$(cd "$(dirname "$0")" && pwd)
+cd "$here/../.." || exit 2
+folder=$(mktemp -d) || exit 2
+trap 'rm -rf "$folder"' EXIT
+[ -x target/review/freeze ] && [ -x target/bin/greengagespar-entry ] || exit 2
+timeout -s TERM 115 target/review/freeze target/bin/greengagespar-entry \
+  "$folder" "$here/record.txt"
+code=$?
+[ "$code" -le 2 ] || code=2
+exit "$code"
