--- a/review/2/late_go.cpp
+++ b/review/2/late_go.cpp
@@ -361,16 +361,6 @@
     R"("headerTimeoutMs":3000,"idleTimeoutMs":15000},)"
     R"("tenants":[{"name":"butchers","apiKeys":["k1"],"priority":1}]})";
 
-/// Returns the settings of a rank's agent as platform/rank.json.template has
-/// them.
-std::string agentSettings(const std::string &name, const Endpoint &link,
-                          const Endpoint &server) {
-  std::string text = "{\"name\": \"";
-  text.append(name).append("\", \"link\": \"").append(textOf(link));
-  text.append("\", \"server\": \"").append(textOf(server)).append("\"}\n");
-  return text;
-}
-
 } // namespace
 
 int main(int argc, char **argv) {
--- a/review/standins/standins.cpp
+++ b/review/standins/standins.cpp
@@ -59,10 +59,12 @@
   return text.empty() ? 0 : std::strtoul(text.c_str(), nullptr, 10);
 }
 
-std::string objectText(const std::string &name, const std::string &spec) {
-  return R"({"metadata":{"name":")" + name +
-         R"(","revision":1,"created":1,"finalizers":[],"deleting":false},)" +
-         R"("spec":)" + spec + R"(,"status":null})";
+std::string objectText(const std::string &name, const std::string &spec,
+                       std::uint64_t revision) {
+  return R"({"metadata":{"name":")" + name + R"(","revision":)" +
+         std::to_string(revision) +
+         R"(,"created":1,"finalizers":[],"deleting":false},"spec":)" + spec +
+         R"(,"status":null})";
 }
 
 } // namespace
@@ -132,6 +134,12 @@
     close(Fd);
 }
 
+void Connection::reset() const {
+  linger value{1, 0};
+  setsockopt(Fd, SOL_SOCKET, SO_LINGER, &value, sizeof(value));
+  shutdown(Fd, SHUT_RDWR);
+}
+
 bool Connection::send(const std::string &bytes) const {
   std::size_t sent = 0;
   while (sent < bytes.size()) {
@@ -201,7 +209,11 @@
   });
 }
 
-Listener::~Listener() {
+Listener::~Listener() { stop(); }
+
+void Listener::stop() {
+  if (!Acceptor.joinable())
+    return;
   shutdown(Fd, SHUT_RDWR);
   Acceptor.join();
   close(Fd);
@@ -212,39 +224,81 @@
 
 void Store::put(const std::string &kind, const std::string &name,
                 const std::string &spec) {
-  Kinds[kind][name] = spec;
+  change(kind, name, spec, false);
+}
+
+void Store::remove(const std::string &kind, const std::string &name) {
+  change(kind, name, "{}", true);
+}
+
+void Store::change(const std::string &kind, const std::string &name,
+                   const std::string &spec, bool isRemoved) {
+  std::lock_guard lock(Mutex);
+  ++Revision;
+  std::string object = objectText(name, spec, Revision);
+  if (isRemoved)
+    Kinds[kind].erase(name);
+  else
+    Kinds[kind][name] = object;
+  std::string event = isRemoved ? R"({"removed":true,"object":)"
+                                : R"({"removed":false,"object":)";
+  History.push_back({Revision, kind, event.append(object).append("}")});
+  Changed.notify_all();
+}
+
+std::string Store::list(const std::string &kind) {
+  std::lock_guard lock(Mutex);
+  std::string items;
+  for (const auto &[name, object] : Kinds[kind])
+    items.append(items.empty() ? "" : ",").append(object);
+  return R"({"items":[)" + items + R"(],"more":false,"asOf":)" +
+         std::to_string(Revision) + "}";
+}
+
+std::string Store::eventsAfter(const std::string &kind,
+                               std::uint64_t after) const {
+  std::string events;
+  for (const Change &it : History)
+    if (it.Kind == kind && it.Revision > after)
+      events.append(events.empty() ? "" : ",").append(it.Event);
+  return events;
+}
+
+std::string Store::watch(const std::string &kind, std::uint64_t after,
+                         milliseconds wait) {
+  std::unique_lock lock(Mutex);
+  Changed.wait_for(lock, wait,
+                   [&] { return !eventsAfter(kind, after).empty(); });
+  return R"({"events":[)" + eventsAfter(kind, after) + R"(],"asOf":)" +
+         std::to_string(Revision) + "}";
 }
 
 void Store::serve(Connection &connection) {
   const std::string fields =
       "Content-Type: application/json\r\nStore-Era: 1\r\n";
   const std::string prefix = "/-/objects/";
+  auto numberAfter = [](const std::string &text, const std::string &name) {
+    std::size_t at = text.find(name);
+    return at == std::string::npos
+               ? 0
+               : std::strtoull(text.c_str() + at + name.size(), nullptr, 10);
+  };
   while (auto call =
              connection.receive(Clock::now() + std::chrono::minutes(5))) {
     std::string target = targetOf(*call);
     std::string path = target.substr(0, target.find('?'));
-    auto kind = path.starts_with(prefix)
-                    ? Kinds.find(path.substr(prefix.size()))
-                    : Kinds.end();
-    std::string body;
-    int status = 200;
-    if (kind == Kinds.end()) {
-      status = 404;
-      body = "{}";
-    } else if (target.find("watch=") != std::string::npos) {
-      std::size_t at = target.find("waitMs=");
-      long wait = at == std::string::npos
-                      ? 0
-                      : std::strtol(target.c_str() + at + 7, nullptr, 10);
-      std::this_thread::sleep_for(milliseconds(wait));
-      body = R"({"events":[],"asOf":2})";
-    } else {
-      for (const auto &[name, spec] : kind->second)
-        body += (body.empty() ? "" : ",") + objectText(name, spec);
-      body.insert(0, R"({"items":[)");
-      body += R"(],"more":false,"asOf":2})";
+    if (!path.starts_with(prefix)) {
+      if (!connection.send(answerText(404, fields, "{}")))
+        return;
+      continue;
     }
-    if (!connection.send(answerText(status, fields, body)))
+    std::string kind = path.substr(prefix.size());
+    bool isWatch = target.find("watch=") != std::string::npos;
+    std::string body = isWatch
+                           ? watch(kind, numberAfter(target, "watch="),
+                                   milliseconds(numberAfter(target, "waitMs=")))
+                           : list(kind);
+    if (!connection.send(answerText(200, fields, body)))
       return;
   }
 }
@@ -306,6 +360,14 @@
          "\"retry_window_s\": 10, \"registration_heartbeat_ms\": 1200}\n";
 }
 
+std::string agentSettings(const std::string &name, const Endpoint &link,
+                          const Endpoint &server) {
+  std::string text = "{\"name\": \"";
+  text.append(name).append("\", \"link\": \"").append(textOf(link));
+  text.append("\", \"server\": \"").append(textOf(server)).append("\"}\n");
+  return text;
+}
+
 bool waitUntilReady(const Endpoint &ready) {
   auto limit = Clock::now() + std::chrono::seconds(15);
   while (Clock::now() < limit) {
--- a/review/standins/standins.h
+++ b/review/standins/standins.h
@@ -7,6 +7,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <condition_variable>
 #include <cstdint>
 #include <fstream>
 #include <functional>
@@ -76,6 +77,8 @@
   bool isOpen() const { return Fd >= 0; }
   /// Returns false when the connection ended.
   bool send(const std::string &bytes) const;
+  /// Resets the connection from any thread; its own thread still closes it.
+  void reset() const;
   /// Waits for a message; empty when the connection ended or \p until passed.
   std::optional<Message> receive(Clock::time_point until);
 
@@ -93,6 +96,8 @@
   using Handler = std::function<void(Connection &)>;
   Listener(const Endpoint &at, Handler handler);
   ~Listener();
+  /// Refuses new connections from now on.
+  void stop();
   Listener(const Listener &) = delete;
   Listener &operator=(const Listener &) = delete;
 
@@ -102,18 +107,36 @@
   std::thread Acceptor;
 };
 
-/// The platform's store: lists of objects that don't change, and watches that
-/// end without events.
+/// The platform's store: lists of objects, and watches that end with the
+/// changes after a revision, or without any after their time. Thread safe.
 class Store {
 public:
   explicit Store(const Endpoint &at);
-  /// Adds an object; \p spec is JSON. To be called before any process starts.
+  /// Adds or replaces an object; \p spec is JSON.
   void put(const std::string &kind, const std::string &name,
            const std::string &spec);
+  void remove(const std::string &kind, const std::string &name);
 
 private:
+  struct Change {
+    std::uint64_t Revision = 0;
+    std::string Kind;
+    std::string Event; ///< JSON.
+  };
+
   void serve(Connection &connection);
+  void change(const std::string &kind, const std::string &name,
+              const std::string &spec, bool isRemoved);
+  std::string list(const std::string &kind);
+  std::string watch(const std::string &kind, std::uint64_t after,
+                    milliseconds wait);
+  std::string eventsAfter(const std::string &kind, std::uint64_t after) const;
+
+  std::mutex Mutex;
+  std::condition_variable Changed;
+  std::uint64_t Revision = 1;
   std::map<std::string, std::map<std::string, std::string>> Kinds;
+  std::vector<Change> History;
   Listener Calls;
 };
 
@@ -145,6 +168,11 @@
 std::string entrySettings(const std::vector<int> &ports, const Endpoint &store,
                           int rankPort);
 
+/// Returns the settings of a rank's agent as platform/rank.json.template has
+/// them.
+std::string agentSettings(const std::string &name, const Endpoint &link,
+                          const Endpoint &server);
+
 /// Waits until the entry says that it is ready, at most 15 s.
 bool waitUntilReady(const Endpoint &ready);
 
