Move the timer to the package base

Cause: the HTTP connections, which stand below the package that holds the timer in its use, keep timers of their own on libevent. Change: src/store/timer and its header are moved, nothing in them changes, so that all packages can use it.

--- a/src/store/timer.cpp
+++ b/src/base/timer.cpp
@@ -1,4 +1,4 @@
-#include "greengagespar/store/timer.h"
+#include "greengagespar/base/timer.h"
 
 #include <event2/event.h>
 #include <utility>
--- a/src/entry/entry_directory.h
+++ b/src/entry/entry_directory.h
@@ -5,11 +5,11 @@
 #ifndef GREENGAGESPAR_ENTRY_ENTRY_DIRECTORY_H
 #define GREENGAGESPAR_ENTRY_ENTRY_DIRECTORY_H
 
+#include "greengagespar/base/timer.h"
 #include "greengagespar/host/member.h"
 #include "greengagespar/store/backoff.h"
 #include "greengagespar/store/guard.h"
 #include "greengagespar/store/object_client.h"
-#include "greengagespar/store/timer.h"
 #include <functional>
 #include <random>
 #include <vector>
--- a/src/include/greengagespar/store/timer.h
+++ b/src/include/greengagespar/base/timer.h
@@ -1,7 +1,7 @@
 /// \file
 /// A one-shot timer on the event loop.
-#ifndef GREENGAGESPAR_STORE_TIMER_H
-#define GREENGAGESPAR_STORE_TIMER_H
+#ifndef GREENGAGESPAR_BASE_TIMER_H
+#define GREENGAGESPAR_BASE_TIMER_H
 
 #include <chrono>
 #include <functional>
@@ -40,4 +40,4 @@
 
 } // namespace greengagespar
 
-#endif // GREENGAGESPAR_STORE_TIMER_H
+#endif // GREENGAGESPAR_BASE_TIMER_H
--- a/src/include/greengagespar/config/config_follower.h
+++ b/src/include/greengagespar/config/config_follower.h
@@ -5,13 +5,13 @@
 #ifndef GREENGAGESPAR_CONFIG_CONFIG_FOLLOWER_H
 #define GREENGAGESPAR_CONFIG_CONFIG_FOLLOWER_H
 
+#include "greengagespar/base/timer.h"
 #include "greengagespar/config/decide.h"
 #include "greengagespar/config/platform_reader.h"
 #include "greengagespar/config/snapshot.h"
 #include "greengagespar/config/team_acceptor.h"
 #include "greengagespar/store/object_client.h"
 #include "greengagespar/store/prefix_watch.h"
-#include "greengagespar/store/timer.h"
 #include <cstdint>
 #include <functional>
 #include <memory>
--- a/src/include/greengagespar/config/team_acceptor.h
+++ b/src/include/greengagespar/config/team_acceptor.h
@@ -5,11 +5,11 @@
 #define GREENGAGESPAR_CONFIG_TEAM_ACCEPTOR_H
 
 #include "greengagespar/base/clock.h"
+#include "greengagespar/base/timer.h"
 #include "greengagespar/config/platform_reader.h"
 #include "greengagespar/config/team_mirror.h"
 #include "greengagespar/contract/accept.h"
 #include "greengagespar/store/settle_put.h"
-#include "greengagespar/store/timer.h"
 #include <cstdint>
 #include <functional>
 #include <map>
--- a/src/include/greengagespar/direct/direct_program.h
+++ b/src/include/greengagespar/direct/direct_program.h
@@ -6,7 +6,7 @@
 
 #include "greengagespar/base/log_output.h"
 #include "greengagespar/base/program.h"
-#include "greengagespar/store/timer.h"
+#include "greengagespar/base/timer.h"
 #include <iostream>
 #include <unistd.h>
 #include <zmq.hpp>
--- a/src/include/greengagespar/direct/exchange.h
+++ b/src/include/greengagespar/direct/exchange.h
@@ -8,6 +8,7 @@
 #ifndef GREENGAGESPAR_DIRECT_EXCHANGE_H
 #define GREENGAGESPAR_DIRECT_EXCHANGE_H
 
+#include "greengagespar/base/timer.h"
 #include "greengagespar/direct/attempts.h"
 #include "greengagespar/direct/event_relay.h"
 #include "greengagespar/direct/part_guard.h"
@@ -15,7 +16,6 @@
 #include "greengagespar/direct/server_pool.h"
 #include "greengagespar/report/metrics.h"
 #include "greengagespar/route/server_notice.h"
-#include "greengagespar/store/timer.h"
 
 namespace greengagespar {
 
--- a/src/include/greengagespar/direct/map_coordinator.h
+++ b/src/include/greengagespar/direct/map_coordinator.h
@@ -12,6 +12,7 @@
 
 #include "greengagespar/base/clock.h"
 #include "greengagespar/base/log.h"
+#include "greengagespar/base/timer.h"
 #include "greengagespar/direct/map_messages.h"
 #include "greengagespar/direct/rank_server_client.h"
 #include "greengagespar/direct/site.h"
@@ -20,7 +21,6 @@
 #include "greengagespar/group/standing.h"
 #include "greengagespar/link/link.h"
 #include "greengagespar/report/metrics.h"
-#include "greengagespar/store/timer.h"
 #include <functional>
 #include <map>
 #include <memory>
--- a/src/include/greengagespar/direct/rank_agent.h
+++ b/src/include/greengagespar/direct/rank_agent.h
@@ -22,13 +22,13 @@
 #define GREENGAGESPAR_DIRECT_RANK_AGENT_H
 
 #include "greengagespar/base/schema.h"
+#include "greengagespar/base/timer.h"
 #include "greengagespar/direct/map_messages.h"
 #include "greengagespar/direct/metrics_listener.h"
 #include "greengagespar/direct/rank_server_client.h"
 #include "greengagespar/group/rank.h"
 #include "greengagespar/link/link.h"
 #include "greengagespar/report/metrics.h"
-#include "greengagespar/store/timer.h"
 #include <map>
 
 namespace greengagespar {
--- a/src/include/greengagespar/direct/rank_server_client.h
+++ b/src/include/greengagespar/direct/rank_server_client.h
@@ -4,9 +4,9 @@
 #ifndef GREENGAGESPAR_DIRECT_RANK_SERVER_CLIENT_H
 #define GREENGAGESPAR_DIRECT_RANK_SERVER_CLIENT_H
 
+#include "greengagespar/base/timer.h"
 #include "greengagespar/direct/rank_server.h"
 #include "greengagespar/http/client.h"
-#include "greengagespar/store/timer.h"
 #include <deque>
 #include <functional>
 #include <memory>
--- a/src/include/greengagespar/link/settings_pulls.h
+++ b/src/include/greengagespar/link/settings_pulls.h
@@ -6,8 +6,8 @@
 #include "greengagespar/base/clock.h"
 #include "greengagespar/base/errors.h"
 #include "greengagespar/base/ids.h"
+#include "greengagespar/base/timer.h"
 #include "greengagespar/link/link.pb.h"
-#include "greengagespar/store/timer.h"
 #include <functional>
 #include <map>
 #include <string>
--- a/src/include/greengagespar/peers/peer_links.h
+++ b/src/include/greengagespar/peers/peer_links.h
@@ -12,10 +12,10 @@
 #ifndef GREENGAGESPAR_PEERS_PEER_LINKS_H
 #define GREENGAGESPAR_PEERS_PEER_LINKS_H
 
+#include "greengagespar/base/timer.h"
 #include "greengagespar/host/member.h"
 #include "greengagespar/host/partners.h"
 #include "greengagespar/link/link.h"
-#include "greengagespar/store/timer.h"
 #include <functional>
 #include <map>
 #include <memory>
--- a/src/include/greengagespar/store/prefix_watch.h
+++ b/src/include/greengagespar/store/prefix_watch.h
@@ -5,10 +5,10 @@
 #define GREENGAGESPAR_STORE_PREFIX_WATCH_H
 
 #include "greengagespar/base/clock.h"
+#include "greengagespar/base/timer.h"
 #include "greengagespar/store/backoff.h"
 #include "greengagespar/store/guard.h"
 #include "greengagespar/store/object_client.h"
-#include "greengagespar/store/timer.h"
 #include <cstdint>
 #include <functional>
 #include <string>
--- a/src/include/greengagespar/store/settle_put.h
+++ b/src/include/greengagespar/store/settle_put.h
@@ -4,10 +4,10 @@
 #ifndef GREENGAGESPAR_STORE_SETTLE_PUT_H
 #define GREENGAGESPAR_STORE_SETTLE_PUT_H
 
+#include "greengagespar/base/timer.h"
 #include "greengagespar/store/backoff.h"
 #include "greengagespar/store/guard.h"
 #include "greengagespar/store/object_client.h"
-#include "greengagespar/store/timer.h"
 #include <cstdint>
 #include <functional>
 #include <list>
--- a/src/store/http_pool.cpp
+++ b/src/store/http_pool.cpp
@@ -1,7 +1,7 @@
 #include "greengagespar/store/http_pool.h"
 
 #include "greengagespar/base/clock.h"
-#include "greengagespar/store/timer.h"
+#include "greengagespar/base/timer.h"
 
 #include <algorithm>
 #include <cstdlib>
