Pass a request to a connection only once it is established

What callers saw: a booking ran at two servers after its entry had stood still for 0.9 s, or was answered 503 (not run) and had run.

Cause: libevent writes what is in the buffer as soon as the socket is connected, and defers the event "connected". After a stop the expired time limit of the connection came before that event, and the exchange took the connection for not made and the request for not sent. libevent also counts new timers from the beginning of a turn, so that connections opened later in the turn of the stop had expired at once.

Change: the request stays with the connection until it is established, so that NotConnected proves by construction that nothing was sent. Timers count from the call, and one that ends late lets the loop handle the input of the stop first. The server side uses the same timer.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -1,5 +1,7 @@
 #include "greengagespar/http/client.h"
 
+#include "greengagespar/base/timer.h"
+
 #include <algorithm>
 #include <cerrno>
 #include <charconv>
@@ -11,6 +13,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
+#include <utility>
 
 namespace greengagespar {
 
@@ -29,8 +32,6 @@
 // since the network path is then lost.
 constexpr int UserTimeoutMs = 3000;
 
-constexpr int MillisPerSecond = 1000;
-constexpr int MicrosPerMilli = 1000;
 // Most bytes that are read before the reader has used any of them, as those of
 // a line of a chunked body.
 constexpr std::size_t MaxReadAhead = std::size_t{256} * 1024;
@@ -64,7 +65,10 @@
 /// while it runs, so the state outlives a connection destroyed inside it.
 struct ClientState : std::enable_shared_from_this<ClientState> {
   bufferevent *Stream = nullptr;
-  event *ConnectTimer = nullptr;
+  std::unique_ptr<Timer> ConnectTimer;
+  /// The request, until the connection is known to be established. Bytes that
+  /// are not in libevent's buffer are certainly not sent.
+  std::string Unsent;
   ExchangeEvents Events;
   std::unique_ptr<ResponseReader> Reader;
   HttpHead LastHead; ///< Head of the last complete answer.
@@ -82,12 +86,11 @@
   std::size_t SkippedBytes = 0; ///< In this exchange.
 
   ~ClientState() {
-    if (ConnectTimer)
-      event_free(ConnectTimer);
     if (Stream)
       bufferevent_free(Stream);
   }
 
+  void write(std::string_view request);
   void read();
   bool readAnswer(std::string_view bytes, std::size_t &used);
   bool refuseEndless(std::size_t size, std::size_t used);
@@ -110,8 +113,8 @@
   auto keep = stateOf(arg).shared_from_this();
   if (what & BEV_EVENT_CONNECTED) {
     keep->IsConnected = true;
-    event_del(keep->ConnectTimer);
-    return;
+    keep->ConnectTimer->stop();
+    return keep->write(std::exchange(keep->Unsent, {}));
   }
   if (!(what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)))
     return;
@@ -134,13 +137,12 @@
                                                       : "reset by the server");
 }
 
-void onConnectTimeout(evutil_socket_t, short, void *arg) {
-  auto keep = stateOf(arg).shared_from_this();
-  keep->end(ExchangeEnd::NotConnected, "no connection in time");
-}
-
 } // namespace
 
+void ClientState::write(std::string_view request) {
+  bufferevent_write(Stream, request.data(), request.size());
+}
+
 void ClientState::resetReader() {
   HeadSeen = false;
   IsSkipping = false;
@@ -235,7 +237,8 @@
 
 void ClientState::end(ExchangeEnd how, std::string_view why) {
   IsUnusable = true;
-  event_del(ConnectTimer);
+  Unsent.clear();
+  ConnectTimer->stop();
   if (!InExchange)
     return;
   InExchange = false;
@@ -252,17 +255,15 @@
     : S(std::make_shared<detail::ClientState>()) {
   S->Stream = bufferevent_socket_new(
       loop, -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
-  S->ConnectTimer =
-      event_new(loop, -1, EV_TIMEOUT, detail::onConnectTimeout, S.get());
+  S->ConnectTimer = std::make_unique<Timer>(loop, [state = S.get()] {
+    auto keep = state->shared_from_this();
+    keep->end(ExchangeEnd::NotConnected, "no connection in time");
+  });
   bufferevent_setcb(S->Stream, detail::onRead, nullptr, detail::onEvent,
                     S.get());
   bufferevent_setwatermark(S->Stream, EV_READ, 0, MaxReadAhead);
   bufferevent_enable(S->Stream, EV_READ | EV_WRITE);
-  timeval tv{};
-  tv.tv_sec = static_cast<time_t>(connectTimeout.count() / MillisPerSecond);
-  tv.tv_usec = static_cast<suseconds_t>(
-      (connectTimeout.count() % MillisPerSecond) * MicrosPerMilli);
-  event_add(S->ConnectTimer, &tv);
+  S->ConnectTimer->start(connectTimeout);
   sockaddr_storage name{};
   int size = sizeof(name);
   if (evutil_parse_sockaddr_port(server.Value.c_str(),
@@ -285,7 +286,7 @@
   S->IsUnusable = true;
   bufferevent_setcb(S->Stream, nullptr, nullptr, nullptr, nullptr);
   bufferevent_disable(S->Stream, EV_READ | EV_WRITE);
-  event_del(S->ConnectTimer);
+  S->ConnectTimer->stop();
 }
 
 void HttpClientConnection::send(std::string_view request, bool isHead,
@@ -295,7 +296,10 @@
   S->InExchange = true;
   S->SkippedBytes = 0;
   S->resetReader();
-  bufferevent_write(S->Stream, request.data(), request.size());
+  if (S->IsConnected)
+    S->write(request);
+  else
+    S->Unsent = request;
 }
 
 bool HttpClientConnection::isReusable() const {
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -1,6 +1,7 @@
 #include "greengagespar/http/server.h"
 
 #include "greengagespar/base/clock.h"
+#include "greengagespar/base/timer.h"
 #include <array>
 #include <cstdio>
 #include <event2/buffer.h>
@@ -19,22 +20,12 @@
 
 namespace {
 
-constexpr int MillisPerSecond = 1000;
-constexpr int MicrosPerMilli = 1000;
 constexpr int ListenBacklog = 1024;
 
 // Bytes read ahead of the request in progress; the kernel buffers any further
 // ones.
 constexpr std::size_t MaxReadAhead = std::size_t{64} * 1024;
 
-timeval timevalOf(std::chrono::milliseconds ms) {
-  timeval out{};
-  out.tv_sec = static_cast<time_t>(ms.count() / MillisPerSecond);
-  out.tv_usec =
-      static_cast<suseconds_t>((ms.count() % MillisPerSecond) * MicrosPerMilli);
-  return out;
-}
-
 std::string statusLine(int status) {
   return "HTTP/1.1 " + std::to_string(status) + " " +
          std::string(reasonPhrase(status)) + "\r\n";
@@ -94,7 +85,7 @@
   static void onRead(bufferevent *, void *self);
   static void onWrite(bufferevent *, void *self);
   static void onEvent(bufferevent *, short what, void *self);
-  static void onTimeout(evutil_socket_t, short, void *self);
+  void onTimeout();
   void readRequest();
   void deliver();
   void refuse(int status);
@@ -105,7 +96,7 @@
 
   ServerState &Server;
   bufferevent *Stream;
-  event *Timeout;
+  Timer Timeout;
   std::unique_ptr<RequestReader> Reader;
   std::string Body;
   bool HasBegunRequest = false; ///< Bytes of a request were received.
@@ -124,7 +115,7 @@
     : Server(server),
       Stream(bufferevent_socket_new(
           server.Loop, fd, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS)),
-      Timeout(event_new(server.Loop, -1, EV_TIMEOUT, onTimeout, this)) {
+      Timeout(server.Loop, [this] { onTimeout(); }) {
   int on = 1;
   setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
   setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
@@ -134,14 +125,10 @@
   startTimeout(server.Limits.IdleTimeout);
 }
 
-ServerConnection::~ServerConnection() {
-  event_free(Timeout);
-  bufferevent_free(Stream);
-}
+ServerConnection::~ServerConnection() { bufferevent_free(Stream); }
 
 void ServerConnection::startTimeout(std::chrono::milliseconds wait) {
-  timeval tv = timevalOf(wait);
-  event_add(Timeout, &tv);
+  Timeout.start(wait);
 }
 
 void ServerConnection::close() {
@@ -149,7 +136,7 @@
     return;
   IsClosed = true;
   auto self = shared_from_this();
-  event_del(Timeout);
+  Timeout.stop();
   bufferevent_disable(Stream, EV_READ | EV_WRITE);
   bufferevent_setcb(Stream, nullptr, nullptr, nullptr, nullptr);
   Server.Open.erase(this);
@@ -184,12 +171,12 @@
     keep->close();
 }
 
-void ServerConnection::onTimeout(evutil_socket_t, short, void *self) {
-  auto keep = static_cast<ServerConnection *>(self)->shared_from_this();
-  if (keep->InProgress || keep->CloseAfter || !keep->HasBegunRequest)
-    keep->close();
+void ServerConnection::onTimeout() {
+  auto keep = shared_from_this();
+  if (InProgress || CloseAfter || !HasBegunRequest)
+    close();
   else
-    keep->refuse(StatusRequestTimeout);
+    refuse(StatusRequestTimeout);
 }
 
 void ServerConnection::read() {
@@ -239,7 +226,7 @@
 }
 
 void ServerConnection::deliver() {
-  event_del(Timeout);
+  Timeout.stop();
   InProgress = true;
   HasBegunRequest = false;
   HttpRequestMessage message{Reader->head(), std::move(Body)};
--- a/src/include/greengagespar/base/timer.h
+++ b/src/include/greengagespar/base/timer.h
@@ -3,6 +3,7 @@
 #ifndef GREENGAGESPAR_BASE_TIMER_H
 #define GREENGAGESPAR_BASE_TIMER_H
 
+#include "greengagespar/base/clock.h"
 #include <chrono>
 #include <functional>
 #include <memory>
@@ -21,6 +22,10 @@
 
 /// Calls a function once after a delay. The destructor stops the timer. Not
 /// thread safe: it belongs to the thread of its loop.
+///
+/// A timer that ends late, because the process stood still, lets the loop first
+/// handle the input that arrived meanwhile. A task that finds out whether
+/// something has arrived in time therefore sees it.
 class Timer {
 public:
   /// Precondition: \p loop outlives the timer.
@@ -34,7 +39,12 @@
   void stop();
 
 private:
+  static void onExpiry(int, short, void *self);
+  void addEvent(std::chrono::milliseconds delay);
+
   std::function<void()> Task;
+  Clock::time_point EndsAt{}; ///< When the task is due.
+  int TurnsLeft = 0;          ///< Turns that a late timer still lets pass.
   std::unique_ptr<event, detail::EventDeleter> Event;
 };
 
