Take servers that end before the head of a stream as evidence

What callers saw: one part of prompts ended server after server, and of the sound requests of its route about one in eight began.

Cause: a stream whose connection broke before a head counted as a lost answer and was no evidence. News of the server's end explained breaks of whole answers alone, and only if the removal of its registration and the next one came in one batch.

What waited at a server that ends is no culprit: such crashes make a suspect only from the second on, and count once if they happen together.

--- a/src/direct/digest_messages.cpp
+++ b/src/direct/digest_messages.cpp
@@ -32,6 +32,7 @@
       crash.set_crash(it.Id.Value);
       crash.set_age_ms(millisecondsOf(it.Age));
       crash.set_cleared(it.IsCleared);
+      crash.set_uncertain(it.IsUncertain);
     }
   }
 }
@@ -45,8 +46,10 @@
     row.Part = {in.part()};
     for (int j = 0; j < std::min(in.crashes_size(), MaxCrashesInRow); ++j) {
       const wire::PartCrash &crash = in.crashes(j);
-      row.Crashes.push_back(
-          {{crash.crash()}, ageOf(crash.age_ms()), crash.cleared()});
+      row.Crashes.push_back({{crash.crash()},
+                             ageOf(crash.age_ms()),
+                             crash.cleared(),
+                             crash.uncertain()});
     }
   }
   return rows;
--- a/src/direct/digest_messages_test.cpp
+++ b/src/direct/digest_messages_test.cpp
@@ -32,13 +32,16 @@
 BOOST_FIXTURE_TEST_SUITE(DigestMessages, DigestFixture)
 
 BOOST_AUTO_TEST_CASE(evidence_written_isReadAgain) {
-  writeEvidence({{{7}, {{{1}, 250ms, false}, {{2}, 3s, true}}}}, Digest);
+  writeEvidence({{{7}, {{{1}, 250ms, false, true}, {{2}, 3s, true, false}}}},
+                Digest);
   std::vector<EvidenceRow> rows = readEvidence(Digest);
   BOOST_REQUIRE(rows.size() == 1U);
   BOOST_TEST(rows[0].Part.Value == 7U);
   BOOST_REQUIRE(rows[0].Crashes.size() == 2U);
   BOOST_TEST(rows[0].Crashes[0].Age.count() == 250);
   BOOST_TEST(rows[0].Crashes[1].IsCleared);
+  BOOST_TEST(rows[0].Crashes[0].IsUncertain);
+  BOOST_TEST(!rows[0].Crashes[1].IsUncertain);
 }
 
 BOOST_AUTO_TEST_CASE(limits_written_areReadAgain) {
--- a/src/direct/direct_entry.cpp
+++ b/src/direct/direct_entry.cpp
@@ -116,7 +116,10 @@
                                       reply);
                         }),
       Random(Self.ProcessIncarnation.Value), Ticker(loop, [this] { tick(); }),
-      DestructionTimer(loop, [this] { EndedExchanges.clear(); }) {
+      DestructionTimer(loop, [this] { EndedExchanges.clear(); }),
+      EndChecks(loop, [this](const ServerRecord &it) {
+        reportServerEnd(Shared.Guard, it, Clock::now());
+      }) {
   Context.Loop = loop;
   Context.Dialect = &Dialect;
   Context.Counters = &Counters;
@@ -125,6 +128,9 @@
     return isTrialEntry(Peers.view(), part);
   };
   Shared.Guard.OnNews = [this] { Peers.announce(); };
+  Shared.Guard.CheckServer = [this](const ServerRecord &it) {
+    EndChecks.start(it);
+  };
   Context.OnRateLimit = [this](const ServerRecord &server,
                                std::optional<double> perSecond) {
     onRateLimit(server, perSecond);
@@ -425,16 +431,12 @@
 }
 
 void DirectEntry::onServers(const ServerChanges &changes) {
-  for (const ServerRecord &it : changes.Removed) {
+  for (const ServerRecord &it : changes.Removed)
     poolOf(it.Service).remove(it.Id);
-    auto isAtItsAddress = [&](const ServerRecord &other) {
-      return other.At == it.At && other.StartedMs > it.StartedMs;
-    };
-    if (std::ranges::any_of(changes.Updated, isAtItsAddress))
-      reportServerEnd(Shared.Guard, it, Clock::now());
-  }
-  for (const ServerRecord &it : changes.Updated)
+  for (const ServerRecord &it : changes.Updated) {
+    reportServerStart(Shared.Guard, it, Clock::now());
     poolOf(it.Service).update(it);
+  }
   updateRankAgents();
 }
 
--- a/src/direct/exchange.cpp
+++ b/src/direct/exchange.cpp
@@ -299,7 +299,8 @@
 }
 
 // Records that the server ended as it began to answer, if the attempt looks
-// like that. Returns whether it does.
+// like that, and has a broken connection explained otherwise. Returns whether
+// the request must go to no other server.
 bool Exchange::noteCrash(AttemptEnd end, Clock::time_point now) {
   BrokenAttempt attempt;
   attempt.RequestId = Call.Facts.RequestId;
@@ -307,17 +308,19 @@
   attempt.IsDisconnected =
       end == AttemptEnd::Lost && CurrentAttempt->Connection->isClosedByServer();
   attempt.HasBegun = CurrentAttempt->HasHead;
+  attempt.IsTrial = IsTrial;
   attempt.Events = CurrentAttempt->Events;
   attempt.Silence = now - CurrentAttempt->LastReceivedAt;
   if (end == AttemptEnd::NotConnected &&
       CurrentAttempt->Connection->isRefused())
     reportServerEnd(*Context.Guard, attempt.Server, now);
-  if (Call.MatchedRoute->Kind != RequestKind::Stream)
-    return reportBreak(*Context.Guard, Parts, attempt, now);
+  bool isStream = Call.MatchedRoute->Kind == RequestKind::Stream;
+  if (!isStream || !attempt.HasBegun)
+    return reportBreak(*Context.Guard, Parts, attempt, !isStream, now);
   if (!looksLikeCrash(attempt))
     return false;
   reportCrash(*Context.Guard, Parts, attempt, now);
-  return true;
+  return mayCrashServers(*Context.Guard, Parts);
 }
 
 // Ends an attempt without an answer to forward, and then sends the request
@@ -342,7 +345,7 @@
   // takes nothing from the retry budget.
   bool isFree = end == AttemptEnd::NotConnected;
   bool isCrash = noteCrash(end, now);
-  if (isCrash && mayCrashServers(*Context.Guard, Parts)) {
+  if (isCrash) {
     // Another server would end as well if a part of the prompt is the cause.
     history.AllowedRuns = 0;
     next = decideNext(history, end);
--- a/src/direct/part_guard.cpp
+++ b/src/direct/part_guard.cpp
@@ -33,11 +33,33 @@
   return {{ErrorKind::Overloaded, left}, "crashing_part", true};
 }
 
+// Records the recent breaks at servers that have ended as crashes.
+template <class IsEnded>
+void explainBreaks(PartGuard &guard, IsEnded isEnded, Clock::time_point now) {
+  while (!guard.Breaks.empty() &&
+         now - guard.Breaks.front().At > BreakRetention)
+    guard.Breaks.pop_front();
+  std::vector<UnexplainedBreak> explained;
+  std::erase_if(guard.Breaks, [&](const UnexplainedBreak &it) {
+    if (!isEnded(it.Server))
+      return false;
+    explained.push_back(it);
+    return true;
+  });
+  for (const UnexplainedBreak &it : explained) {
+    BrokenAttempt attempt;
+    attempt.RequestId = it.RequestId;
+    attempt.Server = it.Server;
+    attempt.IsTrial = it.IsTrial;
+    reportCrash(guard, it.Parts, attempt, it.At);
+  }
+}
+
 } // namespace
 
 PromptParts promptPartsOf(const ServiceId &service,
                           const std::vector<std::string> &names) {
-  PromptParts parts{names, {}};
+  PromptParts parts{names, {}, false};
   for (const std::string &it : names)
     parts.Ids.push_back(promptPartOf(service, it));
   return parts;
@@ -56,7 +78,9 @@
       XXH3_64bits_withSeed(request.Body.data(), request.Body.size(), head);
   std::ostringstream name;
   name << "request-" << std::hex << all;
-  return promptPartsOf(service, {name.str()});
+  PromptParts parts = promptPartsOf(service, {name.str()});
+  parts.IsWholeRequest = true;
+  return parts;
 }
 
 std::string describeParts(const std::vector<std::string> &names) {
@@ -105,48 +129,55 @@
 }
 
 bool reportBreak(PartGuard &guard, const PromptParts &parts,
-                 const BrokenAttempt &attempt, Clock::time_point now) {
+                 const BrokenAttempt &attempt, bool isCertain,
+                 Clock::time_point now) {
   if (!attempt.IsDisconnected || areKnownSound(guard.Evidence, parts.Ids))
     return false;
-  PartDecision decision = decideParts(guard.Evidence, parts.Ids, now);
-  if (decision.State != PartState::Clear) {
+  bool isSuspect =
+      decideParts(guard.Evidence, parts.Ids, now).State != PartState::Clear;
+  if (isSuspect && isCertain) {
     reportCrash(guard, parts, attempt, now);
     return true;
   }
   if (guard.Breaks.size() >= MaxUnexplainedBreaks)
     guard.Breaks.pop_front();
-  guard.Breaks.push_back(
-      {incarnationIdOf(attempt.Server.Id, attempt.Server.StartedMs), parts,
-       std::string(attempt.RequestId), now});
-  return false;
+  guard.Breaks.push_back({attempt.Server, parts, std::string(attempt.RequestId),
+                          attempt.IsTrial, now});
+  if (guard.CheckServer)
+    guard.CheckServer(attempt.Server);
+  return isSuspect;
 }
 
 void reportServerEnd(PartGuard &guard, const ServerRecord &server,
                      Clock::time_point now) {
-  while (!guard.Breaks.empty() &&
-         now - guard.Breaks.front().At > BreakRetention)
-    guard.Breaks.pop_front();
-  ServerIncarnationId id = incarnationIdOf(server.Id, server.StartedMs);
-  std::vector<UnexplainedBreak> explained;
-  std::erase_if(guard.Breaks, [&](const UnexplainedBreak &it) {
-    if (it.Server != id)
-      return false;
-    explained.push_back(it);
-    return true;
-  });
-  for (const UnexplainedBreak &it : explained) {
-    BrokenAttempt attempt;
-    attempt.RequestId = it.RequestId;
-    attempt.Server = server;
-    reportCrash(guard, it.Parts, attempt, now);
-  }
+  explainBreaks(
+      guard,
+      [&](const ServerRecord &it) {
+        return it.Id == server.Id && it.StartedMs == server.StartedMs;
+      },
+      now);
+}
+
+void reportServerStart(PartGuard &guard, const ServerRecord &server,
+                       Clock::time_point now) {
+  explainBreaks(
+      guard,
+      [&](const ServerRecord &it) {
+        return (it.Id == server.Id || it.At == server.At) &&
+               it.StartedMs < server.StartedMs;
+      },
+      now);
 }
 
 void reportCrash(PartGuard &guard, const PromptParts &parts,
                  const BrokenAttempt &attempt, Clock::time_point now) {
   ServerIncarnationId crash =
       incarnationIdOf(attempt.Server.Id, attempt.Server.StartedMs);
-  if (!recordCrash(guard.Evidence, parts.Ids, crash, now))
+  // A whole request is suspected by itself. A suspicion of it holds up no other
+  // request, so that one crash is enough.
+  bool isUncertain =
+      !attempt.HasBegun && !attempt.IsTrial && !parts.IsWholeRequest;
+  if (!recordCrash(guard.Evidence, parts.Ids, crash, now, isUncertain))
     return;
   PartDecision decision = decideParts(guard.Evidence, parts.Ids, now);
   logWarning(Part::Route,
@@ -156,6 +187,7 @@
                  .add("parts", describeParts(parts.Names))
                  .add("part", nameOf(parts, decision.Part))
                  .add("crashes", static_cast<std::int64_t>(decision.Crashes))
+                 .add("uncertain", isUncertain)
                  .add("blocked", decision.State == PartState::Blocked)
                  .text());
   guard.OnNews();
--- a/src/direct/part_guard_test.cpp
+++ b/src/direct/part_guard_test.cpp
@@ -22,6 +22,7 @@
   static ServerRecord server(std::uint64_t started) {
     ServerRecord it;
     it.Id = {"i-1"};
+    it.At = {"127.0.0.1:1"};
     it.StartedMs = started;
     return it;
   }
@@ -31,7 +32,7 @@
     attempt.RequestId = "r";
     attempt.Server = server(started);
     attempt.IsDisconnected = true;
-    return reportBreak(Guard, Request, attempt, Now);
+    return reportBreak(Guard, Request, attempt, true, Now);
   }
 
   std::size_t crashes() const {
@@ -89,6 +90,42 @@
   BOOST_TEST(crashes() == 0);
 }
 
+// Guards against news that are lost because the registration of the server that
+// has ended was removed some time before the next one came.
+BOOST_AUTO_TEST_CASE(break_beforeALaterServerAtTheAddress_isACrash) {
+  breakAt(1);
+  ServerRecord later = server(2);
+  later.Id = {"i-2"};
+  later.At = {"127.0.0.1:2"};
+  reportServerStart(Guard, later, Now);
+  BOOST_TEST(crashes() == 0);
+  later.At = server(1).At;
+  reportServerStart(Guard, later, Now);
+  BOOST_TEST(crashes() == 1);
+  reportServerStart(Guard, later, Now);
+  BOOST_TEST(crashes() == 1);
+}
+
+// The server of each break is checked, as a lost answer looks like a crash.
+BOOST_AUTO_TEST_CASE(break_ofStream_isCheckedAndNoCrashUntilExplained) {
+  int checks = 0;
+  Guard.CheckServer = [&](const ServerRecord &) { ++checks; };
+  PromptParts stream = promptPartsOf({"helper"}, {"a", "b"});
+  BrokenAttempt attempt;
+  attempt.IsDisconnected = true;
+  for (std::uint64_t i = 1; i <= 3; ++i) {
+    attempt.Server = server(i);
+    bool isSuspect = reportBreak(Guard, stream, attempt, false, Now);
+    BOOST_TEST(isSuspect == (i == 3));
+    reportServerEnd(Guard, server(i), Now);
+    Now += 2s;
+  }
+  BOOST_TEST(checks == 3);
+  auto refusal = checkParts(Guard, stream, "r", Now);
+  BOOST_REQUIRE(refusal.has_value());
+  BOOST_TEST(refusal->IsBlocked);
+}
+
 BOOST_AUTO_TEST_CASE(breaks_ofManyRequests_areBounded) {
   for (std::uint64_t i = 0; i < MaxUnexplainedBreaks + 10; ++i)
     breakAt(i);
--- a/src/include/greengagespar/direct/direct_entry.h
+++ b/src/include/greengagespar/direct/direct_entry.h
@@ -11,6 +11,7 @@
 #include "greengagespar/direct/exchange.h"
 #include "greengagespar/direct/map_coordinator.h"
 #include "greengagespar/direct/metrics_listener.h"
+#include "greengagespar/direct/server_end_checks.h"
 #include "greengagespar/direct/shared_state.h"
 #include "greengagespar/direct/site_follower.h"
 #include "greengagespar/link/settings_pulls.h"
@@ -97,6 +98,7 @@
   std::mt19937_64 Random;
   Timer Ticker;
   Timer DestructionTimer;
+  ServerEndChecks EndChecks;
 };
 
 } // namespace greengagespar
--- a/src/include/greengagespar/direct/part_guard.h
+++ b/src/include/greengagespar/direct/part_guard.h
@@ -35,14 +35,16 @@
 struct PromptParts {
   std::vector<std::string> Names;
   std::vector<PromptPartId> Ids;
+  bool IsWholeRequest = false; ///< The one part is the whole request.
 };
 
 /// A connection that broke before the whole answer to a request had arrived.
 /// Its server has ended, or lives and the answer got lost.
 struct UnexplainedBreak {
-  ServerIncarnationId Server;
+  ServerRecord Server;
   PromptParts Parts;
   std::string RequestId;
+  bool IsTrial = false; ///< See BrokenAttempt.
   Clock::time_point At;
 };
 
@@ -59,6 +61,9 @@
   std::function<bool(PromptPartId)> MayTry;
   /// The evidence has changed in a way that other entries should know.
   std::function<void()> OnNews;
+  /// Finds out whether a server, to which a connection has broken, has ended,
+  /// and then calls reportServerEnd().
+  std::function<void(const ServerRecord &)> CheckServer;
 };
 
 /// Returns the parts of a request with \p names for \p service.
@@ -102,8 +107,10 @@
   /// The server closed or reset the connection before its answer was complete.
   bool IsDisconnected = false;
   /// The server had sent the head of its answer. Without it, the connection may
-  /// have been dropped before the request arrived, or an answer got lost.
+  /// have been dropped before the request arrived, or an answer got lost: only
+  /// other news of the server tell whether it has ended.
   bool HasBegun = false;
+  bool IsTrial = false;       ///< Its suspect parts were on trial there.
   int Events = 0;             ///< Events that the server had sent.
   Clock::duration Silence{0}; ///< Since its last bytes.
 };
@@ -116,21 +123,29 @@
 bool looksLikeCrash(const BrokenAttempt &attempt);
 
 /// Records and logs that the server of \p attempt ended under a request with
-/// \p parts. Precondition: looksLikeCrash(\p attempt).
+/// \p parts.
 void reportCrash(PartGuard &guard, const PromptParts &parts,
                  const BrokenAttempt &attempt, Clock::time_point now);
 
-/// Keeps the break of \p attempt, a request for a whole answer, until it is
-/// explained. If a part is under suspicion already, it counts as a crash at
-/// once. Returns whether it does.
+/// Keeps the break of \p attempt, which a crash may explain, and has its server
+/// checked. Returns whether the request must go to no other server: one of
+/// \p parts is under suspicion already. With \p isCertain, the break then
+/// counts as a crash at once.
 bool reportBreak(PartGuard &guard, const PromptParts &parts,
-                 const BrokenAttempt &attempt, Clock::time_point now);
+                 const BrokenAttempt &attempt, bool isCertain,
+                 Clock::time_point now);
 
 /// Records that \p server has ended: it refuses connections, or another server
 /// is at its address. Breaks of the last seconds there were crashes.
 void reportServerEnd(PartGuard &guard, const ServerRecord &server,
                      Clock::time_point now);
 
+/// Records that \p server is registered: earlier ones at its address, and
+/// earlier incarnations, have ended. It does not matter when the registrations
+/// of these were removed.
+void reportServerStart(PartGuard &guard, const ServerRecord &server,
+                       Clock::time_point now);
+
 /// Records that a server answered a request with \p parts beyond its beginning.
 void reportSurvival(PartGuard &guard, const PromptParts &parts,
                     Clock::time_point now);
--- a/src/include/greengagespar/route/crash_evidence.h
+++ b/src/include/greengagespar/route/crash_evidence.h
@@ -5,7 +5,11 @@
 ///
 /// When a server ends while it begins to answer a request, each part of the
 /// prompt that the request shares with others becomes a suspect, unless a
-/// request with that part has been answered beyond its beginning. Requests with
+/// request with that part has been answered beyond its beginning. A server that
+/// ends before it has begun an answer takes with it all requests that waited
+/// there, so that their parts become suspects only when this happens once more.
+/// Such uncertain crashes count once if they happen together, as when many
+/// servers lose their power; one under a trial is certain. Requests with
 /// a suspect part are sent one at a time, by one entry only. A part under which
 /// Limits.BlockAfter servers have ended, and that no request has survived, is
 /// blocked. Any request with the part that is answered beyond its beginning
@@ -48,6 +52,8 @@
   /// A request that was answered clears its parts for at least this long and at
   /// most twice as long.
   std::chrono::seconds SoundTime{30};
+  /// Uncertain crashes within this time count as one.
+  std::chrono::milliseconds SameEventTime{1000};
   /// A trial that has not ended after this time no longer holds up others.
   std::chrono::seconds MaxTrialTime{4};
   /// Bounds on memory: parts with evidence, crashes kept for each, and parts
@@ -61,6 +67,9 @@
 struct CrashRecord {
   Clock::time_point At; ///< When the first entry to learn of it saw it.
   bool IsCleared = false;
+  /// The server had not begun to answer any request with the part, and the part
+  /// was not on trial there.
+  bool IsUncertain = false;
 };
 
 /// The evidence about one part.
@@ -84,6 +93,7 @@
   ServerIncarnationId Id;
   std::chrono::milliseconds Age{0};
   bool IsCleared = false;
+  bool IsUncertain = false; ///< See CrashRecord.
 };
 
 /// The evidence about one part, as entries exchange it.
@@ -138,13 +148,14 @@
                     const std::vector<PromptPartId> &parts,
                     Clock::time_point now);
 
-/// Records that the server of \p crash ended as it began to answer a request
-/// with \p parts. A part that is blocked already explains the crash, so that no
-/// other becomes a suspect. Returns whether that changed what other entries
-/// should know.
+/// Records that the server of \p crash ended under a request with \p parts;
+/// \p isUncertain: see CrashRecord. A part that is blocked already explains the
+/// crash, so that no other becomes a suspect. Returns whether that changed what
+/// other entries should know.
 bool recordCrash(CrashEvidence &evidence,
                  const std::vector<PromptPartId> &parts,
-                 ServerIncarnationId crash, Clock::time_point now);
+                 ServerIncarnationId crash, Clock::time_point now,
+                 bool isUncertain = false);
 
 /// Returns at most \p most rows for other entries, those with the newest
 /// crashes first.
--- a/src/route/crash_evidence.cpp
+++ b/src/route/crash_evidence.cpp
@@ -17,9 +17,36 @@
       evidence.Sound, [&](const auto &parts) { return parts.contains(part); });
 }
 
-std::size_t countCrashes(const PartEvidence &part) {
-  return static_cast<std::size_t>(std::ranges::count_if(
-      part.Crashes, [](const auto &it) { return !it.second.IsCleared; }));
+// Returns the number of crashes that are not cleared. Uncertain ones count once
+// if they happened together.
+std::size_t countCrashes(const CrashLimits &limits, const PartEvidence &part) {
+  std::size_t n = 0;
+  std::vector<Clock::time_point> uncertain;
+  for (const auto &[id, crash] : part.Crashes) {
+    if (crash.IsCleared)
+      continue;
+    if (crash.IsUncertain)
+      uncertain.push_back(crash.At);
+    else
+      ++n;
+  }
+  std::ranges::sort(uncertain);
+  std::optional<Clock::time_point> counted;
+  for (Clock::time_point at : uncertain)
+    if (!counted || at - *counted >= limits.SameEventTime) {
+      counted = at;
+      ++n;
+    }
+  return n;
+}
+
+// Whether the crashes are enough for a suspicion: a certain one or any two.
+bool isSuspicious(const PartEvidence &part) {
+  std::size_t n = 0;
+  for (const auto &[id, crash] : part.Crashes)
+    if (!crash.IsCleared)
+      n += crash.IsUncertain ? 1 : 2;
+  return n > 1;
 }
 
 Clock::time_point lastCrashAt(const PartEvidence &part) {
@@ -33,13 +60,13 @@
 Clock::time_point blockedUntil(const CrashLimits &limits,
                                const PartEvidence &part) {
   std::chrono::minutes time = limits.BlockTime;
-  for (std::size_t n = countCrashes(part); n > limits.BlockAfter; --n)
+  for (std::size_t n = countCrashes(limits, part); n > limits.BlockAfter; --n)
     time = std::min(2 * time, limits.MaxBlockTime);
   return lastCrashAt(part) + time;
 }
 
 bool hasEnoughCrashes(const CrashEvidence &evidence, const PartEvidence &part) {
-  return countCrashes(part) >= evidence.Limits.BlockAfter;
+  return countCrashes(evidence.Limits, part) >= evidence.Limits.BlockAfter;
 }
 
 bool isBlocked(const CrashEvidence &evidence, const PartEvidence &part,
@@ -76,11 +103,10 @@
                         const std::vector<PromptPartId> &parts,
                         Clock::time_point now) {
   auto it = evidence.Parts.find(id);
-  std::size_t crashes =
-      it == evidence.Parts.end() ? 0 : countCrashes(it->second);
-  if (crashes == 0)
+  if (it == evidence.Parts.end() || !isSuspicious(it->second))
     return {};
   const PartEvidence &part = it->second;
+  std::size_t crashes = countCrashes(evidence.Limits, part);
   if (isBlocked(evidence, part, now) && !isAmbiguous(evidence, id, parts, now))
     return {PartState::Blocked, id, crashes,
             blockedUntil(evidence.Limits, part)};
@@ -167,8 +193,10 @@
     return true;
   }
   it->second.At = std::min(it->second.At, record.At);
-  bool isNews = record.IsCleared && !it->second.IsCleared;
+  bool isNews = (record.IsCleared && !it->second.IsCleared) ||
+                (!record.IsUncertain && it->second.IsUncertain);
   it->second.IsCleared = it->second.IsCleared || record.IsCleared;
+  it->second.IsUncertain = it->second.IsUncertain && record.IsUncertain;
   return isNews;
 }
 
@@ -206,7 +234,7 @@
   bool hasSuspect = false;
   for (PromptPartId id : parts) {
     auto it = evidence.Parts.find(id);
-    if (it == evidence.Parts.end() || countCrashes(it->second) == 0)
+    if (it == evidence.Parts.end() || !isSuspicious(it->second))
       continue;
     it->second.TrialUntil = now + evidence.Limits.MaxTrialTime;
     hasSuspect = true;
@@ -234,7 +262,8 @@
 
 bool recordCrash(CrashEvidence &evidence,
                  const std::vector<PromptPartId> &parts,
-                 ServerIncarnationId crash, Clock::time_point now) {
+                 ServerIncarnationId crash, Clock::time_point now,
+                 bool isUncertain) {
   auto isCulprit = [&](PromptPartId id) {
     auto it = evidence.Parts.find(id);
     return it != evidence.Parts.end() && hasEnoughCrashes(evidence, it->second);
@@ -245,7 +274,8 @@
     if (isSound(evidence, id) || (isExplained && !isCulprit(id)))
       continue;
     if (PartEvidence *part = findOrAddPart(evidence, id, now, now))
-      isNews = addCrash(evidence, *part, crash, {now, false}) || isNews;
+      isNews =
+          addCrash(evidence, *part, crash, {now, false, isUncertain}) || isNews;
   }
   return isNews;
 }
@@ -263,7 +293,7 @@
     EvidenceRow &row = rows.emplace_back(EvidenceRow{id, {}});
     for (const auto &[crash, record] : evidence.Parts.at(id).Crashes) {
       auto age = std::chrono::duration_cast<milliseconds>(now - record.At);
-      row.Crashes.push_back({crash, age, record.IsCleared});
+      row.Crashes.push_back({crash, age, record.IsCleared, record.IsUncertain});
     }
   }
   return rows;
@@ -280,7 +310,8 @@
     return false;
   bool isNews = false;
   for (const CrashRow &it : row.Crashes)
-    isNews = addCrash(evidence, *part, it.Id, {now - it.Age, it.IsCleared}) ||
+    isNews = addCrash(evidence, *part, it.Id,
+                      {now - it.Age, it.IsCleared, it.IsUncertain}) ||
              isNews;
   // This entry knows better if it has seen such a request answered.
   if (isSound(evidence, row.Part))
--- a/src/route/crash_evidence_test.cpp
+++ b/src/route/crash_evidence_test.cpp
@@ -27,6 +27,11 @@
     return recordCrash(Entries[index], parts, crash(++NextCrash), Now);
   }
 
+  // The same before the server has begun to answer any request.
+  bool endBeforeAnswer(const Parts &parts, std::size_t index = 0) {
+    return recordCrash(Entries[index], parts, crash(++NextCrash), Now, true);
+  }
+
   PartState stateOf(const Parts &parts, std::size_t index = 0) const {
     return decideParts(Entries[index], parts, Now).State;
   }
@@ -64,6 +69,48 @@
   BOOST_TEST(stateOf({part(12)}) == PartState::Suspect);
 }
 
+// Servers that end before an answer take waiting requests with them, so that
+// one such end is no reason to hold up others.
+BOOST_AUTO_TEST_CASE(part_endingServersBeforeAnAnswer_isSuspectFromTheSecond) {
+  endBeforeAnswer({part(1), part(10)});
+  BOOST_TEST(stateOf({part(1)}) == PartState::Clear);
+  BOOST_TEST(!startTrial(first(), {part(1)}, Now));
+  Now += 2s;
+  endBeforeAnswer({part(1), part(11)}, 1);
+  exchange();
+  BOOST_TEST(stateOf({part(1)}, 2) == PartState::Suspect);
+  BOOST_TEST(stateOf({part(11)}, 2) == PartState::Clear);
+  Now += 2s;
+  endBeforeAnswer({part(12), part(1)}, 2);
+  exchange();
+  BOOST_TEST(stateOf({part(1)}) == PartState::Blocked);
+}
+
+// Many servers may lose their power together: a part that waited at them is
+// tried, and blocked only if a trial ends one more server.
+BOOST_AUTO_TEST_CASE(serversEndingTogetherBeforeAnAnswer_countOnce) {
+  for (int i = 0; i < 6; ++i) {
+    endBeforeAnswer({part(1)});
+    Now += 100ms;
+  }
+  BOOST_TEST(stateOf({part(1)}) == PartState::Suspect);
+  BOOST_TEST(decideParts(first(), {part(1)}, Now).Crashes == 1U);
+  end({part(1)});
+  BOOST_TEST(stateOf({part(1)}) == PartState::Suspect);
+  recordSurvival(first(), {part(1)}, Now);
+  BOOST_TEST(stateOf({part(1)}) == PartState::Clear);
+}
+
+// One entry may have had the beginning of an answer from the server, and
+// another one not.
+BOOST_AUTO_TEST_CASE(end_underABegunAnswerAtOneEntry_isThatAtAll) {
+  recordCrash(Entries[0], {part(1)}, crash(7), Now, true);
+  recordCrash(Entries[1], {part(1)}, crash(7), Now, false);
+  BOOST_TEST(exchange() > 0);
+  for (std::size_t i = 0; i < Entries.size(); ++i)
+    BOOST_TEST(stateOf({part(1)}, i) == PartState::Suspect);
+}
+
 BOOST_AUTO_TEST_CASE(crash_seenByAllEntries_countsOnce) {
   for (std::size_t i = 0; i < Entries.size(); ++i)
     recordCrash(Entries[i], {part(1)}, crash(7), Now);
--- a/testsuite/direct/crash_test.cpp
+++ b/testsuite/direct/crash_test.cpp
@@ -33,6 +33,7 @@
   std::vector<std::unique_ptr<FakeServer>> Ended;
   std::vector<Clock::time_point> RestartAt;
   bool IsGroup = false;
+  bool EndsBeforeHead = false; ///< A server ends before it sends a head.
   int Crashes = 0;
   bool CrashesNext = false; ///< A server ends under the next request.
   bool DropsNext = false;   ///< The next request finds its connection closed.
@@ -71,6 +72,8 @@
       return notRun(request);
     if (isBad || std::exchange(CrashesNext, false)) {
       crash(id);
+      if (EndsBeforeHead)
+        return {.Resets = true};
       return {.Bytes = streamHead(request), .Closes = true};
     }
     Begun[idOf(request)] = now;
@@ -211,6 +214,57 @@
   BOOST_TEST(servedShare(40) >= 0.9);
 }
 
+// Guards against a part that is never blocked as its servers end before they
+// have sent the head of an answer, which a lost answer looks like.
+BOOST_AUTO_TEST_CASE(crashingPart_endingServersBeforeTheHead_endsFewServers) {
+  EndsBeforeHead = true;
+  addServers(12);
+  startEntries(3);
+  sendMix(6s);
+  BOOST_TEST(BadSent > 40);
+  BOOST_TEST_MESSAGE("crashes: " << Crashes);
+  BOOST_TEST(Crashes <= MostCrashes);
+  BOOST_TEST(servedShare(40) >= 0.9);
+}
+
+// The same with one group, whose other ranks stall and refuse.
+BOOST_AUTO_TEST_CASE(crashingPart_endingRanksBeforeTheHead_endsFewRanks) {
+  EndsBeforeHead = true;
+  IsGroup = true;
+  addServers(12);
+  startEntries(3);
+  sendMix(22s);
+  BOOST_TEST(BadSent > 100);
+  BOOST_TEST_MESSAGE("crashes: " << Crashes);
+  BOOST_TEST(Crashes <= MostCrashes);
+  steps(StallTime + FormTime);
+  BOOST_TEST(servedShare(40) >= 0.9);
+}
+
+// Guards against parts that are blocked as they waited at servers which lost
+// their power together.
+BOOST_AUTO_TEST_CASE(parts_waitingAtServersThatEndTogether_areServed) {
+  addServers(6);
+  startEntries(1);
+  FakeServer::Script waits = [](const auto &) {
+    return FakeAnswer{.SendsNothing = true};
+  };
+  for (auto &server : Servers)
+    server->Respond = waits;
+  for (int i = 0; i < 12; ++i)
+    sendParts(0, "shared:40");
+  steps(50ms);
+  std::vector<std::string> ids;
+  for (auto &server : Servers)
+    ids.push_back(server->id());
+  for (const std::string &id : ids)
+    crash(id);
+  steps(500ms);
+  Call &call = sendParts(0, "shared:40");
+  steps(300ms);
+  BOOST_TEST(call.Response.Head.Status == 200);
+}
+
 // An entry that starts later learns from its peers what is blocked.
 BOOST_AUTO_TEST_CASE(crashingPart_atEntryStartedLater_isRefused) {
   addServers(12);
