Let the server of rank 0 decide a map switch, and never disarm

What callers saw: a pass with two expert maps, and wrong tokens, after all processes were killed during a switch.

Cause: only the memory of the agents told that a switch was released. With all processes restarted, the settlement found no outcome and cancelled by disarming rank after rank, while the order to release the hold could still be carried out.

Change: the server of rank 0 keeps the decision. It is armed or fenced before all others, nothing disarms, and a settlement completes the switch if it is armed. Reports say whether a hold is all that there is.

--- a/src/direct/map_coordinator.cpp
+++ b/src/direct/map_coordinator.cpp
@@ -498,9 +498,11 @@
 
 // Sends an order to the agent of its rank. Before HoldingRank is armed, its
 // server must hold the step: the order to hold goes first, once for each map.
+// If a settlement has found it armed, it holds the step or has released it.
 void MapCoordinator::send(const std::string &name, CoordinatedGroup &group,
                           const MapOrder &order) {
-  bool needsHold = order.Kind == OrderKind::Arm && order.To == HoldingRank;
+  bool needsHold = order.Kind == OrderKind::Arm && order.To == HoldingRank &&
+                   !isOwnerArmed(*group.Driver);
   if (!needsHold)
     return forwardOrder(group, order);
   if (group.HoldRequestedFor != order.Map)
--- a/src/direct/map_messages.cpp
+++ b/src/direct/map_messages.cpp
@@ -111,6 +111,7 @@
   engine.set_stage(static_cast<std::uint32_t>(from.Engine.Stage));
   engine.set_step(from.Engine.Step.Value);
   engine.set_current(from.Engine.Current.Value);
+  engine.set_is_hold_only(from.Engine.IsHoldOnly);
   out.set_has_taken(from.LastDecision.has_value());
   if (from.LastDecision) {
     out.set_taken_map(from.LastDecision->Map.Value);
@@ -139,6 +140,7 @@
   to.Engine.Stage = static_cast<MapStage>(engine.stage());
   to.Engine.Step = {engine.step()};
   to.Engine.Current = {engine.current()};
+  to.Engine.IsHoldOnly = engine.is_hold_only();
   if (message.has_taken()) {
     AppliedDecision taken;
     taken.Map = {message.taken_map()};
--- a/src/direct/map_messages_test.cpp
+++ b/src/direct/map_messages_test.cpp
@@ -29,6 +29,7 @@
   report.Report.Accepted = true;
   report.Report.Engine.Stage = MapStage::Armed;
   report.Report.Engine.Pending = {5};
+  report.Report.Engine.IsHoldOnly = true;
   report.Report.LastDecision = AppliedDecision{{5}, Decision::Release};
   report.Epoch = 3;
   DirectMapReport read = readMapReport(writeMapReport(report)).value();
--- a/src/direct/rank_agent.cpp
+++ b/src/direct/rank_agent.cpp
@@ -272,7 +272,7 @@
         if (!isCurrent)
           return {};
         bool isPrepare = order.Order.Kind == OrderKind::Prepare;
-        if (mayHaveBeenHeld(order.Order, LastArm))
+        if (mayHaveBeenHeld(order.Order, LastArm, *Server))
           return logIgnoredArm(order.Order);
         if (order.Order.Kind == OrderKind::Arm)
           LastArm = {order.Order.Map, std::max(LastArm.Step, order.Order.Step)};
--- a/src/direct/rank_server.cpp
+++ b/src/direct/rank_server.cpp
@@ -58,12 +58,14 @@
                     : done();
 }
 
+// An armed rank is not cancelled any more: its switch must be completed.
+//
 // Earlier maps than the goal's are fenced too. A driver may have cancelled
 // HoldingRank and died before it cancelled this rank; HoldingRank then reports
 // its fence, and the settlement cancels the number of the fence.
 RankServerAction cancel(const MapOrder &goal, const RankServerState &state) {
   if (state.Armed)
-    return send(ServerMapOrder::Disarm, state.Armed->Map, {}, state);
+    return refused();
   bool canBeArmed = state.Prepared && *state.Prepared <= goal.Map;
   if (!canBeArmed)
     return done();
@@ -176,8 +178,11 @@
   last.Step = std::max(last.Step, step);
 }
 
-bool mayHaveBeenHeld(const MapOrder &order, const ArmedMap &last) {
-  return order.Kind == OrderKind::Arm && order.To == HoldingRank &&
+bool mayHaveBeenHeld(const MapOrder &order, const ArmedMap &last,
+                     const RankServerState &state) {
+  bool isArmed = state.Armed && state.Armed->Map == order.Map &&
+                 state.Armed->Step == order.Step;
+  return !isArmed && order.Kind == OrderKind::Arm && order.To == HoldingRank &&
          order.Step <= last.Step && order.Map != last.Map;
 }
 
--- a/src/group/driver.cpp
+++ b/src/group/driver.cpp
@@ -77,11 +77,21 @@
 
 // Returns whether the owner's rank must accept its order before the driver
 // sends any other. It promises a ballot first, so that the owner refuses lower
-// ballots as long as it uses this one. If it holds the step for all ranks, it
-// is also armed first.
+// ballots as long as it uses this one. If it holds the step for all ranks, its
+// engine decides the switch: it is armed or cancelled first.
 bool isOwnerFirst(const DriverState &state) {
+  bool isCancellation =
+      state.Phase == DriverPhase::Deciding && state.Outcome == Decision::Cancel;
   return state.Phase == DriverPhase::Settling ||
-         (state.Phase == DriverPhase::Arming && state.Limits.OwnerHoldsStep);
+         (state.Limits.OwnerHoldsStep &&
+          (state.Phase == DriverPhase::Arming || isCancellation));
+}
+
+// Whether the owner's rank holds the step for all and is armed, so that the
+// switch must be completed.
+bool isCommitted(const DriverState &state) {
+  return state.Limits.OwnerHoldsStep && state.Phase == DriverPhase::Arming &&
+         state.Ranks[indexOf(state.Number.Owner)].HasAnswered;
 }
 
 // Returns whether the driver must not send the release to the owner's rank yet.
@@ -137,6 +147,22 @@
   return Decision::Cancel;
 }
 
+// Returns the highest map that an engine is armed with, and the step, if the
+// owner holds the step for all ranks. The owner's engine is armed before all
+// others and never disarmed, so that it is armed too, or uses the map already.
+std::optional<EngineMap> findArmedMap(const DriverState &state) {
+  std::optional<EngineMap> found;
+  if (!state.Limits.OwnerHoldsStep)
+    return found;
+  for (const RankView &it : state.Ranks) {
+    const EngineMap &map = it.Report.Engine;
+    bool isArmed = map.Stage == MapStage::Armed && !map.IsHoldOnly;
+    if (isArmed && (!found || map.Pending > found->Pending))
+      found = map;
+  }
+  return found;
+}
+
 // Returns the ranks whose map in force is not that of the first rank.
 std::vector<Rank> ranksWithOtherMap(const DriverState &state) {
   std::vector<Rank> ranks;
@@ -147,7 +173,15 @@
 }
 
 void finishSettlement(DriverState &state, SteadyTime now, Actions &actions) {
-  if (std::optional<Decision> outcome = settleArmedMap(state)) {
+  std::optional<Decision> outcome = settleArmedMap(state);
+  std::optional<EngineMap> armed = findArmedMap(state);
+  if (armed && outcome != Decision::Release) {
+    state.Map = armed->Pending;
+    state.Step = armed->Step;
+    enterPhase(state, DriverPhase::Arming, now);
+    return;
+  }
+  if (outcome) {
     startDeciding(state, *outcome, now);
     return;
   }
@@ -219,6 +253,20 @@
     restartSettlement(state, report.Promised, now);
     return;
   }
+  bool isOwner = report.From == state.Number.Owner;
+  bool isCancellation =
+      state.Phase == DriverPhase::Deciding && state.Outcome == Decision::Cancel;
+  bool completes =
+      state.Phase == DriverPhase::Arming && findArmedMap(state).has_value();
+  if (state.Limits.OwnerHoldsStep && isOwner && (isCancellation || completes)) {
+    // The owner's engine is armed although it was to be cancelled, or uses the
+    // map already that was to be armed: a late order was carried out.
+    restartSettlement(state, report.Promised, now);
+    return;
+  }
+  // The order is sent again until it is carried out.
+  if (isCommitted(state))
+    return;
   // The engine cannot carry out the order: it is past the step to be armed, or
   // it has lost the weights.
   if (state.Phase == DriverPhase::Preparing ||
@@ -265,20 +313,21 @@
 
 // Cancels a switch that takes too long to prepare or arm. Reports the failure
 // of the group, once for each phase, if ranks do not answer while the driver
-// settles or decides.
+// settles or decides, or has to complete the switch.
 void checkTimeouts(DriverState &state, SteadyTime now, Actions &actions) {
   auto waited = now - state.PhaseSince;
   bool isArming = state.Phase == DriverPhase::Confirming ||
                   state.Phase == DriverPhase::Arming;
-  bool timedOut = (state.Phase == DriverPhase::Preparing &&
-                   waited >= state.Limits.PrepareWithin) ||
-                  (isArming && waited >= state.Limits.ArmWithin);
+  bool timedOut =
+      (state.Phase == DriverPhase::Preparing &&
+       waited >= state.Limits.PrepareWithin) ||
+      (isArming && !isCommitted(state) && waited >= state.Limits.ArmWithin);
   if (timedOut) {
     startDeciding(state, Decision::Cancel, now);
     return;
   }
   bool waits = state.Phase == DriverPhase::Settling ||
-               state.Phase == DriverPhase::Deciding;
+               state.Phase == DriverPhase::Deciding || isCommitted(state);
   if (!waits || state.FailureReported ||
       waited < state.Limits.UnresponsiveAfter)
     return;
@@ -302,6 +351,12 @@
 
 } // namespace
 
+bool isOwnerArmed(const DriverState &state) {
+  const EngineMap &map = state.Ranks[indexOf(state.Number.Owner)].Report.Engine;
+  return map.Stage == MapStage::Armed && !map.IsHoldOnly &&
+         map.Pending == state.Map;
+}
+
 std::string_view orderKindName(OrderKind kind) {
   switch (kind) {
   case OrderKind::Promise:
--- a/src/include/greengagespar/direct/rank_server.h
+++ b/src/include/greengagespar/direct/rank_server.h
@@ -23,14 +23,18 @@
 /// 5. Arm: the driver orders the agent of HoldingRank to arm the map for that
 ///    step, and after its report all other agents. An armed server uses the map
 ///    from the step on.
-/// 6. Release or cancel: when all ranks are armed, the driver sends the outcome
-///    Release, and the agent of HoldingRank releases the hold. That agent
-///    receives the outcome only after half of the others have reported that
-///    they applied it, so that a settlement finds it. When a rank refuses or
-///    does not answer in time, the driver sends Cancel: each agent disarms its
-///    server and fences it (see below). After all agents have accepted the
-///    cancellation, the driver sends MapResume and the agent of HoldingRank
-///    releases the hold.
+/// 6. Release: when all ranks are armed, the driver sends the outcome Release,
+///    and the agent of HoldingRank releases the hold. That agent receives the
+///    outcome only after half of the others have reported that they applied it.
+///
+/// The server of HoldingRank decides the switch. It is armed before all others,
+/// and no server is disarmed: once it is armed, the switch is completed, by
+/// whichever driver. Before that the driver may cancel, when a rank refuses or
+/// does not answer in time: the agent of HoldingRank fences its server (see
+/// below), which can't be armed from then on, and then the other agents theirs.
+/// After all agents have accepted the cancellation, the driver sends MapResume
+/// and the agent of HoldingRank releases the hold. Nothing of the decision is
+/// kept by a process, so that all processes may die at any point.
 ///
 /// decideRank and decideDriver require of each rank that it is armed but does
 /// not enter the step before it is released. The server offers only a map that
@@ -42,22 +46,24 @@
 ///
 /// If the driver dies, the agents of armed ranks request a settlement from the
 /// entries, and another entry (or the next driver) settles the switch: it
-/// confirms an outcome that a rank has already accepted, and cancels the switch
-/// otherwise. If an agent dies, the driver detects by the new incarnation that
-/// it restarted, and settles again.
+/// completes one whose HoldingRank is armed, and cancels any other. If an agent
+/// dies, the driver detects by the new incarnation that it restarted, and
+/// settles again.
 ///
 /// A server may carry out an order that it has not answered seconds later, and
 /// nothing in the order lets the server refuse it then. Therefore:
 /// - An order counts as done only when the server's own state shows it. Until
 ///   then it is sent again.
-/// - A cancelled rank is disarmed and then fenced: its agent prepares another
-///   map, so that the server refuses a delayed order to arm, whose map is no
-///   longer prepared. The hold is kept until all ranks have been cancelled
-///   (RankTask::Resume), so that no rank can begin the step while another one
-///   may still be armed for it.
-/// - A map is never armed again after it was disarmed, and no step is held
-///   twice, so that delayed orders to disarm a map or to release a hold have
-///   nothing to act on.
+/// - A cancelled rank is fenced: its agent prepares another map, so that the
+///   server refuses a delayed order to arm, whose map is no longer prepared.
+///   The hold is kept until all ranks have been fenced (RankTask::Resume), so
+///   that no rank can begin the step while another one may still be armed for
+///   it.
+/// - An order to release a hold is sent only once all ranks are armed, or once
+///   HoldingRank is fenced: whenever it is carried out, all ranks use the same
+///   map. No step is held twice.
+/// - No order disarms a rank: carried out late, it would undo a switch that
+///   another process completes.
 /// - An agent that finds its server in use when it starts arms only for steps
 ///   after all those that the agent before it can have held.
 /// - No two drivers use the same number for their maps.
@@ -107,7 +113,6 @@
 enum class ServerMapOrder {
   Prepare,    ///< Copy the weights of a map.
   Arm,        ///< Use the prepared map from a step on.
-  Disarm,     ///< Undo Arm.
   Hold,       ///< Keep the whole group from beginning a step.
   ReleaseHold ///< Release the hold of a step.
 };
@@ -116,7 +121,7 @@
 struct RankServerOrder {
   ServerMapOrder Kind = ServerMapOrder::ReleaseHold;
   std::uint64_t Epoch = 0;
-  MapNumber Map;   ///< Used by Prepare, Arm and Disarm.
+  MapNumber Map;   ///< Used by Prepare and Arm.
   StepNumber Step; ///< Used by Arm, Hold and ReleaseHold.
 };
 
@@ -130,7 +135,7 @@
   Arm,     ///< Arm the map for the step; HoldingRank must hold it.
   Release, ///< Release the hold of an armed rank, if it has one. The rank then
            ///< uses the map.
-  Cancel,  ///< Disarm and fence the rank; keep the hold.
+  Cancel,  ///< Fence the rank, which must not be armed; keep the hold.
   Resume,  ///< Release the hold of a cancelled rank.
 };
 
@@ -217,10 +222,12 @@
 void recordHoldRelease(ArmedMap &last, const RankWork &work, StepNumber step);
 
 /// Returns whether \p order is to arm HoldingRank for a step that it may have
-/// held before. \p last: the latest order to arm that its agent has accepted.
+/// held before. \p last: the latest order to arm that its agent has accepted. A
+/// server that is armed already, by \p state, may be confirmed.
 /// The agent ignores such an order, since a delayed order to release the
 /// earlier hold could release the new one.
-bool mayHaveBeenHeld(const MapOrder &order, const ArmedMap &last);
+bool mayHaveBeenHeld(const MapOrder &order, const ArmedMap &last,
+                     const RankServerState &state);
 
 /// What a rank's agent has completed at its server.
 struct RankHistory {
--- a/src/include/greengagespar/group/driver.h
+++ b/src/include/greengagespar/group/driver.h
@@ -14,7 +14,9 @@
 /// settlement, which resolves an earlier switch whose outcome is unknown: all
 /// ranks promise to follow no lower ballot and report their state. If a rank
 /// has applied a decision on an armed map, the settlement sends the same
-/// decision to all ranks; otherwise it cancels the map. Only then may the
+/// decision to all ranks. Otherwise it cancels the map, or, if the owner holds
+/// the step for all ranks (DriverLimits::OwnerHoldsStep) and one is armed, arms
+/// the others too and releases the map. Only then may the
 /// driver prepare, arm and decide a new map. A settler stops after the
 /// settlement. The protocol is safe because of the promises of all ranks; it
 /// does not depend on the lease or on clocks.
@@ -57,7 +59,9 @@
   /// If true, the rank of the ballot's owner holds the step for the whole
   /// group. The driver then arms that rank before any other, once all ranks
   /// have answered again after preparation, which shows that no process is
-  /// paused. It releases that rank after half of the others.
+  /// paused. Once that rank is armed, the switch is not cancelled any more, by
+  /// no driver: its engine keeps the decision although all processes may end.
+  /// The driver releases that rank after half of the others.
   bool OwnerHoldsStep = false;
 };
 
@@ -149,6 +153,10 @@
 DriverState makeSettler(const Ballot &number, std::size_t ranks,
                         const DriverLimits &limits, SteadyTime now);
 
+/// Whether the driver knows from the owner's latest report that its engine is
+/// armed with the map of the switch. Thread safe.
+bool isOwnerArmed(const DriverState &state);
+
 /// Handles one event and returns the actions to perform. Calls with the same
 /// state must not run concurrently.
 std::vector<DriverAction>
--- a/src/include/greengagespar/group/messages.h
+++ b/src/include/greengagespar/group/messages.h
@@ -100,8 +100,7 @@
   StepNumber Step;                 ///< First step with the armed map.
   StepNumber Current;              ///< The step that the engine is in.
   /// Stage is Armed because the engine holds Step, but no map is armed. A
-  /// settlement resolves such a hold like an armed map; an order to arm is not
-  /// done yet. Not part of a report on the wire.
+  /// settlement cancels the pending map; an order to arm is not done yet.
   bool IsHoldOnly = false;
 
   bool operator==(const EngineMap &) const = default;
