Bound the bytes of all unfinished answers together

What callers would see: an entry that ends for lack of memory, and their requests with it, when many faulty servers send bytes without end.

Cause: each answer had its bound of 256 KB, and each connection read 256 KB ahead, but nothing added them up.

Change: the unfinished answers of an entry keep 32 MB together; above that an answer that keeps more than an equal part ends as lost. Connections read 64 KB ahead. Gauge greengagespar_answer_bytes.

Test: answers_ofManyServersAtOnce_areBoundedTogether, 300 answers of 200 KB that never end, beside a sound stream: all 300 were kept before, at most 32 MB now.

--- a/src/direct/direct_entry.cpp
+++ b/src/direct/direct_entry.cpp
@@ -489,6 +489,8 @@
            static_cast<double>(Self.Settings.Value));
   setGauge(Counters, {"greengagespar_requests_open"},
            static_cast<double>(OpenExchanges.size()));
+  setGauge(Counters, {"greengagespar_answer_bytes"},
+           static_cast<double>(Context.Answers.Bytes));
   setGauge(Counters, {"greengagespar_connections"},
            static_cast<double>(RequestListener.connections()));
   setGauge(Counters, {"greengagespar_store_calls"},
--- a/src/direct/exchange.cpp
+++ b/src/direct/exchange.cpp
@@ -158,7 +158,7 @@
   auto now = Clock::now();
   if (!passesGuard(server, now))
     return;
-  CurrentAttempt.emplace();
+  CurrentAttempt.emplace(Context.Answers);
   CurrentAttempt->Server = server;
   CurrentAttempt->SentAt = now;
   CurrentAttempt->LastReceivedAt = now;
@@ -215,13 +215,17 @@
     return relayEvents(piece);
   CurrentAttempt->Body.append(piece);
   if (CurrentAttempt->Body.size() > MaxBufferedAnswer)
-    endAttempt(AttemptEnd::Lost, "the answer is too large");
+    return endAttempt(AttemptEnd::Lost, "the answer is too large");
+  if (!CurrentAttempt->Share.keep(CurrentAttempt->Body.size()))
+    endAttempt(AttemptEnd::Lost, "all answers together are too large");
 }
 
 void Exchange::relayEvents(std::string_view piece) {
   std::string events = extractNewEvents(Stream, piece);
   if (Stream.IsTooLong)
     return endAttempt(AttemptEnd::Lost, "an event is too large");
+  if (!CurrentAttempt->Share.keep(Stream.Partial.size()))
+    return endAttempt(AttemptEnd::Lost, "all answers together are too large");
   if (events.empty())
     return;
   auto now = Clock::now();
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -32,16 +32,17 @@
 // since the network path is then lost.
 constexpr int UserTimeoutMs = 3000;
 
+constexpr std::size_t MaxHeadBytes = std::size_t{64} * 1024;
 // Most bytes that are read before the reader has used any of them, as those of
-// a line of a chunked body.
-constexpr std::size_t MaxReadAhead = std::size_t{256} * 1024;
+// a head or of a line of a chunked body. An entry has hundreds of connections.
+constexpr std::size_t MaxReadAhead = MaxHeadBytes;
 // Most bytes of interim answers and of answers to other requests that are
 // skipped in one exchange.
 constexpr std::size_t MaxSkippedBytes = std::size_t{256} * 1024;
 
 MessageLimits answerLimits() {
   MessageLimits limits;
-  limits.MaxHeadBytes = 65536;
+  limits.MaxHeadBytes = MaxHeadBytes;
   limits.MaxBodyBytes = std::numeric_limits<std::uint64_t>::max() / 2;
   return limits;
 }
--- a/src/include/greengagespar/direct/exchange.h
+++ b/src/include/greengagespar/direct/exchange.h
@@ -9,6 +9,7 @@
 #define GREENGAGESPAR_DIRECT_EXCHANGE_H
 
 #include "greengagespar/base/timer.h"
+#include "greengagespar/direct/answer_memory.h"
 #include "greengagespar/direct/attempts.h"
 #include "greengagespar/direct/event_relay.h"
 #include "greengagespar/direct/part_guard.h"
@@ -25,6 +26,7 @@
   const SiteDialect *Dialect = nullptr;
   Metrics *Counters = nullptr;
   PartGuard *Guard = nullptr;
+  AnswerMemory Answers; ///< What unfinished answers keep.
   /// Reports the rate limit that an answer of a server states; empty: none.
   std::function<void(const ServerRecord &, std::optional<double> perSecond)>
       OnRateLimit;
@@ -53,6 +55,8 @@
 
 /// The attempt in progress.
 struct Attempt {
+  explicit Attempt(AnswerMemory &all) : Share(all) {}
+
   ServerRecord Server;
   std::unique_ptr<HttpClientConnection> Connection;
   Clock::time_point SentAt;
@@ -65,7 +69,8 @@
   bool HasHead = false;
   bool IsForeign = false;    ///< The answer may belong to another request.
   bool RelaysEvents = false; ///< The exchange forwards events as they arrive.
-  std::string Body; ///< The answer so far; unused when RelaysEvents is set.
+  std::string Body;  ///< The answer so far; unused when RelaysEvents is set.
+  AnswerShare Share; ///< Of Body, or of the event that is not complete yet.
 };
 
 } // namespace detail
--- a/testsuite/direct/endless_test.cpp
+++ b/testsuite/direct/endless_test.cpp
@@ -1,3 +1,4 @@
+#include "greengagespar/direct/answer_memory.h"
 #include "greengagespar/direct/rank_server_client.h"
 #include "platform/rank_dialect.h"
 #include "site.h"
@@ -125,6 +126,43 @@
     }
 }
 
+// Guards against many answers that are each within the bound of one, and
+// together use up the entry's memory.
+BOOST_FIXTURE_TEST_CASE(answers_ofManyServersAtOnce_areBoundedTogether,
+                        SiteFixture) {
+  constexpr std::size_t size = std::size_t{200} * 1024;
+  constexpr std::size_t servers = 24;
+  constexpr std::size_t calls = 300; // 58 MB of answers.
+  FakeServer::Script begins = [&](const HttpRequestMessage &it) {
+    std::string whole = signedAnswer(it, 200, std::string(size, 'a'));
+    return FakeAnswer{.Bytes = whole.substr(0, whole.size() - 1),
+                      .IsPartial = true};
+  };
+  for (std::size_t i = 0; i < servers; ++i)
+    addServer("ledger", begins);
+  addServer("helper", [](const auto &it) {
+    return FakeAnswer{signedAnswer(it, 200, "sound")};
+  });
+  startEntry();
+  std::vector<std::unique_ptr<Call>> all;
+  for (std::size_t i = 0; i < calls; ++i)
+    all.push_back(send("POST", "/book/1", "X-Api-Key: k1\r\n", "meat"));
+  auto count = [&](auto member) {
+    std::size_t n = 0;
+    for (const auto &it : Servers)
+      n += member(*it);
+    return n;
+  };
+  auto arrived = [](const FakeServer &it) { return it.Requests.size(); };
+  BOOST_REQUIRE(runUntil([&] { return count(arrived) >= calls; }));
+  runFor(300ms);
+  auto closed = [](const FakeServer &it) {
+    return static_cast<std::size_t>(it.Closed);
+  };
+  BOOST_TEST((calls - count(closed)) * size <= MaxAnswerMemory);
+  BOOST_TEST(sendAndWait("GET", "/draft/2").Body == "sound");
+}
+
 // Guards against a rank's server whose state never ends.
 BOOST_FIXTURE_TEST_CASE(rankState_withoutEnd_isCut, RankClientFixture) {
   bool isDone = false;
