--- a/src/direct/exchange.cpp
+++ b/src/direct/exchange.cpp
@@ -320,7 +320,7 @@
     reportServerEnd(*Context.Guard, attempt.Server, now);
   bool isStream = Call.MatchedRoute->Kind == RequestKind::Stream;
   if (!isStream || !attempt.HasBegun)
-    return reportBreak(*Context.Guard, Parts, attempt, !isStream, now);
+    return reportBreak(*Context.Guard, Parts, attempt, now);
   if (!looksLikeCrash(attempt))
     return false;
   reportCrash(*Context.Guard, Parts, attempt, now);
--- a/src/direct/part_guard.cpp
+++ b/src/direct/part_guard.cpp
@@ -129,13 +129,12 @@
 }
 
 bool reportBreak(PartGuard &guard, const PromptParts &parts,
-                 const BrokenAttempt &attempt, bool isCertain,
-                 Clock::time_point now) {
+                 const BrokenAttempt &attempt, Clock::time_point now) {
   if (!attempt.IsDisconnected || areKnownSound(guard.Evidence, parts.Ids))
     return false;
   bool isSuspect =
       decideParts(guard.Evidence, parts.Ids, now).State != PartState::Clear;
-  if (isSuspect && isCertain) {
+  if (isSuspect && parts.IsWholeRequest) {
     reportCrash(guard, parts, attempt, now);
     return true;
   }
--- a/src/direct/part_guard_test.cpp
+++ b/src/direct/part_guard_test.cpp
@@ -32,7 +32,7 @@
     attempt.RequestId = "r";
     attempt.Server = server(started);
     attempt.IsDisconnected = true;
-    return reportBreak(Guard, Request, attempt, true, Now);
+    return reportBreak(Guard, Request, attempt, Now);
   }
 
   std::size_t crashes() const {
@@ -115,7 +115,7 @@
   attempt.IsDisconnected = true;
   for (std::uint64_t i = 1; i <= 3; ++i) {
     attempt.Server = server(i);
-    bool isSuspect = reportBreak(Guard, stream, attempt, false, Now);
+    bool isSuspect = reportBreak(Guard, stream, attempt, Now);
     BOOST_TEST(isSuspect == (i == 3));
     reportServerEnd(Guard, server(i), Now);
     Now += 2s;
--- a/src/include/greengagespar/direct/part_guard.h
+++ b/src/include/greengagespar/direct/part_guard.h
@@ -129,11 +129,10 @@
 
 /// Keeps the break of \p attempt, which a crash may explain, and has its server
 /// checked. Returns whether the request must go to no other server: one of
-/// \p parts is under suspicion already. With \p isCertain, the break then
+/// \p parts is under suspicion already. The break of a whole request then
 /// counts as a crash at once.
 bool reportBreak(PartGuard &guard, const PromptParts &parts,
-                 const BrokenAttempt &attempt, bool isCertain,
-                 Clock::time_point now);
+                 const BrokenAttempt &attempt, Clock::time_point now);
 
 /// Records that \p server has ended: it refuses connections, or another server
 /// is at its address. Breaks of the last seconds there were crashes.
