--- a/src/direct/answer_memory_test.cpp
+++ b/src/direct/answer_memory_test.cpp
@@ -39,7 +39,7 @@
 
 // Whatever the answers, what is kept together stays near the bound.
 BOOST_AUTO_TEST_CASE(answers_ofManyServersWithoutEnd_areBoundedTogether) {
-  constexpr std::size_t step = 16 * 1024;
+  constexpr std::size_t step = std::size_t{16} * 1024;
   constexpr std::size_t count = 1000;
   std::size_t most = 0;
   for (std::size_t i = 0; i < count; ++i)
