--- a/testsuite/direct/rank_site.cpp
+++ b/testsuite/direct/rank_site.cpp
@@ -59,9 +59,14 @@
 
 void FakeRank::leaveArmed(std::uint64_t map, std::uint64_t step,
                           bool holdsStep) {
+  leavePrepared(map, step, holdsStep);
+  Armed = ArmedMap{map, step};
+}
+
+void FakeRank::leavePrepared(std::uint64_t map, std::uint64_t step,
+                             bool holdsStep) {
   Highest = map;
   Prepared = map;
-  Armed = ArmedMap{map, step};
   if (holdsStep)
     Held = step;
 }
--- a/testsuite/direct/rank_site.h
+++ b/testsuite/direct/rank_site.h
@@ -27,12 +27,15 @@
   const Address &at() const { return At; }
   bool holds(std::uint64_t step) const { return Held == step; }
   bool isArmed() const { return Armed.has_value(); }
+  bool hasPrepared(std::uint64_t map) const { return Prepared == map; }
   std::uint64_t inUse() const { return InUse; }
   /// Returns the map in use as JSON text; "first" before the first switch.
   const std::string &mapInUse() const { return SerializedMaps.at(InUse); }
   /// Puts the server into the state that a driver leaves which dies after it
   /// has armed the rank with \p map for \p step.
   void leaveArmed(std::uint64_t map, std::uint64_t step, bool holdsStep);
+  /// Leaves the rank as leaveArmed() does, but not armed.
+  void leavePrepared(std::uint64_t map, std::uint64_t step, bool holdsStep);
   /// Begins \p step: switches to the map that is armed for it, if any, and
   /// counts far more tokens for one expert than for each of the others.
   void beginPass(std::uint64_t step);
