Share the run and the checks of the tests with a crashing part

Cause: four cases of direct_crash_tests repeated the same six lines. Change: checkCrashes() has them; times, numbers and bounds are the same. Measured: direct_crash_tests pass, 3, 3, 4 and 3 servers ended, 8 are allowed.

--- a/testsuite/direct/crash_test.cpp
+++ b/testsuite/direct/crash_test.cpp
@@ -164,6 +164,17 @@
     }
   }
 
+  // Starts servers and entries, sends requests for \p time, of which more than
+  // \p leastBad have CrashingPart, and checks that few servers end.
+  void checkCrashes(std::chrono::milliseconds time, int leastBad) {
+    addServers(12);
+    startEntries(3);
+    sendMix(time);
+    BOOST_TEST(BadSent > leastBad);
+    BOOST_TEST_MESSAGE("crashes: " << Crashes);
+    BOOST_TEST(Crashes <= MostCrashes);
+  }
+
   // Returns the share of \p count sound requests that are served.
   double servedShare(int count) {
     std::vector<Call *> sent;
@@ -191,12 +202,7 @@
 // Guards against requests with one part in their prompts that end server after
 // server, because no entry remembers what they have in common.
 BOOST_AUTO_TEST_CASE(crashingPart_atSingleServers_endsFewServers) {
-  addServers(12);
-  startEntries(3);
-  sendMix(2500ms);
-  BOOST_TEST(BadSent > 20);
-  BOOST_TEST_MESSAGE("crashes: " << Crashes);
-  BOOST_TEST(Crashes <= MostCrashes);
+  checkCrashes(2500ms, 20);
   BOOST_TEST(servedShare(40) >= 0.9);
 }
 
@@ -204,12 +210,7 @@
 // ranks break off too.
 BOOST_AUTO_TEST_CASE(crashingPart_atGroup_endsFewRanks) {
   IsGroup = true;
-  addServers(12);
-  startEntries(3);
-  sendMix(22s);
-  BOOST_TEST(BadSent > 100);
-  BOOST_TEST_MESSAGE("crashes: " << Crashes);
-  BOOST_TEST(Crashes <= MostCrashes);
+  checkCrashes(22s, 100);
   steps(StallTime + FormTime);
   BOOST_TEST(servedShare(40) >= 0.9);
 }
@@ -218,12 +219,7 @@
 // have sent the head of an answer, which a lost answer looks like.
 BOOST_AUTO_TEST_CASE(crashingPart_endingServersBeforeTheHead_endsFewServers) {
   EndsBeforeHead = true;
-  addServers(12);
-  startEntries(3);
-  sendMix(6s);
-  BOOST_TEST(BadSent > 40);
-  BOOST_TEST_MESSAGE("crashes: " << Crashes);
-  BOOST_TEST(Crashes <= MostCrashes);
+  checkCrashes(6s, 40);
   BOOST_TEST(servedShare(40) >= 0.9);
 }
 
@@ -231,12 +227,7 @@
 BOOST_AUTO_TEST_CASE(crashingPart_endingRanksBeforeTheHead_endsFewRanks) {
   EndsBeforeHead = true;
   IsGroup = true;
-  addServers(12);
-  startEntries(3);
-  sendMix(22s);
-  BOOST_TEST(BadSent > 100);
-  BOOST_TEST_MESSAGE("crashes: " << Crashes);
-  BOOST_TEST(Crashes <= MostCrashes);
+  checkCrashes(22s, 100);
   steps(StallTime + FormTime);
   BOOST_TEST(servedShare(40) >= 0.9);
 }
