Log the connection of each send, and the answers that are skipped

No line says on which connection a request went out, how many answers that connection has had, or that an answer named another request.

Change: send and attempt_ended name the connection (a number that is unique in the process) and its answers; answer_skipped says which request an answer too many names; greengagespar_answers_skipped_total counts them.

--- a/src/direct/exchange.cpp
+++ b/src/direct/exchange.cpp
@@ -181,10 +181,13 @@
   // The answer to an earlier request on this connection may be delayed, or come
   // once more. On a connection that was used before, one that names no request
   // may be such an answer, and says nothing of this request.
-  if (!facts.RequestId.empty() && facts.RequestId != Call.Facts.RequestId)
+  if (!facts.RequestId.empty() && facts.RequestId != Call.Facts.RequestId) {
+    logSkippedAnswer(*Context.Counters, Call, *CurrentAttempt, head,
+                     facts.RequestId);
     return false;
+  }
   bool isForeign =
-      facts.RequestId.empty() && CurrentAttempt->Connection->isUsedAgain();
+      facts.RequestId.empty() && CurrentAttempt->Connection->answers() > 0;
   if (isForeign)
     facts = {};
   CurrentAttempt->LastReceivedAt = Clock::now();
--- a/src/direct/exchange_log.cpp
+++ b/src/direct/exchange_log.cpp
@@ -33,6 +33,13 @@
   return "";
 }
 
+// Adds what tells an answer to this exchange from one to an earlier exchange on
+// the same connection.
+void addConnection(LogLine &line, const HttpClientConnection &connection) {
+  line.add("connection", static_cast<std::int64_t>(connection.number()))
+      .add("answers", static_cast<std::int64_t>(connection.answers()));
+}
+
 } // namespace
 
 void logSend(const AcceptedCall &call, const detail::Attempt &attempt, int run,
@@ -42,8 +49,9 @@
       .add("route", call.MatchedRoute->Name)
       .add("config", static_cast<std::int64_t>(call.Table->Site.Version.Value))
       .add("server", attempt.Server.Id.Value)
-      .add("at", attempt.Server.At.Value)
-      .add("run", run)
+      .add("at", attempt.Server.At.Value);
+  addConnection(line, *attempt.Connection);
+  line.add("run", run)
       .addMs("waited_ms", attempt.SentAt - call.Arrived)
       .addMs("left_ms", call.CallDeadline.At - attempt.SentAt);
   if (after)
@@ -51,6 +59,20 @@
   logInfo(Part::Route, line.text());
 }
 
+void logSkippedAnswer(Metrics &counters, const AcceptedCall &call,
+                      const detail::Attempt &attempt, const HttpHead &head,
+                      std::string_view named) {
+  LogLine line("answer_skipped");
+  line.add("id", call.Facts.RequestId)
+      .add("server", attempt.Server.Id.Value)
+      .add("names", named)
+      .add("status", head.Status);
+  addConnection(line, *attempt.Connection);
+  logInfo(Part::Route, line.text());
+  countUp(counters, {"greengagespar_answers_skipped_total",
+                     {{"service", call.Service.Value}}});
+}
+
 void logAttemptEnd(Metrics &counters, const AcceptedCall &call,
                    const detail::Attempt &attempt, const EventRelay &stream,
                    int runs, std::string_view why, std::string_view next,
@@ -62,8 +84,9 @@
       .add("why", why)
       .add("status", attempt.Head.Status)
       .addMs("took_ms", now - attempt.SentAt)
-      .addMs("silent_ms", now - attempt.LastReceivedAt)
-      .add("runs", runs)
+      .addMs("silent_ms", now - attempt.LastReceivedAt);
+  addConnection(line, *attempt.Connection);
+  line.add("runs", runs)
       .add("events", static_cast<std::int64_t>(stream.EventCount))
       .add("events_here", attempt.Events)
       .add("parts", describeParts(call.Facts.SharedParts))
--- a/src/direct/exchange_log.h
+++ b/src/direct/exchange_log.h
@@ -12,6 +12,12 @@
 void logSend(const AcceptedCall &call, const detail::Attempt &attempt, int run,
              std::optional<std::uint64_t> after);
 
+/// Logs and counts that \p call got an answer with \p head on the connection of
+/// \p attempt that names the request \p named, and skips it.
+void logSkippedAnswer(Metrics &counters, const AcceptedCall &call,
+                      const detail::Attempt &attempt, const HttpHead &head,
+                      std::string_view named);
+
 /// How another attempt is paid for.
 enum class RetryPayment {
   None,    ///< No other attempt is wanted.
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -3,6 +3,7 @@
 #include "greengagespar/base/timer.h"
 
 #include <algorithm>
+#include <atomic>
 #include <cerrno>
 #include <charconv>
 #include <event2/buffer.h>
@@ -65,6 +66,7 @@
 /// One connection and its exchange. Each libevent callback holds a reference
 /// while it runs, so the state outlives a connection destroyed inside it.
 struct ClientState : std::enable_shared_from_this<ClientState> {
+  std::uint64_t Number = 0;
   bufferevent *Stream = nullptr;
   std::unique_ptr<Timer> ConnectTimer;
   /// The request, until the connection is known to be established. Bytes that
@@ -254,6 +256,8 @@
                                            const Address &server,
                                            milliseconds connectTimeout)
     : S(std::make_shared<detail::ClientState>()) {
+  static std::atomic<std::uint64_t> lastNumber = 0;
+  S->Number = ++lastNumber;
   S->Stream = bufferevent_socket_new(
       loop, -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
   S->ConnectTimer = std::make_unique<Timer>(loop, [state = S.get()] {
@@ -308,7 +312,9 @@
          evbuffer_get_length(bufferevent_get_input(S->Stream)) == 0;
 }
 
-bool HttpClientConnection::isUsedAgain() const { return S->Answers > 0; }
+std::uint64_t HttpClientConnection::number() const { return S->Number; }
+
+std::size_t HttpClientConnection::answers() const { return S->Answers; }
 
 bool HttpClientConnection::isRefused() const { return S->IsRefused; }
 
--- a/src/include/greengagespar/http/client.h
+++ b/src/include/greengagespar/http/client.h
@@ -8,6 +8,8 @@
 #include "greengagespar/base/ids.h"
 #include "greengagespar/http/message.h"
 #include <chrono>
+#include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -64,9 +66,12 @@
   /// announced that it will close it.
   bool isReusable() const;
 
-  /// Whether an earlier exchange on this connection had an answer: bytes that
-  /// come now may belong to it.
-  bool isUsedAgain() const;
+  /// Number of this connection, unique in the process, for logs.
+  std::uint64_t number() const;
+
+  /// Number of exchanges on this connection that had a whole answer. Unless it
+  /// is zero, bytes that come now may belong to an earlier exchange.
+  std::size_t answers() const;
 
   /// Whether nothing listens at the address: the server's host refused the
   /// connection.
