Show that a copy of a refusal answers the second send of its request

Callers saw REFUSED: a booking was answered 503, which promises that it did not run, and ran.

One server refuses a booking; the entry sends it there again, as there is no other; the server writes the refusal once more on the connection of the first one and runs the booking.

With a budget for repeats the booking runs twice (one copy, two copies, a copy in pieces). For a caller who sends an id again the answer is 503 although the booking runs: REFUSED. A copy of a failure (500) of a request that may be repeated hides the answer that is due.

--- a/testsuite/direct/foreign_answer_test.cpp
+++ b/testsuite/direct/foreign_answer_test.cpp
@@ -50,6 +50,57 @@
   int Runs = 0; ///< Bookings that a server runs.
 };
 
+/// One server, which refuses or fails the first request and runs all later
+/// ones. Copies of the first answer then precede the second one, on the
+/// connection that had the first one.
+struct CopiedAnswerFixture : ForeignAnswerFixture {
+  CopiedAnswerFixture() {
+    Settings.ExtraRetries = 20;
+    Server = &addServer("ledger", [this](const HttpRequestMessage &it) {
+      if (First.empty()) {
+        First = IsFailure ? signedAnswer(it, 500, "failed")
+                          : refusal(idFieldOf(it));
+        return FakeAnswer{First};
+      }
+      if (++Runs > 1)
+        return FakeAnswer{signedAnswer(it, 200, "done")};
+      for (std::size_t i = 0; i < Copies; ++i)
+        Server->sendMoreOnOldest(First);
+      Server->sendMoreOnOldest(First.substr(0, BytesOfLastCopy));
+      return FakeAnswer{.SendsNothing = true};
+    });
+  }
+
+  // Has the server send the rest of the last copy and the second answer.
+  void sendRest() {
+    if (BytesOfLastCopy > 0)
+      Server->sendMoreOnOldest(First.substr(BytesOfLastCopy));
+    Server->answerPending([](const HttpRequestMessage &it) {
+      return FakeAnswer{signedAnswer(it, 200, "done")};
+    });
+  }
+
+  // Sends a request that the server refuses or fails at first, and checks that
+  // its caller gets the answer of the one run.
+  void checkServed(const std::string &method, const std::string &target) {
+    startEntry();
+    auto call = send(method, target);
+    BOOST_REQUIRE(runUntil([&] { return Runs > 0; }));
+    runFor(20ms);
+    sendRest();
+    BOOST_TEST(runUntil([&] { return call->Response.IsDone; }));
+    BOOST_TEST(call->Response.Head.Status == 200);
+    BOOST_TEST(call->Response.Body == "done");
+    BOOST_TEST(Runs == 1);
+  }
+
+  FakeServer *Server = nullptr;
+  bool IsFailure = false; ///< The first answer is a failure, not a refusal.
+  std::size_t Copies = 1;
+  std::size_t BytesOfLastCopy = 0; ///< Of one more, whose rest comes later.
+  std::string First;               ///< The first answer; empty: none yet.
+};
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(ForeignAnswers, ForeignAnswerFixture)
@@ -130,3 +181,60 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(CopiedAnswers, CopiedAnswerFixture)
+
+// Guards against a caller who is told that a booking did not run, because a
+// copy of the refusal of its first send is taken for the answer to the second.
+BOOST_AUTO_TEST_CASE(booking_refusedAndSentAgain_isNotAnsweredByACopy) {
+  checkServed("POST", "/book/1");
+}
+
+BOOST_AUTO_TEST_CASE(booking_refusedAndSentAgain_isNotAnsweredByTwoCopies) {
+  Copies = 2;
+  checkServed("POST", "/book/1");
+}
+
+BOOST_AUTO_TEST_CASE(booking_refusedAndSentAgain_isNotAnsweredByACopyInPieces) {
+  Copies = 0;
+  BytesOfLastCopy = 30;
+  checkServed("POST", "/book/1");
+}
+
+BOOST_AUTO_TEST_CASE(request_failedAndSentAgain_isNotAnsweredByACopy) {
+  IsFailure = true;
+  checkServed("GET", "/status/1");
+}
+
+// Guards against the same for a caller who sends an id again, when the
+// connection of the refusal has come back to the pool in between.
+BOOST_AUTO_TEST_CASE(booking_sentAgainByItsCaller_isNotAnsweredByACopy) {
+  Settings.ExtraRetries = 0;
+  Settings.RetryShare = 0;
+  startEntry();
+  NextId = 0;
+  BOOST_TEST(sendAndWait("POST", "/book/1").Head.Status == 503);
+  BOOST_TEST(Runs == 0);
+  NextId = 0;
+  auto call = send("POST", "/book/1");
+  BOOST_REQUIRE(runUntil([&] { return Runs > 0; }));
+  runFor(20ms);
+  sendRest();
+  BOOST_TEST(runUntil([&] { return call->Response.IsDone; }));
+  BOOST_TEST(call->Response.Head.Status == 200);
+  BOOST_TEST(Runs == 1);
+}
+
+// Connections are dear: one that had a refusal serves other requests.
+BOOST_AUTO_TEST_CASE(connection_thatHadARefusal_servesOtherRequests) {
+  Settings.ExtraRetries = 0;
+  Settings.RetryShare = 0;
+  Runs = 1;
+  startEntry();
+  BOOST_TEST(sendAndWait("POST", "/book/1").Head.Status == 503);
+  for (int i = 0; i < 5; ++i)
+    BOOST_TEST(sendAndWait("POST", "/book/1").Head.Status == 200);
+  BOOST_TEST(Server->Connections == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
