Send no request on a connection that has carried its id before

Callers saw REFUSED: a booking was answered 503, which promises that it did not run, and it ran; with a budget for repeats it ran twice.

Cause: a server may send an answer once more, and the copy bears the id of its request. The exchange tells answers apart by that id, which tells nothing when the same id was answered on the connection before. A refused request goes back to its server when no other one is left, and ServerPool::connect took the connection used last, the one of the refusal. A copy of the refusal then ended the second attempt as proof that the request had not run.

Change: a connection remembers the ids that it has carried, by a hash (8 bytes each; a collision costs a connection). The pool gives a request the idle connection used last that has not carried it, or a new one. The other connections stay in the pool for other requests. A connection that has carried 1,024 requests is used no more, so nothing is forgotten. greengagespar_server_connections_for_repeats counts what this costs.

Why it works: an answer is taken only if its id is that of the request under way, and on that connection the id was sent once. A copy of an answer to any earlier request names another id and is skipped.

One test's setting changed, not its checks: checkRefusedTwice asks for one connection, and got it because the refused booking was sent again on the connection of its refusal, four times, which is the fault. It now has no budget for repeats, so that the two bookings share the connection as the case wants.

--- a/src/direct/exchange.cpp
+++ b/src/direct/exchange.cpp
@@ -162,7 +162,7 @@
   CurrentAttempt->Server = server;
   CurrentAttempt->SentAt = now;
   CurrentAttempt->LastReceivedAt = now;
-  CurrentAttempt->Connection = Pool.connect(server, true);
+  CurrentAttempt->Connection = Pool.connect(server, Call.Facts.RequestId);
   ++Runs;
   logSend(Call, *CurrentAttempt, Runs, resumeAfter());
   ExchangeEvents events;
@@ -171,8 +171,9 @@
   events.OnEnd = [this](ExchangeEnd how, std::string_view why) {
     onEnd(how, why);
   };
-  CurrentAttempt->Connection->send(
-      requestText(server), Request.Head.Method == "HEAD", std::move(events));
+  CurrentAttempt->Connection->send(requestText(server),
+                                   Request.Head.Method == "HEAD",
+                                   std::move(events), Call.Facts.RequestId);
   armTimer();
 }
 
--- a/src/direct/server_pool.cpp
+++ b/src/direct/server_pool.cpp
@@ -362,16 +362,35 @@
   startWaiting(now);
 }
 
+// Removes and returns the connection of \p idle that was used last, among those
+// that can be used and have not carried the request. Null: there is none.
 std::unique_ptr<HttpClientConnection>
-ServerPool::connect(const ServerRecord &server, bool mayReuse) {
+ServerPool::takeIdle(IdleConnections &idle, std::string_view requestId) {
   auto now = Clock::now();
-  auto it = Servers.find(server.Id);
-  while (mayReuse && it != Servers.end() && !it->second.Idle.empty()) {
-    auto connection = std::move(it->second.Idle.back());
-    it->second.Idle.pop_back();
-    if (connection->isReusable() && now < connection->usableUntil())
+  bool hasCarrier = false;
+  for (std::size_t i = idle.size(); i-- > 0;) {
+    const HttpClientConnection &it = *idle[i];
+    bool isUsable = it.isReusable() && now < it.usableUntil();
+    if (isUsable && it.hasCarried(requestId)) {
+      hasCarrier = true;
+      continue;
+    }
+    auto connection = std::move(idle[i]);
+    idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(i));
+    if (isUsable)
       return connection;
   }
+  if (hasCarrier)
+    ++ConnectionsForRepeats;
+  return nullptr;
+}
+
+std::unique_ptr<HttpClientConnection>
+ServerPool::connect(const ServerRecord &server, std::string_view requestId) {
+  auto it = Servers.find(server.Id);
+  if (it != Servers.end())
+    if (auto connection = takeIdle(it->second.Idle, requestId))
+      return connection;
   ++ConnectionsOpened;
   return std::make_unique<HttpClientConnection>(Loop, server.At,
                                                 ServerConnectTimeout);
@@ -410,6 +429,8 @@
   set("greengagespar_pace_limit", StreamLimit.Value);
   set("greengagespar_server_connections",
       static_cast<double>(ConnectionsOpened));
+  set("greengagespar_server_connections_for_repeats",
+      static_cast<double>(ConnectionsForRepeats));
   set("greengagespar_retry_tokens", Retries.Tokens);
   set("greengagespar_retry_part", Retries.MaxTokens + Retries.Overdraft);
   set("greengagespar_retry_entries", static_cast<double>(Entries));
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -1,6 +1,7 @@
 #include "greengagespar/http/client.h"
 
 #include "greengagespar/base/timer.h"
+#include "greengagespar/http/carried_requests.h"
 
 #include <algorithm>
 #include <atomic>
@@ -82,6 +83,7 @@
   bool IsClosedByServer = false;
   bool IsRefused = false;
   std::size_t Answers = 0; ///< Complete answers on this connection.
+  CarriedRequests Carried; ///< Those that have an id.
   bool InExchange = false;
   bool HeadSeen = false;
   /// Skips an interim answer, or an answer that belongs to another request.
@@ -295,7 +297,9 @@
 }
 
 void HttpClientConnection::send(std::string_view request, bool isHead,
-                                ExchangeEvents events) {
+                                ExchangeEvents events, std::string_view id) {
+  if (!id.empty())
+    recordRequest(S->Carried, id);
   S->Events = std::move(events);
   S->IsHead = isHead;
   S->InExchange = true;
@@ -309,9 +313,14 @@
 
 bool HttpClientConnection::isReusable() const {
   return !S->IsUnusable && !S->InExchange && S->IsConnected &&
+         !isFull(S->Carried) &&
          evbuffer_get_length(bufferevent_get_input(S->Stream)) == 0;
 }
 
+bool HttpClientConnection::hasCarried(std::string_view id) const {
+  return greengagespar::hasCarried(S->Carried, id);
+}
+
 std::uint64_t HttpClientConnection::number() const { return S->Number; }
 
 std::size_t HttpClientConnection::answers() const { return S->Answers; }
--- a/src/include/greengagespar/direct/server_pool.h
+++ b/src/include/greengagespar/direct/server_pool.h
@@ -96,10 +96,10 @@
   /// Sets the number of entries that share the servers, this one included.
   void setEntries(std::size_t entries);
 
-  /// Returns a connection to \p server: an idle one if \p mayReuse and one can
-  /// be used, otherwise a new one.
+  /// Returns a connection to \p server that has not carried the request
+  /// \p requestId: an idle one if one can be used, otherwise a new one.
   std::unique_ptr<HttpClientConnection> connect(const ServerRecord &server,
-                                                bool mayReuse);
+                                                std::string_view requestId);
   /// Keeps \p connection for another call if it can be used again, otherwise
   /// closes it.
   void keep(const ServerId &server,
@@ -119,10 +119,13 @@
   void recordMetrics(Metrics &counters) const;
 
 private:
+  /// Idle connections to one server, that which was used last at the end.
+  using IdleConnections = std::vector<std::unique_ptr<HttpClientConnection>>;
+
   struct KeptConnections {
     ServerRecord Record;
     ServerIncarnationId Incarnation; ///< Of Record.
-    std::vector<std::unique_ptr<HttpClientConnection>> Idle;
+    IdleConnections Idle;
   };
 
   EndpointView *viewOf(const ServerId &id);
@@ -135,6 +138,8 @@
   void refuseWaiting(const Refusal &why);
   int slotsOfServer(const ServerRecord &record) const;
   void startWaiting(Clock::time_point now);
+  std::unique_ptr<HttpClientConnection> takeIdle(IdleConnections &idle,
+                                                 std::string_view requestId);
   std::optional<std::size_t> choose(const QueuedCall &call,
                                     Clock::time_point now);
 
@@ -156,6 +161,9 @@
   bool HasRates = false; ///< A view has a rate limit.
   std::size_t Entries = 1;
   std::uint64_t ConnectionsOpened = 0;
+  /// Of ConnectionsOpened, those for requests that each idle connection to the
+  /// server had carried before.
+  std::uint64_t ConnectionsForRepeats = 0;
   bool IsStarting = false; ///< startWaiting() runs; it is not reentrant.
   Rng Random;
 };
--- a/src/include/greengagespar/http/client.h
+++ b/src/include/greengagespar/http/client.h
@@ -57,15 +57,22 @@
   HttpClientConnection &operator=(const HttpClientConnection &) = delete;
 
   /// Sends \p request, a complete message. \p isHead is true for a HEAD
-  /// request, whose answer has no body.
+  /// request, whose answer has no body. \p id is what the answer repeats of the
+  /// request; empty: it repeats nothing.
   /// \pre isReusable(), or nothing was sent before.
-  void send(std::string_view request, bool isHead, ExchangeEvents events);
+  void send(std::string_view request, bool isHead, ExchangeEvents events,
+            std::string_view id = {});
 
   /// Whether the last answer was complete and the connection can carry another
-  /// request: it is open, holds no unexpected bytes, and the server has not
-  /// announced that it will close it.
+  /// request: it is open, holds no unexpected bytes, has not carried
+  /// MaxCarriedRequests requests, and the server has not announced that it will
+  /// close it.
   bool isReusable() const;
 
+  /// Whether a request with \p id was sent before. An answer that repeats \p id
+  /// may then be a copy of the earlier one.
+  bool hasCarried(std::string_view id) const;
+
   /// Number of this connection, unique in the process, for logs.
   std::uint64_t number() const;
 
--- a/testsuite/direct/foreign_answer_test.cpp
+++ b/testsuite/direct/foreign_answer_test.cpp
@@ -35,6 +35,9 @@
   // writes \p again.
   void checkRefusedTwice(const std::string &again) {
     FakeServer &server = addRefusingTwice(again);
+    // The entry sends a refused booking again, on another connection.
+    Settings.ExtraRetries = 0;
+    Settings.RetryShare = 0;
     startEntry();
     NextId = 0;
     BOOST_TEST(
