Keep the age of evidence that is older than the host's uptime

On-call staff saw: direct_tests (DigestMessages, age_beyondTheClock_isBounded) fails on a machine that booted less than 10 minutes ago; a host that has just started blocks parts of prompts for up to 10 minutes too long.

Cause: lastCrashAt() began its maximum at the zero of the steady clock, as if that were before all crashes. Evidence of a peer that is older than this host's uptime lies below zero, and was lifted to the moment of boot.

Change: the maximum of the crashes themselves, of which each part has at least one. Tests with a clock near zero, which fail before (3 checks) and pass now: evidence_olderThanTheUptime_keepsItsAge, evidence_forgottenBeforeTheHostStarted_isNoNews.

--- a/src/include/greengagespar/route/crash_evidence.h
+++ b/src/include/greengagespar/route/crash_evidence.h
@@ -74,7 +74,7 @@
 
 /// The evidence about one part.
 struct PartEvidence {
-  std::map<ServerIncarnationId, CrashRecord> Crashes;
+  std::map<ServerIncarnationId, CrashRecord> Crashes; ///< At least one.
   /// A trial by this entry is in progress until this time; empty: none is.
   std::optional<Clock::time_point> TrialUntil;
 };
--- a/src/route/crash_evidence.cpp
+++ b/src/route/crash_evidence.cpp
@@ -49,11 +49,12 @@
   return n > 1;
 }
 
+// Returns when the last crash was. That may be before the zero of the clock, as
+// of a peer's evidence that is older than the uptime of this host.
 Clock::time_point lastCrashAt(const PartEvidence &part) {
-  Clock::time_point last{};
-  for (const auto &[id, crash] : part.Crashes)
-    last = std::max(last, crash.At);
-  return last;
+  auto last = std::ranges::max_element(
+      part.Crashes, {}, [](const auto &it) { return it.second.At; });
+  return last->second.At;
 }
 
 // Returns until when a part with enough crashes is blocked.
--- a/src/route/crash_evidence_test.cpp
+++ b/src/route/crash_evidence_test.cpp
@@ -303,4 +303,26 @@
   BOOST_TEST((incarnationIdOf({"i-1"}, 1) != incarnationIdOf({"i-1"}, 2)));
 }
 
+// Guards against old evidence of a peer that a host takes for new while its
+// uptime is less than the age of the evidence.
+BOOST_AUTO_TEST_CASE(evidence_olderThanTheUptime_keepsItsAge) {
+  Now = Clock::time_point{} + 1min;
+  EvidenceRow row{part(1), {}};
+  for (int i = 0; i < 3; ++i)
+    row.Crashes.push_back({crash(++NextCrash), 9min});
+  BOOST_TEST(mergeEvidence(first(), row, Now));
+  BOOST_TEST(stateOf({part(1)}) == PartState::Blocked);
+  Now += 59s;
+  BOOST_TEST(stateOf({part(1)}) == PartState::Blocked);
+  Now += 2s;
+  BOOST_TEST(stateOf({part(1)}) != PartState::Blocked);
+}
+
+BOOST_AUTO_TEST_CASE(evidence_forgottenBeforeTheHostStarted_isNoNews) {
+  Now = Clock::time_point{} + 1min;
+  EvidenceRow row{part(1), {{crash(1), 30min}}};
+  BOOST_TEST(!mergeEvidence(first(), row, Now));
+  BOOST_TEST(first().Parts.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
