Refuse a head that joins the rest of one answer to the next answer

A server writes the beginning of an answer too many on a kept connection, cut in its head, and then the answer that is due. Both parse as one head, with the status or the X-Not-Executed of the first and the id of the second: a booking that ran is answered 503, 429 or 421, or runs four times; a failure behind "HTTP/1.1 200 O" passes for a success.

Cause: the id of a head says to which request it belongs, but not that the whole head is of one answer. A reason phrase and a field value may hold anything.

Change: the reader of answers refuses a head in which a status line (HTTP/1.N and a three-digit status) begins behind its first bytes. The exchange is then broken and its outcome unknown. A phrase or field that names the protocol without a status is taken as before.

--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -47,6 +47,25 @@
   return false;
 }
 
+// Whether a status line begins behind the first bytes of the head: those before
+// it are the rest of another answer, whose status and fields must not be taken
+// for those of the answer that follows.
+bool hasSecondStatusLine(std::string_view head) {
+  constexpr std::string_view start = "HTTP/1.";
+  auto isDigit = [&](std::size_t at) {
+    return at < head.size() && head[at] >= '0' && head[at] <= '9';
+  };
+  for (std::size_t i = head.find(start, 1); i != std::string_view::npos;
+       i = head.find(start, i + 1)) {
+    std::size_t version = i + start.size();
+    bool hasStatus = isDigit(version + 2) && isDigit(version + 3) &&
+                     isDigit(version + 4) && head[version + 1] == ' ';
+    if (isDigit(version) && hasStatus)
+      return true;
+  }
+  return false;
+}
+
 // Whether two programs may disagree on where the body ends.
 bool hasAmbiguousLength(const HttpHead &head) {
   std::size_t lengths = countFields(head.Fields, "Content-Length");
@@ -210,7 +229,8 @@
   std::size_t size = isComplete ? end + 4 : bytes.size();
   if (size > Limits.MaxHeadBytes)
     refuse(ReadFault::HeadTooLarge);
-  else if (hasAmbiguousLines(bytes.substr(0, size)))
+  else if (hasAmbiguousLines(bytes.substr(0, size)) ||
+           (!R && hasSecondStatusLine(bytes.substr(0, size))))
     refuse(ReadFault::Malformed);
   return isComplete ? size : 0;
 }
--- a/src/http/message_test.cpp
+++ b/src/http/message_test.cpp
@@ -134,6 +134,24 @@
   BOOST_TEST(bool(Reader.state() == ReadState::Broken));
 }
 
+// Guards against the status or a field of an answer that was cut in its head,
+// taken for that of the answer behind it.
+BOOST_AUTO_TEST_CASE(answer_behindTheCutHeadOfAnother_isBroken) {
+  const std::string cut = "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nA: b\r\n";
+  for (std::size_t n = 1; n <= cut.size(); ++n) {
+    ResponseReader reader{{}, [](std::string_view) {}};
+    reader.take(cut.substr(0, n) +
+                "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    BOOST_TEST(bool(reader.state() == ReadState::Broken), n);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(answer_thatNamesAProtocolInAField_isComplete) {
+  Reader.take("HTTP/1.1 200 HTTP/1.1 is fine\r\nVia: HTTP/1.1 proxy, 1.1 x\r\n"
+              "Content-Length: 0\r\n\r\n");
+  BOOST_TEST(bool(Reader.state() == ReadState::Complete));
+}
+
 BOOST_AUTO_TEST_CASE(answer_withMoreBehindIt_leavesItsBytes) {
   std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx";
   BOOST_TEST(Reader.take(answer + "more") == answer.size());
--- a/testsuite/direct/foreign_answer_test.cpp
+++ b/testsuite/direct/foreign_answer_test.cpp
@@ -50,6 +50,25 @@
     BOOST_TEST((response.Head.Status == 502 || response.Head.Status == 504));
   }
 
+  // Has a server write \p cut, the beginning of an answer too many, and then
+  // the answer to a booking that it has run, on a kept connection.
+  void checkRanAfter(const std::string &cut) {
+    Settings.ExtraRetries = 20;
+    addServer("ledger", [this, cut](const HttpRequestMessage &it) {
+      if (it.Body == "a")
+        return FakeAnswer{signedAnswer(it, 200, "done")};
+      ++Runs;
+      return FakeAnswer{cut + signedAnswer(it, 200, "done")};
+    });
+    startEntry();
+    sendAndWait("POST", "/book/1", "X-Api-Key: k1\r\n", "a");
+    Reply response = sendAndWait("POST", "/book/1", "X-Api-Key: k1\r\n", "b");
+    BOOST_TEST(Runs == 1);
+    // Its own answer, or one that promises nothing.
+    int status = response.Head.Status;
+    BOOST_TEST((status == 200 || status == 502 || status == 504), status);
+  }
+
   int Runs = 0; ///< Bookings that a server runs.
 };
 
@@ -183,6 +202,42 @@
   }
 }
 
+// Guards against a caller who is told that a booking did not run, or one that
+// runs more than once, because the beginning of an answer too many and the
+// answer that is due look like one head.
+BOOST_AUTO_TEST_CASE(refusal_cutInItsReason_provesNothing) {
+  checkRanAfter("HTTP/1.1 503 Ser");
+}
+
+BOOST_AUTO_TEST_CASE(refusal_cutAfterItsProof_provesNothing) {
+  checkRanAfter("HTTP/1.1 503 X\r\nX-Not-Executed: 1");
+}
+
+BOOST_AUTO_TEST_CASE(refusal_cutInAnyField_provesNothing) {
+  checkRanAfter("HTTP/1.1 503 X\r\nContent-Type: text");
+}
+
+BOOST_AUTO_TEST_CASE(answerOfAnotherServer_cut_provesNothing) {
+  checkRanAfter("HTTP/1.1 421 Mis");
+}
+
+BOOST_AUTO_TEST_CASE(rateLimit_cut_provesNothing) {
+  checkRanAfter("HTTP/1.1 429 Too");
+}
+
+// Guards against a failure that its caller takes for a success.
+BOOST_AUTO_TEST_CASE(failure_behindTheCutHeadOfASuccess_isNoSuccess) {
+  addServer("ledger", [](const HttpRequestMessage &it) {
+    if (it.Body == "a")
+      return FakeAnswer{signedAnswer(it, 200, "done")};
+    return FakeAnswer{"HTTP/1.1 200 O" + signedAnswer(it, 500, "failed")};
+  });
+  startEntry();
+  sendAndWait("POST", "/book/1", "X-Api-Key: k1\r\n", "a");
+  Reply response = sendAndWait("POST", "/book/1", "X-Api-Key: k1\r\n", "b");
+  BOOST_TEST(response.Head.Status != 200);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_FIXTURE_TEST_SUITE(CopiedAnswers, CopiedAnswerFixture)
