Pass no refusal on that its server has not proved

A server answers a booking with 408, 429 or 503 and without X-Not-Executed; the entry passed that on as it was. Callers take these statuses as the promise that the request has not run; the server has not given it, as only X-Not-Executed (or 421) states it.

Change: such an answer to a request that may not be repeated ends the attempt as one of unknown outcome, so the caller gets 502. To a request that may be repeated it is passed on as before.

Measured: booking_refusedWithoutProof_isNotPromisedNotToHaveRun, 3 checks red before, green now; lookUp_refusedWithoutProof_getsTheServersAnswer holds on both. ForeignAnswers and platform_tests pass.

--- a/src/direct/exchange.cpp
+++ b/src/direct/exchange.cpp
@@ -283,6 +283,9 @@
                       CurrentAttempt->Answer.IsOtherServer
                           ? "another server is there"
                           : "refused by the server");
+  // Only DidNotRun is a proof, so this answer would promise too much.
+  if (CurrentAttempt->Answer.IsPromise && !isRepeatable())
+    return endAttempt(AttemptEnd::Lost, "a refusal without proof");
   bool isSuccess = CurrentAttempt->Head.Status < 300;
   if (isSuccess && !CurrentAttempt->Answer.IsSigned)
     return endAttempt(AttemptEnd::Lost, "the answer is not signed");
--- a/testsuite/direct/foreign_answer_test.cpp
+++ b/testsuite/direct/foreign_answer_test.cpp
@@ -225,6 +225,36 @@
   checkRanAfter("HTTP/1.1 429 Too");
 }
 
+// Guards against a promise to the caller that the server has not given: only an
+// answer that says so proves that the request did not run.
+BOOST_AUTO_TEST_CASE(booking_refusedWithoutProof_isNotPromisedNotToHaveRun) {
+  int status = 0;
+  addServer("ledger", [&](const HttpRequestMessage &it) {
+    ++Runs;
+    return FakeAnswer{signedAnswer(it, status, "")};
+  });
+  startEntry();
+  for (int each : {408, 429, 503}) {
+    status = each;
+    int got = sendAndWait("POST", "/book/1").Head.Status;
+    BOOST_TEST((got == 502 || got == 504), each << " is answered as " << got);
+  }
+  BOOST_TEST(Runs == 3);
+}
+
+// A caller sends such a request again after any failure.
+BOOST_AUTO_TEST_CASE(lookUp_refusedWithoutProof_getsTheServersAnswer) {
+  Settings.ExtraRetries = 0;
+  Settings.RetryShare = 0;
+  addServer("ledger", [](const HttpRequestMessage &it) {
+    return FakeAnswer{signedAnswer(it, 503, "busy")};
+  });
+  startEntry();
+  Reply response = sendAndWait("GET", "/status/1");
+  BOOST_TEST(response.Head.Status == 503);
+  BOOST_TEST(response.Body == "busy");
+}
+
 // Guards against a failure that its caller takes for a success.
 BOOST_AUTO_TEST_CASE(failure_behindTheCutHeadOfASuccess_isNoSuccess) {
   addServer("ledger", [](const HttpRequestMessage &it) {
