Keep no connection to the address that a server had before

A connection that is in use while the server's entry changes its address or start came back to the pool under the server's id, so later requests went to the old process.

Change: the pool keeps a connection only if the server to which it was made has not been replaced.

Measured: connection_toAnEarlierAddress_isNotUsedAgain, red before (the second booking was answered "old"), green now.

--- a/src/direct/exchange.cpp
+++ b/src/direct/exchange.cpp
@@ -305,7 +305,7 @@
   ServerRecord server = CurrentAttempt->Server;
   CurrentAttempt.reset();
   leaveTrial();
-  Pool.keep(server.Id, std::move(connection));
+  Pool.keep(server, std::move(connection));
   Pool.finished(Call.Id, server.Id, outcome);
 }
 
--- a/src/direct/server_pool.cpp
+++ b/src/direct/server_pool.cpp
@@ -396,10 +396,13 @@
                                                 ServerConnectTimeout);
 }
 
-void ServerPool::keep(const ServerId &server,
+void ServerPool::keep(const ServerRecord &server,
                       std::unique_ptr<HttpClientConnection> connection) {
-  auto it = Servers.find(server);
-  if (it != Servers.end() && connection->isReusable())
+  auto it = Servers.find(server.Id);
+  if (it == Servers.end() || !connection->isReusable())
+    return;
+  const ServerRecord &now = it->second.Record;
+  if (now.At == server.At && now.StartedMs == server.StartedMs)
     it->second.Idle.push_back(std::move(connection));
 }
 
--- a/src/include/greengagespar/direct/server_pool.h
+++ b/src/include/greengagespar/direct/server_pool.h
@@ -100,9 +100,9 @@
   /// \p requestId: an idle one if one can be used, otherwise a new one.
   std::unique_ptr<HttpClientConnection> connect(const ServerRecord &server,
                                                 std::string_view requestId);
-  /// Keeps \p connection for another call if it can be used again, otherwise
-  /// closes it.
-  void keep(const ServerId &server,
+  /// Keeps \p connection for another call if it can be used again and \p
+  /// server, to which it was made, has not been replaced; otherwise closes it.
+  void keep(const ServerRecord &server,
             std::unique_ptr<HttpClientConnection> connection);
 
   /// Refuses calls that waited too long and closes old connections. Call it
--- a/testsuite/direct/foreign_answer_test.cpp
+++ b/testsuite/direct/foreign_answer_test.cpp
@@ -1,3 +1,4 @@
+#include "greengagespar/http/carried_requests.h"
 #include "site.h"
 
 #include <boost/test/unit_test.hpp>
@@ -150,6 +151,30 @@
   BOOST_TEST(server.Connections == 2);
 }
 
+// Guards against a request to the process that a server was before: the
+// connection was in use while the server's entry changed.
+BOOST_AUTO_TEST_CASE(connection_toAnEarlierAddress_isNotUsedAgain) {
+  FakeServer &old = addServer("ledger", [](const HttpRequestMessage &) {
+    return FakeAnswer{.SendsNothing = true};
+  });
+  startEntry();
+  auto call = send("POST", "/book/1");
+  BOOST_REQUIRE(runUntil([&] { return old.Requests.size() == 1; }));
+  FakeServer fresh(Loop.base(), old.id(), [](const HttpRequestMessage &it) {
+    return FakeAnswer{signedAnswer(it, 200, "new")};
+  });
+  fresh.StartedMs = 9;
+  Objects.put("servers", old.id(), fresh.entry("ledger"));
+  runFor(300ms);
+  auto answer = [](const HttpRequestMessage &it) {
+    return FakeAnswer{signedAnswer(it, 200, "old")};
+  };
+  old.answerPending(answer);
+  old.Respond = answer;
+  BOOST_REQUIRE(runUntil([&] { return call->Response.IsDone; }));
+  BOOST_TEST(sendAndWait("POST", "/book/1").Body == "new");
+}
+
 // Guards against an error of the next server in the midst of a stream, or a
 // stream that looks complete without its end.
 BOOST_AUTO_TEST_CASE(stream_brokenOffAndAnsweredByAnError_isCut) {
@@ -313,6 +338,39 @@
   BOOST_TEST(Runs == 1);
 }
 
+// Guards against a connection that forgets what it has carried, or keeps ever
+// more of it: a full one is used no more.
+BOOST_AUTO_TEST_CASE(connection_thatHasCarriedTheMost_isUsedNoMore) {
+  Settings.ExtraRetries = 0;
+  Settings.RetryShare = 0;
+  Runs = 1;
+  startEntry();
+  for (std::size_t i = 0; i < MaxCarriedRequests; ++i)
+    sendAndWait("POST", "/book/1");
+  BOOST_TEST(Server->Requests.size() == MaxCarriedRequests);
+  BOOST_TEST(Server->Connections == 1);
+  BOOST_TEST(sendAndWait("POST", "/book/1").Head.Status == 200);
+  BOOST_TEST(Server->Connections == 2);
+}
+
+// Guards against a copy that takes the place of the answer to a later request
+// on the connection, where its id is the only difference.
+BOOST_AUTO_TEST_CASE(booking_afterCopiesOfARefusal_getsItsOwnAnswer) {
+  Settings.ExtraRetries = 0;
+  Settings.RetryShare = 0;
+  Copies = 2;
+  BytesOfLastCopy = 30;
+  startEntry();
+  BOOST_TEST(sendAndWait("POST", "/book/1").Head.Status == 503);
+  auto call = send("POST", "/book/1");
+  BOOST_REQUIRE(runUntil([&] { return Runs > 0; }));
+  runFor(20ms);
+  sendRest();
+  BOOST_TEST(runUntil([&] { return call->Response.IsDone; }));
+  BOOST_TEST(call->Response.Head.Status == 200);
+  BOOST_TEST(Server->Connections == 1);
+}
+
 // Connections are dear: one that had a refusal serves other requests.
 BOOST_AUTO_TEST_CASE(connection_thatHadARefusal_servesOtherRequests) {
   Settings.ExtraRetries = 0;
