Give no map number twice: ranks report what they were told to prepare

Cause: a new driver takes the next number after the highest one that the ranks report, and a rank reported a map only once its weights were copied. A driver that took over during the copy could give the number to another map; servers that had accepted the first one kept it.

Change: a rank's process reports the highest map that it has begun to prepare (MapReport.highest_prepared). A driver has the promises of all ranks before it chooses a number, so that it is higher than all earlier ones, whoever drove. A process also keeps the highest number of its drivers, for agents that have died since. The layout of the numbers stays.

--- a/src/direct/map_coordinator.cpp
+++ b/src/direct/map_coordinator.cpp
@@ -45,8 +45,8 @@
 // Probability of a false alarm at which an estimate has no margin.
 constexpr double EvenOdds = 0.5;
 
-DriverLimits driverLimits(Incarnation process) {
-  DriverLimits limits = mapDriverLimits(process);
+DriverLimits driverLimits(Incarnation process, MapNumber used) {
+  DriverLimits limits = mapDriverLimits(process, used);
   limits.ResendAfter = milliseconds{60};
   limits.PrepareWithin = milliseconds{8000};
   limits.ArmWithin = milliseconds{600};
@@ -417,17 +417,18 @@
     bool shouldSettle = group.SettlementRequestedAt &&
                         now - *group.SettlementRequestedAt >=
                             DriverSettleTime + SettleStagger * position;
+    DriverLimits limits =
+        driverLimits(Self.ProcessIncarnation, group.HighestMap);
     Ballot ballot;
     ballot.Process = Self.ProcessIncarnation;
     ballot.Owner = HoldingRank;
     if (position == 0) {
       ballot.Lease = {++HighestLease};
       group.Driver = makeDriver(ballot, group.Ranks.size(), SteadyTime::max(),
-                                driverLimits(Self.ProcessIncarnation), now);
+                                limits, now);
     } else if (shouldSettle) {
       ballot.Lease = {HighestLease};
-      group.Driver = makeSettler(ballot, group.Ranks.size(),
-                                 driverLimits(Self.ProcessIncarnation), now);
+      group.Driver = makeSettler(ballot, group.Ranks.size(), limits, now);
     }
     if (group.Driver && (position == 0 || shouldSettle)) {
       group.SettlementRequestedAt.reset();
@@ -601,8 +602,10 @@
     return;
   group.NextPlaces = placesOf(next.Next);
   group.SwitchStartedAt = Clock::now();
-  performActions(name, group,
-                 decideDriver(*group.Driver, SwitchWanted{}, Clock::now()));
+  std::vector<DriverAction> actions =
+      decideDriver(*group.Driver, SwitchWanted{}, Clock::now());
+  group.HighestMap = std::max(group.HighestMap, group.Driver->HighestMap);
+  performActions(name, group, actions);
 }
 
 } // namespace greengagespar
--- a/src/direct/map_messages.cpp
+++ b/src/direct/map_messages.cpp
@@ -118,6 +118,7 @@
     out.set_taken_outcome(
         static_cast<std::uint32_t>(from.LastDecision->Outcome));
   }
+  out.set_highest_prepared(from.HighestPrepared.Value);
   out.set_epoch(report.Epoch);
   return out;
 }
@@ -147,6 +148,7 @@
     BOOST_LEAF_ASSIGN(taken.Outcome, decisionOf(message.taken_outcome()));
     to.LastDecision = taken;
   }
+  to.HighestPrepared = {message.highest_prepared()};
   out.Epoch = message.epoch();
   return out;
 }
--- a/src/direct/map_messages_test.cpp
+++ b/src/direct/map_messages_test.cpp
@@ -31,6 +31,7 @@
   report.Report.Engine.Pending = {5};
   report.Report.Engine.IsHoldOnly = true;
   report.Report.LastDecision = AppliedDecision{{5}, Decision::Release};
+  report.Report.HighestPrepared = {6};
   report.Epoch = 3;
   DirectMapReport read = readMapReport(writeMapReport(report)).value();
   BOOST_TEST(bool(read.Report == report.Report));
--- a/src/direct/rank_server.cpp
+++ b/src/direct/rank_server.cpp
@@ -154,13 +154,13 @@
   return places;
 }
 
-DriverLimits mapDriverLimits(Incarnation process) {
+DriverLimits mapDriverLimits(Incarnation process, MapNumber used) {
   DriverLimits limits;
   limits.StepsAhead = MapStepsAhead;
   limits.MapStride = MapNumberStride;
   limits.MapOffset =
       process.Value % (MapNumberStride / MapNumberSalt) * MapNumberSalt;
-  limits.FirstMap = {process.Value};
+  limits.FirstMap = std::max(MapNumber{process.Value}, used);
   limits.OwnerHoldsStep = true;
   return limits;
 }
--- a/src/direct/rank_server_test.cpp
+++ b/src/direct/rank_server_test.cpp
@@ -15,7 +15,7 @@
 struct DelayedOrder {
   std::size_t To = 0;
   RankServerOrder Order;
-  std::uint64_t Driver = 0; ///< Incarnation of the driver of its map.
+  std::uint64_t Driver = 0; ///< Lease of the driver of its map.
   int AtTurn = 0;
 };
 
@@ -33,8 +33,11 @@
   RankHistory History;
   MapNumber Highest;          ///< Highest map that the server has accepted.
   ArmedMap LastArm;           ///< Map and highest step of the orders to arm.
-  std::uint64_t Prepared = 0; ///< The driver whose map is prepared.
+  std::uint64_t Prepared = 0; ///< The driver whose map is prepared or copied.
   std::uint64_t Used = 0;     ///< The driver whose map is in use.
+  MapNumber Copying;          ///< Its weights are being copied; zero: none.
+  int CopiedAtTurn = 0;       ///< When the copy is complete.
+  MapNumber Preparing;        ///< The map that its agent has had accepted last.
   int HeldTurns = 0; ///< Turns since the server holds without an armed map.
 };
 
@@ -62,6 +65,14 @@
   /// Most turns for which an order of the driver is in transit to its agent.
   int MaxTransitTurns = 0;
   MapNumber HoldRequestedFor; ///< Map of the driver's latest order to hold.
+  int MaxCopyTurns = 0;       ///< Most turns for which a server copies weights.
+  /// Share of turns at which a steady or preparing driver ends and the same
+  /// process starts another one, as after a lost position.
+  double NewDriverShare = 0;
+  double DriverDeathShare = 0;       ///< The same with another process.
+  std::uint64_t IncarnationStep = 1; ///< Between two processes.
+  Incarnation DriverProcess;         ///< The latest one that has run a driver.
+  MapNumber HighestUsed;             ///< By drivers of that process.
   /// The rank whose agent neither acts nor receives; empty: none.
   std::optional<std::size_t> PausedRank;
 
@@ -70,6 +81,7 @@
     Now = {};
     Lease = 0;
     LastIncarnation = 100;
+    DriverProcess = {};
     Turn = 0;
     ArmedTurns = 0;
     for (std::size_t r = 0; r < Size; ++r) {
@@ -100,13 +112,14 @@
     Ranks[r].Process = makeRank(Rank(r), {++LastIncarnation}, limits);
     Ranks[r].Work.reset();
     Ranks[r].History = {};
+    Ranks[r].Preparing = {};
     Ranks[r].LastArm = {{}, lastStepOfEarlierProcess(Ranks[r].Server)};
   }
 
   // Applies an order by the rules of the server, as the platform documents
   // them. Returns whether the server accepted it.
-  static bool carryOut(SimRank &rank, const RankServerOrder &o,
-                       std::uint64_t driver = 0) {
+  bool carryOut(SimRank &rank, const RankServerOrder &o,
+                std::uint64_t driver = 0) {
     RankServerState &s = rank.Server;
     if (o.Epoch != s.Epoch)
       return false;
@@ -116,7 +129,13 @@
         return false;
       rank.Highest = o.Map;
       rank.Prepared = driver;
-      s.Prepared = o.Map;
+      rank.Copying = o.Map;
+      s.Prepared.reset();
+      // A fence copies nothing.
+      rank.CopiedAtTurn = Turn;
+      if (MaxCopyTurns > 0 && driver != 0)
+        rank.CopiedAtTurn += static_cast<int>(Rng() % (MaxCopyTurns + 1));
+      endCopy(rank);
       return true;
     case ServerMapOrder::Arm:
       if (s.Armed || s.Prepared != o.Map || s.Step >= o.Step)
@@ -137,6 +156,12 @@
     return false;
   }
 
+  void endCopy(SimRank &rank) const {
+    if (rank.Copying.Value == 0 || rank.CopiedAtTurn > Turn)
+      return;
+    rank.Server.Prepared = std::exchange(rank.Copying, {});
+  }
+
   // Runs one step (a pass) of all ranks, unless one of them holds it.
   void pass() {
     StepNumber next{Ranks[0].Server.Step.Value + 1};
@@ -157,23 +182,26 @@
         ++MixedPasses;
   }
 
-  void sendOrder(std::size_t r, const RankServerOrder &order) {
+  // Returns whether the server answers that it has accepted the order.
+  bool sendOrder(std::size_t r, const RankServerOrder &order) {
     // The map belongs to the driver of the task. The driver of a fence does not
     // matter, since no rank uses a fence.
-    std::uint64_t driver =
-        Ranks[r].Work ? Ranks[r].Work->Goal.Number.Process.Value : 0;
-    if (chance(DelayedShare))
-      DelayedOrders.push_back(
-          {r, order, driver,
-           Turn + 1 + static_cast<int>(Rng() % MaxDelayTurns)});
-    else
-      carryOut(Ranks[r], order, driver);
+    std::uint64_t driver = 0;
+    if (Ranks[r].Work && Ranks[r].Work->Task == RankTask::Prepare)
+      driver = Ranks[r].Work->Goal.Number.Lease.Value;
+    if (!chance(DelayedShare))
+      return carryOut(Ranks[r], order, driver);
+    DelayedOrders.push_back(
+        {r, order, driver, Turn + 1 + static_cast<int>(Rng() % MaxDelayTurns)});
+    return false;
   }
 
   void performActions(std::size_t r, const std::vector<RankAction> &actions) {
     for (const RankAction &it : actions) {
       if (const auto *order = std::get_if<OrderEngine>(&it)) {
-        if (!Ranks[r].Work)
+        bool isCopying = order->Order.Kind == OrderKind::Prepare &&
+                         Ranks[r].Preparing == order->Order.Map;
+        if (!Ranks[r].Work && !isCopying)
           Ranks[r].Work = RankWork{taskOf(order->Order), order->Order};
       } else if (const auto *report = std::get_if<SendReport>(&it)) {
         if (Driver)
@@ -264,7 +292,13 @@
     if (action.What == Kind::Send) {
       if (action.Order.Kind == ServerMapOrder::ReleaseHold)
         recordHoldRelease(rank.LastArm, *rank.Work, action.Order.Step);
-      return sendOrder(r, action.Order);
+      bool isAccepted = sendOrder(r, action.Order);
+      // The server copies the weights after its answer.
+      bool isCopied = isAccepted && MaxCopyTurns > 0 &&
+                      rank.Work->Task == RankTask::Prepare;
+      if (!isCopied)
+        return;
+      rank.Preparing = action.Order.Map;
     }
     RankWork ended = *rank.Work;
     rank.Work.reset();
@@ -285,8 +319,12 @@
   }
 
   void advanceDriver() {
-    if (Driver && chance(DeathShare))
+    bool hasDied = Driver && chance(DeathShare + DriverDeathShare);
+    bool isReplaced = Driver && !hasDied && chance(NewDriverShare);
+    if (hasDied || isReplaced)
       Driver.reset();
+    if (hasDied)
+      DriverProcess = {};
     // A rank that stays armed requests a settlement.
     bool isArmed = std::ranges::any_of(Ranks, [](const SimRank &it) {
       return it.Process.Engine && it.Process.Engine->Stage == MapStage::Armed;
@@ -300,12 +338,19 @@
       Ballot ballot;
       ballot.Lease = {++Lease};
       ballot.Owner = HoldingRank;
-      ballot.Process = {++LastIncarnation};
-      DriverLimits limits = mapDriverLimits(ballot.Process);
+      if (DriverProcess.Value == 0 || NewDriverShare == 0) {
+        DriverProcess = {LastIncarnation += IncarnationStep};
+        HighestUsed = {};
+      }
+      ballot.Process = DriverProcess;
+      DriverLimits limits = mapDriverLimits(ballot.Process, HighestUsed);
       Driver = makeDriver(ballot, Size, SteadyTime::max(), limits, Now);
     }
-    if (Driver->Phase == DriverPhase::Steady)
-      performDriverActions(decideDriver(*Driver, SwitchWanted{}, Now));
+    if (Driver->Phase == DriverPhase::Steady) {
+      auto actions = decideDriver(*Driver, SwitchWanted{}, Now);
+      HighestUsed = std::max(HighestUsed, Driver->HighestMap);
+      performDriverActions(actions);
+    }
     performDriverActions(decideDriver(*Driver, DriverTick{}, Now));
   }
 
@@ -313,6 +358,7 @@
   // not carried out yet stay.
   void restartAll() {
     Driver.reset();
+    DriverProcess = {};
     OrdersInTransit.clear();
     HoldRequestedFor = {};
     for (std::size_t r = 0; r < Size; ++r)
@@ -332,6 +378,7 @@
     }
     deliverOrders();
     for (std::size_t r = 0; r < Size; ++r) {
+      endCopy(Ranks[r]);
       if (chance(DeathShare))
         restart(r);
       if (PausedRank != r)
@@ -532,6 +579,54 @@
     }
 }
 
+// Guards against two maps with one number: a process whose driver was replaced
+// while the servers copied its map gave the number to another map too. Some
+// servers then used the one and some the other.
+BOOST_AUTO_TEST_CASE(switches_withNewDriversOfOneProcess_neverMixMaps) {
+  MaxCopyTurns = 6;
+  MaxTransitTurns = 4;
+  NewDriverShare = 0.05;
+  int switches = 0;
+  for (double delayed : {0.0, 0.2})
+    for (std::uint64_t seed = 1; seed <= 400; ++seed) {
+      DelayedShare = delayed;
+      play(seed, 800);
+      BOOST_TEST(MixedPasses == 0, "seed " << seed);
+      switches += Switches;
+    }
+  BOOST_TEST(switches > 1000);
+}
+
+// The same with agents that die and know no longer what they had prepared.
+BOOST_AUTO_TEST_CASE(switches_withNewDriversAndAgentDeaths_neverMixMaps) {
+  MaxCopyTurns = 6;
+  MaxTransitTurns = 4;
+  NewDriverShare = 0.05;
+  DelayedShare = 0.2;
+  DeathShare = 0.02;
+  for (std::uint64_t seed = 1; seed <= 1000; ++seed) {
+    play(seed, 800);
+    BOOST_TEST(MixedPasses == 0, "seed " << seed);
+  }
+}
+
+// The same with drivers in processes whose map numbers have equal offsets.
+BOOST_AUTO_TEST_CASE(switches_withDriversOfEqualOffsets_neverMixMaps) {
+  MaxCopyTurns = 6;
+  MaxTransitTurns = 4;
+  DriverDeathShare = 0.05;
+  IncarnationStep = MapNumberStride / MapNumberSalt;
+  int switches = 0;
+  for (double delayed : {0.0, 0.2})
+    for (std::uint64_t seed = 1; seed <= 400; ++seed) {
+      DelayedShare = delayed;
+      play(seed, 800);
+      BOOST_TEST(MixedPasses == 0, "seed " << seed);
+      switches += Switches;
+    }
+  BOOST_TEST(switches > 1000);
+}
+
 // The same with faults, which end before the group has to go on.
 BOOST_AUTO_TEST_CASE(group_withOrdersInTransit_goesOnAfterFaults) {
   MaxTransitTurns = 4;
@@ -620,6 +715,15 @@
 
 // Guards against an agent that sends a map again and again, 24 times for each
 // order of the driver, to a server that refuses it while it is armed.
+// Guards against a number that a process gives to two maps.
+BOOST_AUTO_TEST_CASE(mapNumbers_ofAProcessThatHasUsedSome_areHigher) {
+  constexpr Incarnation process{1'700'000'000'000'007};
+  constexpr MapNumber used{process.Value + 10 * MapNumberStride};
+  BOOST_TEST(bool(mapDriverLimits(process, used).FirstMap == used));
+  MapNumber first = mapDriverLimits(process, {}).FirstMap;
+  BOOST_TEST(first.Value == process.Value);
+}
+
 BOOST_AUTO_TEST_CASE(prepare_ofAnArmedServer_sendsNoOrder) {
   begin(1);
   RankServerState server = Ranks[1].Server;
--- a/src/group/driver.cpp
+++ b/src/group/driver.cpp
@@ -235,8 +235,9 @@
 void recordHighestMap(DriverState &state, const RankReport &report) {
   MapNumber decided =
       report.LastDecision ? report.LastDecision->Map : MapNumber{};
-  state.HighestMap = std::max({state.HighestMap, report.Engine.InForce,
-                               report.Engine.Pending, decided});
+  state.HighestMap =
+      std::max({state.HighestMap, report.Engine.InForce, report.Engine.Pending,
+                report.HighestPrepared, decided});
 }
 
 void handleRefusal(DriverState &state, const RankReport &report,
--- a/src/group/map_switch_test.cpp
+++ b/src/group/map_switch_test.cpp
@@ -21,6 +21,9 @@
 // numbers.
 struct FakeEngine {
   EngineMap Map;
+  std::uint64_t Content = 0; // Lease of the driver whose map is pending.
+  std::map<std::uint64_t, std::uint64_t> ContentFrom{{0, 0}}; // By step.
+  std::map<std::uint64_t, std::uint64_t> ExecutedContent;     // By step.
   std::map<std::uint64_t, std::uint64_t> InForceFrom{{0, 0}}; // Step to map.
   std::map<std::uint64_t, std::uint64_t> Executed;            // Step to map.
   int NextStepAt = 0; // Earliest time of the next step, in ms.
@@ -30,6 +33,9 @@
   EngineMap &map = engine.Map;
   bool pending = map.Stage != MapStage::None && map.Pending == order.Map;
   if (order.Kind == OrderKind::Prepare && map.Stage != MapStage::Armed) {
+    // An engine that has the map already copies nothing.
+    if (!pending)
+      engine.Content = order.Number.Lease.Value;
     map.Pending = order.Map;
     map.Stage = MapStage::Prepared;
   }
@@ -44,6 +50,7 @@
   else if (map.Stage == MapStage::Armed) {
     map.InForce = map.Pending;
     engine.InForceFrom[map.Step.Value] = map.InForce.Value;
+    engine.ContentFrom[map.Step.Value] = engine.Content;
     map.Stage = MapStage::None;
   }
 }
@@ -242,6 +249,8 @@
         continue;
       it.Map.Current = {next};
       it.Executed[next] = std::prev(it.InForceFrom.upper_bound(next))->second;
+      it.ExecutedContent[next] =
+          std::prev(it.ContentFrom.upper_bound(next))->second;
       it.NextStepAt = Now + StepMs + (chance(0.1) ? StepMs : 0);
     }
   }
@@ -292,6 +301,16 @@
         mixed += maps.emplace(step, map).first->second != map ? 1 : 0;
     return mixed;
   }
+
+  // The same for maps of one number that two drivers have planned.
+  int stepsOfTwoMaps() const {
+    std::map<std::uint64_t, std::uint64_t> maps;
+    int mixed = 0;
+    for (const FakeEngine &engine : Engines)
+      for (auto [step, map] : engine.ExecutedContent)
+        mixed += maps.emplace(step, map).first->second != map ? 1 : 0;
+    return mixed;
+  }
 };
 
 } // namespace
@@ -308,6 +327,7 @@
     simulation.run();
     BOOST_TEST_CONTEXT("seed " << seed) {
       BOOST_TEST(simulation.mixedSteps() == 0);
+      BOOST_TEST(simulation.stepsOfTwoMaps() == 0);
       // Steps and switches go on after the last fault.
       std::uint64_t last = simulation.Engines[0].Executed.rbegin()->first;
       int lastSteps = 0;
--- a/src/group/rank.cpp
+++ b/src/group/rank.cpp
@@ -1,5 +1,7 @@
 #include "greengagespar/group/rank.h"
 
+#include <algorithm>
+
 namespace greengagespar {
 
 namespace {
@@ -18,6 +20,7 @@
   report.Promised = state.Promised;
   report.Engine = state.Engine.value_or(EngineMap{});
   report.LastDecision = state.LastDecision;
+  report.HighestPrepared = state.HighestPrepared;
   return report;
 }
 
@@ -84,6 +87,8 @@
   if (order.Kind != OrderKind::Prepare) {
     state.InProgress = order;
     state.EngineCalledAt = now;
+  } else {
+    state.HighestPrepared = std::max(state.HighestPrepared, order.Map);
   }
   return {OrderEngine{order, engineFencing(order.Number)}};
 }
--- a/src/include/greengagespar/direct/map_coordinator.h
+++ b/src/include/greengagespar/direct/map_coordinator.h
@@ -45,6 +45,9 @@
   std::vector<KnownRank> Ranks;
   /// Set while this entry drives or settles a switch of the group.
   std::optional<DriverState> Driver;
+  /// Highest map number that drivers of this process have used. Outlasts the
+  /// drivers, since the ranks may not show the number yet.
+  MapNumber HighestMap;
   /// When a rank requested a settlement; empty: none did since the last driver
   /// or settler was started.
   std::optional<Clock::time_point> SettlementRequestedAt;
--- a/src/include/greengagespar/direct/rank_server.h
+++ b/src/include/greengagespar/direct/rank_server.h
@@ -66,7 +66,11 @@
 ///   another process completes.
 /// - An agent that finds its server in use when it starts arms only for steps
 ///   after all those that the agent before it can have held.
-/// - No two drivers use the same number for their maps.
+/// - No two drivers use the same number for their maps. A process remembers
+///   the numbers that its drivers have used. A driver's numbers are higher than
+///   all that the agents were to prepare, which they report with their promise.
+///   An agent that has died since reports none: then the incarnations, from
+///   which the numbers are derived, mostly tell processes apart.
 #ifndef GREENGAGESPAR_DIRECT_RANK_SERVER_H
 #define GREENGAGESPAR_DIRECT_RANK_SERVER_H
 
@@ -167,9 +171,11 @@
 inline constexpr std::uint64_t MapStepsAhead = 4;
 
 /// Returns the limits of a driver in the process with incarnation \p process.
-/// Its map numbers are derived from the incarnation, so that no two drivers use
-/// the same number. The times are left to the caller. Thread safe.
-DriverLimits mapDriverLimits(Incarnation process);
+/// Its map numbers are derived from the incarnation and higher than \p used,
+/// the highest one that earlier drivers of this process have used for the
+/// group, so that no two drivers of a process use the same number. The times
+/// are left to the caller. Thread safe.
+DriverLimits mapDriverLimits(Incarnation process, MapNumber used);
 
 /// Returns the last step that an earlier agent of a rank can have armed its
 /// server for. \p first: the state of the server when this agent first read it.
--- a/src/include/greengagespar/group/driver.h
+++ b/src/include/greengagespar/group/driver.h
@@ -50,7 +50,8 @@
   /// The driver numbers its maps with multiples of this, each plus the offset
   /// below; ranks may use the numbers in between. Over 0.
   std::uint64_t MapStride = 1;
-  /// Offset added to each multiple, so that no two drivers use the same number.
+  /// Offset added to each multiple, so that drivers of two processes seldom use
+  /// the same number even when no rank reports it.
   std::uint64_t MapOffset = 0;
   /// Map numbers of this driver are higher than this; 0 sets no bound. Without
   /// the bound, a delayed order of an earlier driver could prepare another map
--- a/src/include/greengagespar/group/messages.h
+++ b/src/include/greengagespar/group/messages.h
@@ -125,6 +125,9 @@
   EngineMap Engine;      ///< All zero if the engine was not read back yet.
   /// The latest decision that the process has applied; empty if none.
   std::optional<AppliedDecision> LastDecision;
+  /// The highest map that the process has begun to prepare; zero: none. The
+  /// engine does not show a map before its weights have been copied.
+  MapNumber HighestPrepared;
 
   bool operator==(const RankReport &) const = default;
 };
--- a/src/include/greengagespar/group/rank.h
+++ b/src/include/greengagespar/group/rank.h
@@ -15,6 +15,9 @@
 /// - The process reports its map state only after it has read back the result
 ///   of an order in progress at the engine, so that a report never hides an
 ///   outcome that comes into force later.
+/// - The process reports the highest map that it has begun to prepare, so that
+///   a driver with the promises of all ranks gives no number to a second map:
+///   no rank begins to prepare a map under an earlier ballot any more.
 #ifndef GREENGAGESPAR_GROUP_RANK_H
 #define GREENGAGESPAR_GROUP_RANK_H
 
@@ -55,6 +58,7 @@
   std::optional<EngineMap> Engine; ///< Empty until read back.
   /// Latest decision that this process has applied; empty if none.
   std::optional<AppliedDecision> LastDecision;
+  MapNumber HighestPrepared;          ///< Highest map that was to be prepared.
   std::optional<MapOrder> InProgress; ///< At the engine; result unknown.
   /// A Promise order that is answered once the engine has been read back; empty
   /// if none.
