Put a comment back above its test

The case mapNumbers_ofAProcessThatHasUsedSome_areHigher had been inserted between the comment of prepare_ofAnArmedServer_sendsNoOrder and that case. No code changes.

--- a/src/direct/rank_server_test.cpp
+++ b/src/direct/rank_server_test.cpp
@@ -713,8 +713,6 @@
   BOOST_TEST(!carryOut(rank, delayedArm));
 }
 
-// Guards against an agent that sends a map again and again, 24 times for each
-// order of the driver, to a server that refuses it while it is armed.
 // Guards against a number that a process gives to two maps.
 BOOST_AUTO_TEST_CASE(mapNumbers_ofAProcessThatHasUsedSome_areHigher) {
   constexpr Incarnation process{1'700'000'000'000'007};
@@ -724,6 +722,8 @@
   BOOST_TEST(first.Value == process.Value);
 }
 
+// Guards against an agent that sends a map again and again, 24 times for each
+// order of the driver, to a server that refuses it while it is armed.
 BOOST_AUTO_TEST_CASE(prepare_ofAnArmedServer_sendsNoOrder) {
   begin(1);
   RankServerState server = Ranks[1].Server;
