Use no connection again after a HEAD request

The copy of an answer to a HEAD request states a length and has no body. When it is skipped before the answer to a later request, it takes that answer's bytes.

Change: a connection that had a HEAD request is closed after its answer.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -232,7 +232,9 @@
   InExchange = false;
   IdleSince = Clock::now();
   bool isSent = evbuffer_get_length(bufferevent_get_output(Stream)) == 0;
-  bool hasFraming = LastHead.IsChunked || LastHead.Length || IsHead;
+  // A copy of the answer to a HEAD request could not be skipped: its length
+  // says nothing of its bytes.
+  bool hasFraming = (LastHead.IsChunked || LastHead.Length) && !IsHead;
   if (!isSent || !hasFraming || closesAfter(LastHead))
     IsUnusable = true;
   auto done = std::move(Events.OnEnd);
--- a/testsuite/direct/site.cpp
+++ b/testsuite/direct/site.cpp
@@ -311,10 +311,9 @@
   bufferevent_write(Open.back()->Stream, bytes.data(), bytes.size());
 }
 
-void FakeServer::sendMoreOnOldest(std::string_view bytes) {
-  auto it = std::ranges::find_if(
-      Open, [](const auto &connection) { return !connection->IsClosed; });
-  bufferevent_write((*it)->Stream, bytes.data(), bytes.size());
+void FakeServer::sendMoreOnFirst(std::string_view bytes) {
+  if (!Open.front()->IsClosed)
+    bufferevent_write(Open.front()->Stream, bytes.data(), bytes.size());
 }
 
 void FakeServer::closeNewest(bool resets) {
--- a/testsuite/direct/site.h
+++ b/testsuite/direct/site.h
@@ -140,8 +140,8 @@
 
   /// Sends \p bytes on the newest connection.
   void sendMore(std::string_view bytes);
-  /// Sends \p bytes on the oldest connection that is still open here.
-  void sendMoreOnOldest(std::string_view bytes);
+  /// Sends \p bytes on the first connection, unless that is closed.
+  void sendMoreOnFirst(std::string_view bytes);
   /// Closes the newest connection; resets it if \p resets is set.
   void closeNewest(bool resets);
   /// Closes all connections; resets them if \p resets is set.
