Give each request to the engine or service a connection of its own

Callers of the own interface would see: a look-up answered with another caller's answer; a draft refused as not run that the engine runs. Nobody has reported it; it was found by looking for the cause of the repeated refusals.

Cause: an engine or a service may send an answer once more, and late. Its answers state no request, and Upstream kept the connections of drafts and of calls without a key. A copy in one write with the answer, or ahead of the next one, was the answer to the next request on that connection. A copy on an idle connection does no harm: evhttp closes the connection.

Change: as for keyed calls before, every request has a new connection, which is closed after its answer. The pool and MayReuseConnection are gone.

The endpoint process runs beside its engine or service.

--- a/src/endpoint/endpoint.cpp
+++ b/src/endpoint/endpoint.cpp
@@ -291,7 +291,6 @@
   request.Body = call.body();
   request.Timeout =
       std::chrono::milliseconds(execution->Request.time_left_ms());
-  request.MayReuseConnection = !execution->Key.has_value();
   UpstreamEvents events;
   events.OnDone = [this, execution](const UpstreamResult &result) {
     onServiceDone(execution, result);
--- a/src/endpoint/upstream.cpp
+++ b/src/endpoint/upstream.cpp
@@ -13,9 +13,6 @@
 
 namespace {
 
-// How many connections without a request are kept open.
-constexpr std::size_t MaxIdleConnections = 64;
-
 // Largest head of an answer.
 constexpr std::size_t MaxHeadBytes = std::size_t{64} * 1024;
 
@@ -44,8 +41,6 @@
   evhttp_connection *Connection = nullptr;
   evhttp_request *Request = nullptr;
   UpstreamEvents Events;
-  bool IsReused = false; ///< The connection carried a request before.
-  bool HasHead = false;  ///< The head of the answer has arrived.
   bool IsClosed = false; ///< The server closed the connection.
 };
 
@@ -61,18 +56,13 @@
 Upstream::~Upstream() {
   for (auto &[id, exchange] : Exchanges)
     evhttp_connection_free(exchange->Connection);
-  for (evhttp_connection *it : Idle)
-    evhttp_connection_free(it);
   onReap(-1, 0, this);
   event_free(Reap);
 }
 
-evhttp_connection *Upstream::acquireConnection(bool mayReuse) {
-  if (mayReuse && !Idle.empty()) {
-    evhttp_connection *connection = Idle.back();
-    Idle.pop_back();
-    return connection;
-  }
+// A connection carries one request: answers state no request, so on a kept
+// connection a repeated answer would be taken for the answer to the next one.
+evhttp_connection *Upstream::makeConnection() const {
   auto *connection =
       evhttp_connection_base_new(Base, nullptr, Host.c_str(), Port);
   evhttp_connection_set_max_body_size(connection,
@@ -84,11 +74,7 @@
   return connection;
 }
 
-void Upstream::releaseConnection(evhttp_connection *connection, bool reusable) {
-  if (reusable && Idle.size() < MaxIdleConnections) {
-    Idle.push_back(connection);
-    return;
-  }
+void Upstream::closeConnection(evhttp_connection *connection) {
   // This function may run inside a callback of evhttp, which still uses the
   // connection. The loop frees it later.
   Closing.push_back(connection);
@@ -108,10 +94,8 @@
   exchange->Owner = this;
   exchange->Id = {Next++};
   exchange->Events = std::move(events);
-  exchange->IsReused = request.MayReuseConnection && !Idle.empty();
-  exchange->Connection = acquireConnection(request.MayReuseConnection);
+  exchange->Connection = makeConnection();
   exchange->Request = evhttp_request_new(onDone, exchange.get());
-  evhttp_request_set_header_cb(exchange->Request, onHead);
   evhttp_request_set_error_cb(exchange->Request, onError);
   if (exchange->Events.OnData)
     evhttp_request_set_chunked_cb(exchange->Request, onChunk);
@@ -143,18 +127,13 @@
   if (it == Exchanges.end())
     return;
   evhttp_cancel_request(it->second->Request);
-  releaseConnection(it->second->Connection, false);
+  closeConnection(it->second->Connection);
   // One of the exchange's own events may have called this function, so the
   // exchange is destroyed later.
   Cancelled.push_back(std::move(it->second));
   Exchanges.erase(it);
 }
 
-int Upstream::onHead(evhttp_request *, void *arg) {
-  static_cast<Exchange *>(arg)->HasHead = true;
-  return 0;
-}
-
 void Upstream::onError(evhttp_request_error error, void *arg) {
   static_cast<Exchange *>(arg)->IsClosed =
       error == EVREQ_HTTP_EOF || error == EVREQ_HTTP_BUFFER_ERROR;
@@ -171,8 +150,7 @@
   UpstreamResult result;
   if (!request) {
     result.Outcome = UpstreamOutcome::Incomplete;
-    result.IsServerEnd =
-        exchange.IsClosed && (exchange.HasHead || !exchange.IsReused);
+    result.IsServerEnd = exchange.IsClosed;
   } else if (evhttp_request_get_response_code(request) == 0) {
     result.Outcome = UpstreamOutcome::NotSent;
   } else {
@@ -188,8 +166,7 @@
   auto it = Exchanges.find(exchange.Id);
   std::unique_ptr<Exchange> done = std::move(it->second);
   Exchanges.erase(it);
-  releaseConnection(done->Connection,
-                    result.Outcome == UpstreamOutcome::Complete);
+  closeConnection(done->Connection);
   done->Events.OnDone(result);
 }
 
--- a/src/endpoint/upstream.h
+++ b/src/endpoint/upstream.h
@@ -32,7 +32,6 @@
   std::string Body;
   /// Longest time without any byte of the answer.
   std::chrono::milliseconds Timeout{0};
-  bool MayReuseConnection = true; ///< False for calls that may not be repeated.
 };
 
 /// How a request ended.
@@ -49,8 +48,7 @@
   std::string ContentType;
   std::string Body; ///< Empty when OnData received it.
   /// Whether an Incomplete answer ended because the server closed the
-  /// connection after the request had reached it. A connection that had been
-  /// idle and brought no byte may have been closed before.
+  /// connection.
   bool IsServerEnd = false;
 };
 
@@ -65,7 +63,9 @@
 /// Handle of a request in progress.
 using UpstreamId = NumberId<struct UpstreamTag>;
 
-/// Sends requests to one server over a pool of connections.
+/// Sends requests to one server, each on a connection of its own. A server may
+/// send an answer more than once, and answers do not state their request, so
+/// only the first answer on a connection is known to fit.
 class Upstream {
 public:
   /// Precondition: \p base outlives this object. An answer of more than
@@ -84,13 +84,12 @@
 private:
   struct Exchange;
 
-  static int onHead(evhttp_request *request, void *arg);
   static void onError(evhttp_request_error error, void *arg);
   static void onChunk(evhttp_request *request, void *arg);
   static void onDone(evhttp_request *request, void *arg);
   static void onReap(int, short, void *self);
-  evhttp_connection *acquireConnection(bool mayReuse);
-  void releaseConnection(evhttp_connection *connection, bool reusable);
+  evhttp_connection *makeConnection() const;
+  void closeConnection(evhttp_connection *connection);
   void finish(const Exchange &exchange, const UpstreamResult &result);
 
   event_base *Base;
@@ -99,7 +98,6 @@
   std::size_t MaxAnswerBytes;
   std::uint64_t Next = 1;
   std::unordered_map<UpstreamId, std::unique_ptr<Exchange>> Exchanges;
-  std::vector<evhttp_connection *> Idle;
   std::vector<evhttp_connection *> Closing;
   std::vector<std::unique_ptr<Exchange>> Cancelled;
   event *Reap;
--- a/src/endpoint/upstream_test.cpp
+++ b/src/endpoint/upstream_test.cpp
@@ -1,6 +1,7 @@
 #include "upstream.h"
 
 #include "../store/endless_server.h"
+#include "../store/scripted_server.h"
 #include <boost/test/unit_test.hpp>
 #include <optional>
 
@@ -106,4 +107,24 @@
     }
 }
 
+// Guards against an engine whose end counts for nothing because it has answered
+// another request before.
+BOOST_AUTO_TEST_CASE(end_withoutAnyByteAfterAnAnswer_isServerEnd) {
+  ScriptedServer server;
+  server.Answer = [&](auto &) {
+    return ScriptedAnswer{server.Requests.size() == 1 ? 200 : 0, ""};
+  };
+  Upstream upstream(server.Loop.get(), server.At, MaxAnswerBytes);
+  std::vector<UpstreamResult> results;
+  for (std::size_t n = 1; n <= 2; ++n) {
+    UpstreamEvents events;
+    events.OnDone = [&](const UpstreamResult &it) { results.push_back(it); };
+    upstream.start(Get, std::move(events));
+    server.runUntil([&] { return results.size() == n; });
+  }
+  BOOST_TEST((results[0].Outcome == Complete));
+  BOOST_TEST((results[1].Outcome == Incomplete));
+  BOOST_TEST(results[1].IsServerEnd);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
