Take no copy of a rank server's answer for the one that is due

Cause: the client of a rank's server took the first head on a kept connection, whatever it answered. A server may send an answer once more, ahead of a later one. A copy of an acceptance then stood for the answer to the order that fences a cancelled rank, which counted as fenced; a state of before one already read stood for the current one; an unreadable one left the agent without a state.

Change: an order to prepare a map has a new connection, whose first answer can only be its own; no decision rests on the answers to other orders. A state that is older than one already read (start, epoch, sequence, step, map, prepared, armed) is not taken. After an answer that can't be the one that is due, the client leaves the connection and reads once more on a new one. An answer on a new connection is always taken, so a server whose clock went back is heard.

--- a/src/include/greengagespar/direct/rank_server.h
+++ b/src/include/greengagespar/direct/rank_server.h
@@ -99,7 +99,9 @@
   std::size_t Size = 0;        ///< Number of ranks of the group.
   bool IsOpen = false;         ///< The group serves requests.
   std::uint64_t StartedMs = 0; ///< Start of the server process, in ms.
-  StepNumber Step;             ///< The last step that was begun.
+  /// Number of orders that the process has accepted; zero if it is not stated.
+  std::uint64_t Sequence = 0;
+  StepNumber Step; ///< The last step that was begun.
   MapNumber InUse;
   /// The map whose weights have all been copied; empty: none.
   std::optional<MapNumber> Prepared;
--- a/src/include/greengagespar/direct/rank_server_client.h
+++ b/src/include/greengagespar/direct/rank_server_client.h
@@ -1,6 +1,16 @@
 /// \file
 /// The HTTP client of one rank's server. It sends its calls one at a time, in
 /// order. Not thread safe: belongs to the thread of its loop.
+///
+/// A server may send an answer once more, where that to a later call is due,
+/// and nothing in the answers tells to which call they belong. Only the first
+/// answer on a connection certainly belongs to its call. Therefore:
+/// - An order to prepare a map has a new connection: its answer decides, among
+///   others, whether a rank counts as fenced. No decision depends on the
+///   answers to other orders.
+/// - A state of before one already read is not taken. The client leaves the
+///   connection, as after any answer that can't be the one that is due, and
+///   reads again on a new one.
 #ifndef GREENGAGESPAR_DIRECT_RANK_SERVER_CLIENT_H
 #define GREENGAGESPAR_DIRECT_RANK_SERVER_CLIENT_H
 
@@ -55,12 +65,16 @@
   /// One call, waiting or in progress.
   struct Call {
     std::string Text; ///< The whole HTTP request.
-    /// \p status: HTTP status; 0: no complete answer in time.
-    std::function<void(int status, std::string body)> Done;
+    bool NeedsNewConnection = false;
+    /// Receives the answer. \p status: HTTP status; 0: no complete answer in
+    /// time. Returns false, and does nothing, when the answer belongs to
+    /// another call; ignored if \p isCertain.
+    std::function<bool(int status, std::string body, bool isCertain)> Take;
   };
 
+  bool canCarry(const Call &call) const;
   void get(const std::string &target,
-           std::function<void(int, std::string)> done);
+           std::function<bool(int, std::string, bool)> take);
   void enqueue(Call call);
   void startNext();
   void finishCall(int status);
@@ -69,10 +83,12 @@
   Address Server;
   const RankDialect &Dialect;
   std::unique_ptr<HttpClientConnection> Connection;
+  std::optional<RankServerState> LastState; ///< As it was last read.
   std::deque<Call> Calls; ///< The first one is in progress if IsCalling.
   std::string Body;       ///< Received so far.
   int Status = 0;         ///< HTTP status; 0: not received yet.
   bool IsCalling = false;
+  bool IsCertain = false; ///< The next answer belongs to the call in progress.
   Timer Timeout;
 };
 
--- a/testsuite/direct/rank_site.cpp
+++ b/testsuite/direct/rank_site.cpp
@@ -86,6 +86,12 @@
 }
 
 int FakeRank::applyOrder(const json::object &order) {
+  int status = carryOut(order);
+  Sequence += status == Refused ? 0 : 1;
+  return status;
+}
+
+int FakeRank::carryOut(const json::object &order) {
   std::string kind(order.at("operation").as_string());
   if (kind == "prepare")
     return prepare(order);
@@ -120,6 +126,7 @@
   if (Armed)
     armed = {{"version", Armed->Map}, {"step", Armed->Step}};
   return {{"born", 1},
+          {"sequence", Sequence},
           {"running", 1},
           {"waiting", 0},
           {"pace", 1},
@@ -140,6 +147,21 @@
           {"prepared", nullptr}};
 }
 
+std::string FakeRank::answerTo(const HttpRequestMessage &request) {
+  const std::string &target = request.Head.Target;
+  int status = Ok;
+  std::string body = "{}";
+  if (target == "/-/report")
+    body = json::serialize(report());
+  else if (target.starts_with("/-/picked"))
+    body = json::serialize(picked(target.find('?') != std::string::npos));
+  else
+    status = applyOrder(json::parse(request.Body).as_object());
+  return "HTTP/1.1 " + std::to_string(status) +
+         " X\r\nContent-Type: application/json\r\nContent-Length: " +
+         std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
 void FakeRank::onCall(const HttpRequestMessage &request,
                       const std::shared_ptr<HttpReply> &reply) {
   const std::string &target = request.Head.Target;
--- a/testsuite/direct/rank_site.h
+++ b/testsuite/direct/rank_site.h
@@ -25,6 +25,8 @@
   FakeRank(event_base *loop, std::size_t self, std::size_t size, Address at);
 
   const Address &at() const { return At; }
+  /// Carries out \p request and returns the bytes of its answer.
+  std::string answerTo(const HttpRequestMessage &request);
   bool holds(std::uint64_t step) const { return Held == step; }
   bool isArmed() const { return Armed.has_value(); }
   bool hasPrepared(std::uint64_t map) const { return Prepared == map; }
@@ -62,6 +64,7 @@
   void onCall(const HttpRequestMessage &request,
               const std::shared_ptr<HttpReply> &reply);
   int applyOrder(const boost::json::object &order);
+  int carryOut(const boost::json::object &order);
   int prepare(const boost::json::object &order);
   boost::json::object report() const;
   boost::json::object picked(bool withLists) const;
@@ -72,6 +75,7 @@
   Address At;
   HttpListener CallListener;
   std::uint64_t Step = 0;
+  std::uint64_t Sequence = 0; ///< Orders that were accepted.
   std::uint64_t InUse = 0;
   std::uint64_t Highest = 0;
   std::optional<std::uint64_t> Prepared;
--- a/testsuite/direct/site.cpp
+++ b/testsuite/direct/site.cpp
@@ -179,6 +179,7 @@
   std::unique_ptr<RequestReader> Reader;
   std::string Body;
   std::string Endless; ///< Sent whenever the output is empty.
+  std::string Last;    ///< Bytes of the last answer.
   bool IsClosed = false;
   std::optional<HttpRequestMessage> Pending; ///< Not answered as a whole.
 
@@ -218,6 +219,9 @@
       it.Pending = request;
     if (answer.SendsNothing)
       return;
+    if (answer.CopiesLast)
+      bufferevent_write(it.Stream, it.Last.data(), it.Last.size());
+    it.Last = answer.Bytes;
     bufferevent_write(it.Stream, answer.Bytes.data(), answer.Bytes.size());
     it.Endless = answer.Endless;
     if (answer.Closes || answer.Resets)
--- a/testsuite/direct/site.h
+++ b/testsuite/direct/site.h
@@ -108,6 +108,8 @@
   bool Resets = false;       ///< Resets the connection after the bytes.
   bool SendsNothing = false; ///< Sends nothing, and keeps the connection open.
   bool IsPartial = false;    ///< The rest of the answer follows later.
+  /// Before Bytes, sends those of the connection's last answer once more.
+  bool CopiesLast = false;
   /// Sent again and again after Bytes until the other side closes the
   /// connection; empty: nothing.
   std::string Endless = {};
