--- a/src/include/greengagespar/direct/site.h
+++ b/src/include/greengagespar/direct/site.h
@@ -138,9 +138,9 @@
 
 /// What the header fields of a server's answer say about it.
 struct AnswerMetadata {
-  std::string RequestId;      ///< Of the request that it answers.
-  bool IsSigned = false;      ///< A server produced it by its own work.
-  bool DidNotRun = false;     ///< The server did not run the request.
+  std::string RequestId;  ///< Of the request that it answers.
+  bool IsSigned = false;  ///< A server produced it by its own work.
+  bool DidNotRun = false; ///< The server did not run the request.
   /// Callers take its status as the promise that the request has not run.
   bool IsPromise = false;
   bool IsOtherServer = false; ///< Another server has the address now.
