Start entries of the soak without the files of the run

An entry that was started again during a run held the connections of clients and servers of that moment open, and the listeners of servers. A reset by a server, or a client that left, was then not seen by the other side, and a server that had closed its listener couldn't listen again.

Cause: the child inherits all descriptors that are not marked, among them those of the site's servers and of the clients.

Change: before a process is started, all descriptors of the run are marked to be closed in it.

The short soak with servers that go away ended with "the server can't listen" before and passes now.

--- a/testsuite/soak/soak_run.cpp
+++ b/testsuite/soak/soak_run.cpp
@@ -5,9 +5,11 @@
 #include <algorithm>
 #include <csignal>
 #include <deque>
+#include <linux/close_range.h>
 #include <map>
 #include <random>
 #include <stdexcept>
+#include <unistd.h>
 
 namespace greengagespar::soak {
 
@@ -34,6 +36,8 @@
 // A client leaves this long after its deadline.
 constexpr auto Patience = 300ms;
 constexpr auto ReadyTimeout = 15s;
+// Descriptors below it are the standard ones.
+constexpr unsigned FirstOwnFile = 3;
 
 std::string idOf(const HttpRequestMessage &request) {
   const std::string *id = findField(request.Head.Fields, "X-Request-Id");
@@ -200,6 +204,10 @@
     command.OutputBase =
         Options.Logs / numbered(it.Name.Value + "-",
                                 static_cast<std::uint64_t>(++entry.Starts));
+  // Or the new process would hold the connections and listeners of this one
+  // open, and nobody would see them close.
+  if (close_range(FirstOwnFile, ~0U, CLOSE_RANGE_CLOEXEC) != 0)
+    throw std::runtime_error("files can't be marked");
   entry.Process = harness::Process(command);
   entry.IsDown = false;
   entry.IsLeaving = false;
