Let servers of the test site listen again and name connections

A script of a FakeServer sees the number of the connection that it answers on, and a server that has stopped listening can listen again. The soak needs both: a copy of an answer is written on the connection that had the answer, and servers go away for a while.

--- a/testsuite/direct/site.cpp
+++ b/testsuite/direct/site.cpp
@@ -175,6 +175,7 @@
 
 struct FakeServer::Connection {
   FakeServer *Owner = nullptr;
+  std::size_t Number = 0; ///< Of the server's connections.
   bufferevent *Stream = nullptr;
   std::unique_ptr<RequestReader> Reader;
   std::string Body;
@@ -207,13 +208,15 @@
       HttpRequestMessage message{it->Reader->head(), it->Body};
       it->Reader.reset();
       it->Owner->Requests.push_back(message);
-      answer(*it, message, it->Owner->Respond(message));
+      respond(*it, message, it->Owner->Respond);
     }
   }
 
-  static void answer(FakeServer::Connection &it,
-                     const HttpRequestMessage &request,
-                     const FakeAnswer &answer) {
+  static void respond(FakeServer::Connection &it,
+                      const HttpRequestMessage &request,
+                      const FakeServer::Script &script) {
+    it.Owner->Answering = it.Number;
+    FakeAnswer answer = script(request);
     it.Pending.reset();
     if (answer.SendsNothing || answer.IsPartial)
       it.Pending = request;
@@ -269,6 +272,7 @@
     ++server->Connections;
     auto it = std::make_unique<FakeServer::Connection>();
     it->Owner = server;
+    it->Number = server->Open.size();
     it->Stream =
         bufferevent_socket_new(server->Loop, fd, BEV_OPT_CLOSE_ON_FREE);
     bufferevent_setcb(it->Stream, onRead, onWritten, onEvent, it.get());
@@ -281,6 +285,12 @@
                        const Address &at)
     : Respond(std::move(script)), Loop(loop), Id(std::move(id)),
       At(at.Value.empty() ? freeAddress() : at) {
+  listen();
+}
+
+FakeServer::~FakeServer() { stopListening(); }
+
+void FakeServer::listen() {
   sockaddr_storage name{};
   int size = sizeof(name);
   evutil_parse_sockaddr_port(At.Value.c_str(),
@@ -293,8 +303,6 @@
     throw std::runtime_error("the server can't listen");
 }
 
-FakeServer::~FakeServer() { stopListening(); }
-
 void FakeServer::stopListening() {
   if (Listener)
     evconnlistener_free(std::exchange(Listener, nullptr));
@@ -328,7 +336,7 @@
   for (auto &it : Open)
     if (!it->IsClosed && it->Pending) {
       HttpRequestMessage request = *it->Pending;
-      ServerCallbacks::answer(*it, request, rest(request));
+      ServerCallbacks::respond(*it, request, rest);
     }
 }
 
--- a/testsuite/direct/site.h
+++ b/testsuite/direct/site.h
@@ -139,6 +139,8 @@
   int Connections = 0;          ///< Connections accepted so far.
   int Closed = 0;               ///< Connections that the other side closed.
   std::size_t EndlessBytes = 0; ///< Bytes of endless answers that were sent.
+  /// Number of the connection whose request a script is called for.
+  std::size_t Answering = 0;
 
   /// Sends \p bytes on the newest connection.
   void sendMore(std::string_view bytes);
@@ -151,6 +153,8 @@
   /// Calls \p rest for each request without its whole answer, after
   /// SendsNothing or IsPartial, and goes on as it says.
   void answerPending(const Script &rest);
+  /// Accepts connections again after stopListening(). Throws if it can't.
+  void listen();
   /// Refuses new connections from now on.
   void stopListening();
 
