Show in the soak that a copy of a refusal answers its request

Servers now refuse a share of the requests at random, and copy a share of their refusals and of their other answers on the connection that had the answer: whole right behind it, at the next request or ahead of the next answer, or in pieces at all of these. In seeded spans all servers but one are away or full. Arrivals are told apart by their place in the record and not by id, so that two runs of one request at two servers are not confused. Servers write the id into the body, and a client that gets another one breaks MIXED. The record counts the copies whose request came to the server again, and those written while it was under way again on their connection; a run without the former has shown nothing.

--- a/testsuite/soak/judge.cpp
+++ b/testsuite/soak/judge.cpp
@@ -130,6 +130,14 @@
   return findings;
 }
 
+std::vector<Finding> judgeMixed(const Record &record) {
+  std::vector<Finding> findings;
+  for (const Attempt &it : record.Attempts)
+    if ((it.Status == 200 || it.Status == 500) && it.Named != it.Id)
+      findings.push_back({"MIXED", it.Id + " got the answer to " + it.Named});
+  return findings;
+}
+
 std::vector<Finding> judgeBudget(const Record &record) {
   const Bounds &limits = record.Limits;
   std::vector<Finding> findings;
@@ -207,10 +215,33 @@
       }));
 }
 
+CopyCounts countCopies(const Record &record) {
+  CopyCounts counts;
+  ArrivalsById byId = arrivalsOf(record);
+  for (const Copy &copy : record.Copies) {
+    const Arrival &original = record.Arrivals[copy.Original];
+    auto isLater = [&](const Arrival *it) {
+      return it > &original && it->Server == original.Server;
+    };
+    auto isMet = [&](const Arrival *it) {
+      return isLater(it) && it->Connection == original.Connection &&
+             copy.To >= it->At &&
+             (!it->AnsweredAt || *copy.From <= *it->AnsweredAt);
+    };
+    if (!copy.From)
+      continue;
+    ++counts.Sent;
+    auto arrivals = find(byId, original.Id);
+    counts.CameAgain += std::ranges::any_of(arrivals, isLater);
+    counts.Met += std::ranges::any_of(arrivals, isMet);
+  }
+  return counts;
+}
+
 std::vector<Finding> judge(const Record &record) {
   std::vector<Finding> all;
-  for (auto *rule : {judgeRefused, judgeTwice, judgeBudget, judgeLost,
-                     judgeLostAroundPlannedWork}) {
+  for (auto *rule : {judgeRefused, judgeTwice, judgeMixed, judgeBudget,
+                     judgeLost, judgeLostAroundPlannedWork}) {
     auto findings = rule(record);
     all.insert(all.end(), findings.begin(), findings.end());
   }
--- a/testsuite/soak/judge.h
+++ b/testsuite/soak/judge.h
@@ -25,6 +25,7 @@
   Time Deadline{0};            ///< Time that the client gave it.
   std::optional<Time> EndedAt; ///< Empty: the run ended first.
   int Status = 0;              ///< Of a complete answer; 0: there was none.
+  std::string Named; ///< Body of a complete answer: servers name the request.
   bool WasConnected = true;
 };
 
@@ -35,6 +36,16 @@
   std::optional<Time> RanAt;  ///< Empty: the server turned it away.
   std::optional<Time> DoneAt; ///< When the server had finished its work.
   bool ServerBroke = false;   ///< The server ended the connection early.
+  std::size_t Server = 0;
+  std::size_t Connection = 0;     ///< Its number at the server.
+  std::optional<Time> AnsweredAt; ///< Empty: it got no answer.
+};
+
+/// A copy of an answer, written on the connection that had the answer.
+struct Copy {
+  std::size_t Original = 0; ///< Index of the arrival that was answered.
+  std::optional<Time> From; ///< Of its first byte; empty: none was written.
+  Time To{0};               ///< Of its last byte so far.
 };
 
 /// What was done to an entry from outside.
@@ -63,7 +74,9 @@
 struct Record {
   Bounds Limits;
   std::vector<Attempt> Attempts;
-  std::vector<Arrival> Arrivals;
+  std::vector<Arrival> Arrivals; ///< In their order.
+  std::vector<Copy> Copies;
+  std::size_t Connections = 0; ///< That entries opened to servers.
   std::vector<Disruption> Disruptions;
   Time Length{0};
 };
@@ -81,6 +94,9 @@
 /// TWICE: a request that may not be repeated ran more than once.
 std::vector<Finding> judgeTwice(const Record &record);
 
+/// MIXED: an answer of a server names another request.
+std::vector<Finding> judgeMixed(const Record &record);
+
 /// BUDGET: in a window, each full second of the run taken as its end, more
 /// arrivals beyond the first of each request than the share of the requests and
 /// the extra ones, over all entries. Arrivals that were turned away count. The
@@ -103,6 +119,18 @@
 /// number.
 std::size_t cutAroundPlannedWork(const Record &record);
 
+/// Numbers of copies.
+struct CopyCounts {
+  std::size_t Sent = 0; ///< In part at least.
+  /// Of those, whose request came to the same server again, on any connection.
+  /// Without them a run shows nothing about copies.
+  std::size_t CameAgain = 0;
+  /// Of those, written while the request was under way again on the connection
+  /// of the copy, so that they could be taken for its answer.
+  std::size_t Met = 0;
+};
+CopyCounts countCopies(const Record &record);
+
 /// Returns the findings of all rules.
 std::vector<Finding> judge(const Record &record);
 
--- a/testsuite/soak/judge_test.cpp
+++ b/testsuite/soak/judge_test.cpp
@@ -31,6 +31,7 @@
     it.Deadline = 2000ms;
     it.EndedAt = sentAt + 50ms;
     it.Status = status;
+    it.Named = id;
     Run.Attempts.push_back(it);
     arrive(id, sentAt + 5ms);
   }
@@ -73,6 +74,11 @@
   BOOST_TEST(breaks("TWICE"));
 }
 
+BOOST_AUTO_TEST_CASE(request_withTheAnswerToAnother_breaksMixed) {
+  Run.Attempts.back().Named.append("2");
+  BOOST_TEST(breaks("MIXED"));
+}
+
 BOOST_AUTO_TEST_CASE(repeats_beyondTheShare_breakBudget) {
   for (int i = 0; i < 10; ++i)
     add(numbered("s", i), 200);
@@ -115,4 +121,34 @@
   BOOST_TEST(breaks("LOST"));
 }
 
+// A refusal is copied while its request is under way again.
+BOOST_AUTO_TEST_CASE(copy_whileItsRequestIsThereAgain_isCountedByConnection) {
+  Run.Arrivals.back().AnsweredAt = 10006ms;
+  Run.Copies.push_back({0, 10106ms, 10106ms});
+  Run.Copies.emplace_back();
+  BOOST_TEST(countCopies(Run).Sent == 1U);
+  BOOST_TEST(countCopies(Run).CameAgain == 0U);
+  arrive("a", 10100ms);
+  Arrival &again = Run.Arrivals.back();
+  BOOST_TEST(countCopies(Run).CameAgain == 1U);
+  BOOST_TEST(countCopies(Run).Met == 1U);
+  again.Connection = 1;
+  BOOST_TEST(countCopies(Run).CameAgain == 1U);
+  BOOST_TEST(countCopies(Run).Met == 0U);
+  again.Server = 1;
+  BOOST_TEST(countCopies(Run).CameAgain == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(copy_beforeOrAfterItsRequestIsThereAgain_hasNotMetIt) {
+  arrive("a", 10100ms);
+  Run.Arrivals.back().AnsweredAt = 10120ms;
+  Run.Copies.push_back({0, 10006ms, 10006ms});
+  Run.Copies.push_back({0, 10200ms, 10200ms});
+  BOOST_TEST(countCopies(Run).CameAgain == 2U);
+  BOOST_TEST(countCopies(Run).Met == 0U);
+  // In two pieces, one before and one after.
+  Run.Copies.push_back({0, 10006ms, 10200ms});
+  BOOST_TEST(countCopies(Run).Met == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/testsuite/soak/ledger.h
@@ -0,0 +1,81 @@
+/// \file
+/// The servers of a soak. Not thread safe.
+#ifndef GREENGAGESPAR_SOAK_LEDGER_H
+#define GREENGAGESPAR_SOAK_LEDGER_H
+
+#include "../direct/site.h"
+#include "draw.h"
+#include "judge.h"
+#include "soak_run.h"
+#include <deque>
+#include <map>
+#include <utility>
+
+namespace greengagespar::soak {
+
+/// How a ledger behaves for a while. One that is away has closed its
+/// connections and refuses new ones.
+enum class LedgerMood {
+  Sound,
+  Slow,
+  Fails,
+  ResetsBefore,
+  ResetsAfter,
+  Full,
+  Away
+};
+
+/// What ledgers use and fill of their run.
+struct LedgerRun {
+  const SoakOptions &Options;
+  Draw &Choices;
+  Record &Seen;
+  std::function<Time()> Since; ///< Time since the start of the run.
+};
+
+/// A ledger server with slots and a queue, which runs queued requests also when
+/// their connection has closed. It refuses requests at random, and writes
+/// copies of its answers.
+class Ledger {
+public:
+  Ledger(LedgerRun run, std::size_t number)
+      : Run(std::move(run)), Number(number) {}
+
+  /// Gives the ledger the server whose requests go to arrive().
+  void attach(site::FakeServer &server) { Server = &server; }
+  site::FakeAnswer arrive(const HttpRequestMessage &request);
+  void setMood(LedgerMood mood, Clock::time_point until);
+  /// Goes on with what is due.
+  void step();
+
+private:
+  /// What is left of a copy on a connection.
+  struct Rest {
+    std::size_t Copy = 0;      ///< Index in the record.
+    std::string AtNextRequest; ///< Written when the next request has come.
+    std::string AtNextAnswer;  ///< Written ahead of the next answer.
+  };
+
+  void begin(std::size_t arrival);
+  site::FakeAnswer finish(const HttpRequestMessage &request);
+  site::FakeAnswer answer(std::size_t arrival, const std::string &bytes,
+                          std::size_t copiedPercent);
+  std::string copy(std::size_t arrival, const std::string &bytes);
+  std::string take(std::size_t copy, std::string &piece);
+
+  LedgerRun Run;
+  std::size_t Number;
+  site::FakeServer *Server = nullptr;
+  LedgerMood Mood = LedgerMood::Sound;
+  Clock::time_point MoodUntil;
+  // Arrivals are indices in the record.
+  std::map<std::size_t, std::size_t> ArrivalOn; ///< Last one by connection.
+  /// Arrivals at work, with the time at which their answer is due.
+  std::map<std::size_t, Clock::time_point> Running;
+  std::deque<std::size_t> Waiting;
+  std::map<std::size_t, Rest> Rests; ///< By connection.
+};
+
+} // namespace greengagespar::soak
+
+#endif // GREENGAGESPAR_SOAK_LEDGER_H
--- a/testsuite/soak/soak.cpp
+++ b/testsuite/soak/soak.cpp
@@ -16,13 +16,21 @@
     return std::ranges::count_if(record.Attempts, condition);
   };
   auto findings = judge(record);
+  CopyCounts copies = countCopies(record);
   std::cout << "seed " << seed << ": " << record.Attempts.size()
             << " requests, " << count([](auto &it) { return it.Status == 200; })
             << " served, " << count([](auto &it) { return it.Status == 503; })
             << " refused, " << count([](auto &it) { return it.Status == 0; })
             << " without an answer, " << cutAroundPlannedWork(record)
             << " of them around planned work, " << record.Disruptions.size()
-            << " disruptions, " << findings.size() << " findings\n";
+            << " disruptions, " << findings.size() << " findings\n"
+            << "  " << copies.Sent << " copies, " << copies.CameAgain
+            << " of them with a request that came to the server again, "
+            << copies.Met << " met it on their connection; "
+            << record.Connections << " connections to servers, "
+            << static_cast<double>(record.Connections) /
+                   static_cast<double>(record.Attempts.size())
+            << " a request\n";
   for (const Finding &it : findings)
     std::cout << "  " << it.Rule << " " << it.What << "\n";
   std::cout << std::flush;
@@ -33,7 +41,7 @@
 
 int main(int argc, char **argv) {
   CLI::App app{"Runs entries as processes under seeded disruptions and judges "
-               "the rules BUDGET, LOST, REFUSED and TWICE."};
+               "the rules BUDGET, LOST, MIXED, REFUSED and TWICE."};
   SoakOptions options;
   std::uint64_t seeds = 1;
   auto seconds = options.Length.count();
@@ -51,6 +59,16 @@
                "Servers in trouble");
   app.add_flag("--store-trouble,!--no-store-trouble", options.StoreTrouble,
                "A store in trouble");
+  app.add_flag("--lone-server,!--no-lone-server", options.LoneServer,
+               "Spans with one usable server");
+  app.add_option("--refused", options.RefusedPercent,
+                 "Requests that servers refuse at random, in percent");
+  app.add_option("--copied-refusals", options.CopiedRefusalPercent,
+                 "Refusals that are copied, in percent");
+  app.add_option("--copied-answers", options.CopiedAnswerPercent,
+                 "Other answers that are copied, in percent");
+  app.add_flag("--copies-at-once,!--no-copies-at-once", options.CopiesAtOnce,
+               "Copies right behind their answers too");
   app.add_option("--program", options.Program, "Program of the entries");
   app.add_option("--logs", options.Logs, "Folder for the logs of entries");
   CLI11_PARSE(app, argc, argv);
--- a/testsuite/soak/soak_run.cpp
+++ b/testsuite/soak/soak_run.cpp
@@ -1,13 +1,9 @@
 #include "soak_run.h"
 
-#include "../direct/site.h"
 #include "../harness/process.h"
-#include <algorithm>
+#include "ledger.h"
 #include <csignal>
-#include <deque>
 #include <linux/close_range.h>
-#include <map>
-#include <random>
 #include <stdexcept>
 #include <unistd.h>
 
@@ -16,8 +12,7 @@
 namespace {
 
 using namespace std::chrono_literals;
-using site::FakeAnswer;
-using site::FakeServer;
+using site::Reply;
 
 namespace json = boost::json;
 
@@ -25,9 +20,6 @@
 constexpr auto ClumpInterval = 1300ms;
 constexpr auto MidstOfClump = 20ms;
 constexpr auto DisruptionInterval = 900ms;
-// A slot and a queue as small ledgers have them.
-constexpr std::size_t Slots = 12;
-constexpr std::size_t QueueLength = 6;
 // Idle connections of the entries to servers, and of callers, end after these.
 constexpr auto ServerIdle = 5000ms;
 // The largest body that the site's limits allow.
@@ -39,14 +31,6 @@
 // Descriptors below it are the standard ones.
 constexpr unsigned FirstOwnFile = 3;
 
-std::string idOf(const HttpRequestMessage &request) {
-  const std::string *id = findField(request.Head.Fields, "X-Request-Id");
-  return id ? *id : std::string();
-}
-
-/// How a ledger behaves for a while.
-enum class LedgerMood { Sound, Slow, Fails, ResetsBefore, ResetsAfter };
-
 constexpr LedgerMood Moods[] = {LedgerMood::Slow, LedgerMood::Fails,
                                 LedgerMood::ResetsBefore,
                                 LedgerMood::ResetsAfter};
@@ -55,17 +39,6 @@
   return text.append(std::to_string(number));
 }
 
-/// A ledger server with slots and a queue, which runs queued requests also when
-/// their connection has closed.
-struct Ledger {
-  FakeServer *Server = nullptr;
-  LedgerMood Mood = LedgerMood::Sound;
-  Clock::time_point MoodUntil;
-  /// Requests at work, with the time at which their answer is due.
-  std::map<std::string, Clock::time_point> Running;
-  std::deque<std::string> Waiting;
-};
-
 /// An entry as a process, which is started again when it has ended.
 struct EntryProcess {
   DirectSettings Settings;
@@ -100,14 +73,10 @@
   Time since() const {
     return std::chrono::duration_cast<Time>(Clock::now() - StartedAt);
   }
-  std::size_t pick(std::size_t count) {
-    return std::uniform_int_distribution<std::size_t>(0, count - 1)(Rng);
-  }
+  std::size_t pick(std::size_t count) { return Choices.pick(count); }
   std::chrono::milliseconds within(std::chrono::milliseconds low,
                                    std::chrono::milliseconds high) {
-    return std::chrono::milliseconds(
-        std::uniform_int_distribution<std::int64_t>(low.count(),
-                                                    high.count())(Rng));
+    return Choices.within(low, high);
   }
 
   void addEntry();
@@ -122,17 +91,14 @@
   void beginDisruption(EntryProcess &entry, DisruptionKind kind);
 
   void addLedger();
-  FakeAnswer arrive(Ledger &ledger, const HttpRequestMessage &request);
-  FakeAnswer finish(Ledger &ledger, const HttpRequestMessage &request);
-  void begin(Ledger &ledger, const std::string &id);
-  void stepLedger(Ledger &ledger);
+  void leaveOneServer();
 
   void step(Client &client);
   void send(Client &client);
-  void ended(Client &client, std::size_t attempt, ExchangeEnd how, int status);
+  void ended(Client &client, std::size_t attempt, const Reply &reply);
 
   SoakOptions Options;
-  std::mt19937_64 Rng;
+  Draw Choices;
   harness::TempDir Folder;
   Record Seen;
   Clock::time_point StartedAt;
@@ -140,14 +106,14 @@
   std::optional<Clock::time_point> FreezeAt;
   Clock::time_point NextDisruption;
   Clock::time_point StoreSoundAt;
-  std::map<std::string, std::size_t> ArrivalOf; ///< Last one with the id.
   std::vector<EntryProcess> EntryProcesses;
   std::deque<Ledger> Ledgers;
   std::deque<Client> Callers;
   std::uint64_t LastId = 0;
 };
 
-Soak::Soak(const SoakOptions &options) : Options(options), Rng(options.Seed) {
+Soak::Soak(const SoakOptions &options)
+    : Options(options), Choices(options.Seed) {
   json::object site = configuration(1);
   for (json::value &it : site["services"].as_array())
     it.as_object()["maxConnections"] = 200;
@@ -271,7 +237,7 @@
 }
 
 void Soak::disrupt() {
-  enum class Choice { Freeze, Stop, Reload, Kill, Ledger, Store };
+  enum class Choice { Freeze, Stop, Reload, Kill, Ledger, Lone, Store };
   std::vector<Choice> choices;
   auto offer = [&](bool isOn, std::initializer_list<Choice> kinds) {
     if (isOn)
@@ -281,6 +247,7 @@
   offer(Options.Stops, {Choice::Stop, Choice::Stop, Choice::Reload});
   offer(Options.Kills, {Choice::Kill});
   offer(Options.BadServers, {Choice::Ledger, Choice::Ledger});
+  offer(Options.LoneServer && Ledgers.size() > 1, {Choice::Lone});
   offer(Options.StoreTrouble, {Choice::Store});
   if (choices.empty())
     return;
@@ -294,12 +261,11 @@
     return reload(entry);
   case Choice::Kill:
     return end(entry, SIGKILL);
-  case Choice::Ledger: {
-    Ledger &ledger = Ledgers[pick(Ledgers.size())];
-    ledger.Mood = Moods[pick(std::size(Moods))];
-    ledger.MoodUntil = Clock::now() + within(200ms, 2000ms);
-    return;
-  }
+  case Choice::Ledger:
+    return Ledgers[pick(Ledgers.size())].setMood(
+        Moods[pick(std::size(Moods))], Clock::now() + within(200ms, 2000ms));
+  case Choice::Lone:
+    return leaveOneServer();
   case Choice::Store:
     return disturbStore();
   }
@@ -324,74 +290,22 @@
 // Servers.
 
 void Soak::addLedger() {
-  Ledger &ledger = Ledgers.emplace_back();
-  ledger.Server = &addServer("ledger", [this, &ledger](const auto &request) {
-    return arrive(ledger, request);
-  });
-}
-
-void Soak::begin(Ledger &ledger, const std::string &id) {
-  auto work = within(10ms, 60ms);
-  if (ledger.Mood == LedgerMood::Slow)
-    work *= 10;
-  Seen.Arrivals[ArrivalOf[id]].RanAt = since();
-  ledger.Running[id] = Clock::now() + work;
+  Ledger &ledger = Ledgers.emplace_back(
+      LedgerRun{Options, Choices, Seen, [this] { return since(); }},
+      Ledgers.size());
+  ledger.attach(addServer("ledger", [&ledger](const auto &request) {
+    return ledger.arrive(request);
+  }));
 }
 
-FakeAnswer Soak::arrive(Ledger &ledger, const HttpRequestMessage &request) {
-  std::string id = idOf(request);
-  ArrivalOf[id] = Seen.Arrivals.size();
-  Arrival &arrival = Seen.Arrivals.emplace_back();
-  arrival.Id = id;
-  arrival.At = since();
-  if (ledger.Mood == LedgerMood::ResetsBefore) {
-    arrival.ServerBroke = true;
-    return {.Resets = true};
-  }
-  if (ledger.Running.size() < Slots)
-    begin(ledger, id);
-  else if (ledger.Waiting.size() < QueueLength)
-    ledger.Waiting.push_back(id);
-  else
-    return {site::signedAnswer(request, 503, "full", "X-Not-Executed: 1\r\n")};
-  return {.SendsNothing = true};
-}
-
-// Returns the answer to a request whose work is done, and nothing before.
-FakeAnswer Soak::finish(Ledger &ledger, const HttpRequestMessage &request) {
-  std::string id = idOf(request);
-  auto it = ledger.Running.find(id);
-  if (it == ledger.Running.end() || it->second > Clock::now())
-    return {.SendsNothing = true};
-  Arrival &arrival = Seen.Arrivals[ArrivalOf[id]];
-  arrival.DoneAt = since();
-  ledger.Running.erase(it);
-  if (ledger.Mood == LedgerMood::ResetsAfter) {
-    arrival.ServerBroke = true;
-    return {.Resets = true};
-  }
-  int status = ledger.Mood == LedgerMood::Fails ? 500 : 200;
-  return {site::signedAnswer(request, status, "done")};
-}
-
-void Soak::stepLedger(Ledger &ledger) {
-  auto now = Clock::now();
-  if (now >= ledger.MoodUntil)
-    ledger.Mood = LedgerMood::Sound;
-  ledger.Server->answerPending([&](const HttpRequestMessage &request) {
-    return finish(ledger, request);
-  });
-  // What is left of those that are due has lost its connection.
-  std::erase_if(ledger.Running, [&](const auto &it) {
-    if (it.second > now)
-      return false;
-    Seen.Arrivals[ArrivalOf[it.first]].DoneAt = since();
-    return true;
-  });
-  while (!ledger.Waiting.empty() && ledger.Running.size() < Slots) {
-    begin(ledger, ledger.Waiting.front());
-    ledger.Waiting.pop_front();
-  }
+// Leaves one server for a while: the others are away or full.
+void Soak::leaveOneServer() {
+  auto until = Clock::now() + within(300ms, 2500ms);
+  std::size_t left = pick(Ledgers.size());
+  for (std::size_t i = 0; i < Ledgers.size(); ++i)
+    if (i != left)
+      Ledgers[i].setMood(pick(2) == 0 ? LedgerMood::Away : LedgerMood::Full,
+                         until);
 }
 
 // Clients.
@@ -428,25 +342,28 @@
       .append("\r\n\r\n")
       .append(body);
   ExchangeEvents events;
-  auto status = std::make_shared<int>(0);
-  events.OnHead = [status](const HttpHead &head) {
-    *status = head.Status;
+  auto reply = std::make_shared<Reply>();
+  events.OnHead = [reply](const HttpHead &head) {
+    reply->Head.Status = head.Status;
     return true;
   };
-  events.OnBody = [](std::string_view) {};
-  events.OnEnd = [this, &client, index, status](ExchangeEnd how,
-                                                std::string_view) {
-    ended(client, index, how, *status);
+  events.OnBody = [reply](std::string_view piece) {
+    reply->Body.append(piece);
+  };
+  events.OnEnd = [this, &client, index, reply](ExchangeEnd how,
+                                               std::string_view) {
+    reply->End = how;
+    ended(client, index, *reply);
   };
   client.Connection->send(text, false, std::move(events));
 }
 
-void Soak::ended(Client &client, std::size_t attempt, ExchangeEnd how,
-                 int status) {
+void Soak::ended(Client &client, std::size_t attempt, const Reply &reply) {
   Attempt &it = Seen.Attempts[attempt];
   it.EndedAt = since();
-  it.Status = how == ExchangeEnd::Complete ? status : 0;
-  it.WasConnected = how != ExchangeEnd::NotConnected;
+  it.Status = reply.End == ExchangeEnd::Complete ? reply.Head.Status : 0;
+  it.Named = reply.Body;
+  it.WasConnected = reply.End != ExchangeEnd::NotConnected;
   client.At.reset();
   ++client.Answers;
   bool isIdle = client.IsPausing && pick(3) == 0;
@@ -492,7 +409,7 @@
     if (now >= StoreSoundAt)
       Objects.IsUnavailable = Objects.IsSilent = false;
     for (Ledger &it : Ledgers)
-      stepLedger(it);
+      it.step();
     if (now >= NextClump) {
       NextClump = now + ClumpInterval;
       for (Client &it : Callers)
@@ -515,6 +432,8 @@
       step(it);
   }
   Seen.Length = since();
+  for (const auto &it : Servers)
+    Seen.Connections += static_cast<std::size_t>(it->Connections);
   Callers.clear();
   return std::move(Seen);
 }
--- a/testsuite/soak/soak_run.h
+++ b/testsuite/soak/soak_run.h
@@ -26,6 +26,13 @@
   bool Kills = true;   ///< SIGKILL and a restart, in series too.
   bool BadServers = true; ///< Servers that reset, fail, are slow or full.
   bool StoreTrouble = true;
+  bool LoneServer = true; ///< Spans in which all but one are away or full.
+  /// Shares of the requests that servers refuse at random, of their refusals
+  /// that they copy, and of their other answers that they copy, in percent.
+  std::size_t RefusedPercent = 10;
+  std::size_t CopiedRefusalPercent = 50;
+  std::size_t CopiedAnswerPercent = 5;
+  bool CopiesAtOnce = true; ///< Copies come right behind their answers too.
   /// Program of the entries; empty: the one beside the running program.
   std::filesystem::path Program;
   std::filesystem::path Logs; ///< Where entries write; empty: nowhere.
