Say what the parts of the soak and two test comments mean

Words only: doc comments of the soak's public items, one name for repeated answers in test comments, and that one case of the rank's answers is a guard against what was not reproduced.

--- a/testsuite/direct/foreign_answer_test.cpp
+++ b/testsuite/direct/foreign_answer_test.cpp
@@ -51,7 +51,7 @@
     BOOST_TEST((response.Head.Status == 502 || response.Head.Status == 504));
   }
 
-  // Has a server write \p cut, the beginning of an answer too many, and then
+  // Has a server write \p cut, the beginning of a repeated answer, and then
   // the answer to a booking that it has run, on a kept connection.
   void checkRanAfter(const std::string &cut) {
     Settings.ExtraRetries = 20;
@@ -247,7 +247,7 @@
 }
 
 // Guards against a caller who is told that a booking did not run, or one that
-// runs more than once, because the beginning of an answer too many and the
+// runs more than once, because the beginning of a repeated answer and the
 // answer that is due look like one head.
 BOOST_AUTO_TEST_CASE(refusal_cutInItsReason_provesNothing) {
   checkRanAfter("HTTP/1.1 503 Ser");
--- a/testsuite/direct/rank_copies_test.cpp
+++ b/testsuite/direct/rank_copies_test.cpp
@@ -187,7 +187,8 @@
 }
 
 // Guards against ranks that use different maps in one step, and against groups
-// that are held for good, because agents believe copies of answers.
+// that are held for good, because agents believe copies of answers. Neither has
+// been seen: the case passes without the client's two rules as well.
 BOOST_FIXTURE_TEST_CASE(group_answersCopiedAtRandom_neverMixesMaps,
                         CopyingGroup) {
   startEntry();
--- a/testsuite/soak/judge.h
+++ b/testsuite/soak/judge.h
@@ -129,6 +129,8 @@
   /// of the copy, so that they could be taken for its answer.
   std::size_t Met = 0;
 };
+
+/// Counts the copies of \p record.
 CopyCounts countCopies(const Record &record);
 
 /// Returns the findings of all rules.
--- a/testsuite/soak/ledger.h
+++ b/testsuite/soak/ledger.h
@@ -13,16 +13,15 @@
 
 namespace greengagespar::soak {
 
-/// How a ledger behaves for a while. One that is away has closed its
-/// connections and refuses new ones.
+/// How a ledger behaves for a while.
 enum class LedgerMood {
   Sound,
-  Slow,
-  Fails,
-  ResetsBefore,
-  ResetsAfter,
-  Full,
-  Away
+  Slow,         ///< Works ten times as long.
+  Fails,        ///< Answers its work with a failure.
+  ResetsBefore, ///< Resets the connection of a request that arrives.
+  ResetsAfter,  ///< Works, and resets the connection in place of an answer.
+  Full,         ///< Refuses what arrives.
+  Away          ///< Has closed its connections and refuses new ones.
 };
 
 /// What ledgers use and fill of their run.
@@ -43,7 +42,9 @@
 
   /// Gives the ledger the server whose requests go to arrive().
   void attach(site::FakeServer &server) { Server = &server; }
+  /// Records a request that arrives, and returns what the server does with it.
   site::FakeAnswer arrive(const HttpRequestMessage &request);
+  /// Behaves like \p mood until \p until, and soundly after that.
   void setMood(LedgerMood mood, Clock::time_point until);
   /// Goes on with what is due.
   void step();
