Keep data centres that the operator takes out of service free of new work

The operator's orders lie in the store, one object for each data centre, and nothing read them. An entry whose settings name the time in which such an order has to be in force (out_of_service_ms) follows them by a third long poll and passes them on in its digests, with the version of the store as of which each holds; the latest version counts, so that an old withdrawal never undoes a newer order. Servers of such a data centre get no new work on any path: the pool holds them as it holds leaving servers. If no others are left, calls are refused at once.

--- a/src/direct/digest_messages.cpp
+++ b/src/direct/digest_messages.cpp
@@ -1,5 +1,6 @@
 #include "greengagespar/direct/digest_messages.h"
 
+#include "greengagespar/base/schema.h"
 #include <algorithm>
 #include <cmath>
 
@@ -113,6 +114,30 @@
   return rows;
 }
 
+void writeOrders(const std::vector<OrderRow> &rows, wire::Members &digest) {
+  for (const OrderRow &row : rows) {
+    wire::DataCentreOrder &out = *digest.add_orders();
+    out.set_data_centre(row.DataCentre.Value);
+    out.set_is_out(row.IsOut);
+    out.set_timeline(row.At.Timeline.Value);
+    out.set_revision(row.At.Value);
+  }
+}
+
+std::vector<OrderRow> readOrders(const wire::Members &digest) {
+  std::vector<OrderRow> rows;
+  int count = std::min(digest.orders_size(), static_cast<int>(MaxOrderRows));
+  for (int i = 0; i < count; ++i) {
+    const wire::DataCentreOrder &in = digest.orders(i);
+    if (isIdText(in.data_centre()))
+      rows.push_back(
+          {{in.data_centre()},
+           in.is_out(),
+           ObjectVersion(in.revision(), StoreTimeline{in.timeline()})});
+  }
+  return rows;
+}
+
 void writeStoreNews(const StoreNews &news, wire::Members &digest) {
   if (news.Configuration.Value > 0)
     writeChange(news.Configuration, *digest.mutable_configuration());
--- a/src/direct/digest_messages_test.cpp
+++ b/src/direct/digest_messages_test.cpp
@@ -12,7 +12,7 @@
 struct DigestFixture {
   wire::Members Digest;
 
-  // Returns the size of the largest digest with evidence and limits.
+  // Returns the size of the largest digest with evidence, limits and orders.
   std::size_t fillUp() {
     std::uint64_t n = std::numeric_limits<std::uint64_t>::max();
     for (std::size_t i = 0; i < MaxEvidenceRows; ++i) {
@@ -23,6 +23,10 @@
     }
     std::vector<LimitRow> limits(MaxLimitRows, {{n}, 2.5, 30s, {n}});
     writeLimits(limits, Digest);
+    std::string longest(63, 'x');
+    std::vector<OrderRow> orders(
+        MaxOrderRows, {{longest}, true, ObjectVersion(n, StoreTimeline{n})});
+    writeOrders(orders, Digest);
     return Digest.ByteSizeLong();
   }
 };
@@ -87,6 +91,31 @@
   BOOST_TEST(bytes <= mostBytes);
 }
 
+BOOST_AUTO_TEST_CASE(orders_writtenAndRead_areTheSameUpToTheLimit) {
+  wire::Members digest;
+  std::vector<OrderRow> rows;
+  for (std::uint64_t i = 0; i < MaxOrderRows + 3; ++i)
+    rows.push_back({{std::to_string(i).append("-centre")},
+                    i % 2 == 0,
+                    ObjectVersion(40 + i, StoreTimeline{2})});
+  writeOrders(rows, digest);
+  auto read = readOrders(digest);
+  BOOST_REQUIRE(read.size() == MaxOrderRows);
+  for (std::size_t i = 0; i < read.size(); ++i) {
+    BOOST_TEST(read[i].DataCentre.Value == rows[i].DataCentre.Value);
+    BOOST_TEST(read[i].IsOut == rows[i].IsOut);
+    BOOST_TEST((read[i].At == rows[i].At));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(order_ofNoValidName_isLeftOut) {
+  wire::Members digest;
+  for (const char *name : {"", "a b", "Centre", "a/b"})
+    digest.add_orders()->set_data_centre(name);
+  digest.add_orders()->set_data_centre(std::string(64, 'a'));
+  BOOST_TEST(readOrders(digest).empty());
+}
+
 BOOST_AUTO_TEST_CASE(notices_writtenAndRead_areTheSameUpToTheLimit) {
   wire::Members digest;
   std::vector<NoticeRow> rows;
--- a/src/direct/direct_entry.cpp
+++ b/src/direct/direct_entry.cpp
@@ -91,7 +91,8 @@
               onConfiguration(it);
             },
             [this](const ServerChanges &it) { onServers(it); },
-            [this] { return pollSlot(); }}),
+            [this] { return pollSlot(); },
+            [this](const OrderReport &it) { onOrders(it); }}),
       Peers(loop, context, Self, viewOf(settings), peerHooks(),
             partnerLimits()),
       Pulls(loop,
@@ -192,6 +193,35 @@
   Peers.announceNews();
 }
 
+void DirectEntry::onOrders(const OrderReport &report) {
+  if (!recordStoreOrders(Shared, report, Clock::now()))
+    return;
+  applyNotices();
+  Peers.announce();
+}
+
+// Whether a server or an entry of \p dataCentre is known.
+bool DirectEntry::knowsDataCentre(const DataCentreId &dataCentre) const {
+  return std::ranges::any_of(Peers.view().Members,
+                             [&](const auto &it) {
+                               return it.second.Row.DataCentre == dataCentre;
+                             }) ||
+         std::ranges::any_of(Pools, [&](const auto &it) {
+           return it.second->hasServersIn(dataCentre);
+         });
+}
+
+// Applies the setting that says whether there are orders to take data centres
+// out of service. Without it, those that are known end.
+void DirectEntry::followOrders() {
+  Shared.Orders.IsOn = Settings.OutOfServiceTime > milliseconds::zero();
+  Site.setOutOfServiceTime(Settings.OutOfServiceTime);
+  if (Shared.Orders.IsOn)
+    return;
+  Shared.Orders.DataCentres.clear();
+  applyNotices();
+}
+
 void DirectEntry::applyNotices() {
   for (auto &[service, pool] : Pools)
     pool->applyNotices();
@@ -287,6 +317,7 @@
   StartedAt = Clock::now();
   Site.setRegistrationHeartbeat(Settings.RegistrationHeartbeat);
   Site.setChangeTime(Settings.ChangeTime);
+  followOrders();
   BOOST_LEAF_CHECK(RequestListener.listen(Settings.Listen));
   BOOST_LEAF_CHECK(ReadyListener.listen(Settings.Ready));
   MetricsExporter.listen(Settings.Metrics);
@@ -310,8 +341,10 @@
   Settings.ExtraRetries = settings.ExtraRetries;
   Settings.RetryWindow = settings.RetryWindow;
   Settings.Peers = settings.Peers;
+  Settings.OutOfServiceTime = settings.OutOfServiceTime;
   Site.setRegistrationHeartbeat(settings.RegistrationHeartbeat);
   Site.setChangeTime(settings.ChangeTime);
+  followOrders();
   Peers.addSeeds(settings.Peers);
   shareRetries();
   logInfo(Part::Entry, "reload");
@@ -388,6 +421,11 @@
   expireLimits(Shared.Limits, now);
   if (expireNotices(Shared.Notices, now))
     applyNotices();
+  if (endOrders(Shared, now))
+    applyNotices();
+  logUnknownOrders(
+      Shared, [this](const DataCentreId &it) { return knowsDataCentre(it); },
+      now);
   shareLimits(now);
   shareRetries();
   bool isWaiting = LeavingSince.has_value();
@@ -413,8 +451,8 @@
 ServerPool &DirectEntry::poolOf(const ServiceId &service) {
   auto &pool = Pools[service];
   if (!pool) {
-    pool =
-        std::make_unique<ServerPool>(Loop, service, Shared.Notices, Random());
+    pool = std::make_unique<ServerPool>(Loop, service, Shared.Notices,
+                                        Shared.Orders, Random());
     shareRetries();
   }
   return *pool;
--- a/src/direct/direct_settings.cpp
+++ b/src/direct/direct_settings.cpp
@@ -60,6 +60,10 @@
       field("log_lines_per_second", &S::LogLinesPerSecond,
             wholeNumber("lines", {1, 100000}), optional,
             "Most log lines in a second; more are counted and left out."),
+      field("out_of_service_ms", &S::OutOfServiceTime,
+            duration("milliseconds", 1, {0, 600000}), optional,
+            "Time in which an order to take a data centre out of service has "
+            "to be in force; 0: there are no such orders."),
   }};
 }
 
--- a/src/direct/server_pool.cpp
+++ b/src/direct/server_pool.cpp
@@ -29,6 +29,10 @@
 // last for some seconds, and a broken group forms again within a few.
 constexpr std::chrono::milliseconds StreamRetryAfter{1500};
 
+// Time after which the caller of a service may try again whose servers are all
+// in data centres out of service: servers may register elsewhere within it.
+constexpr std::chrono::milliseconds OutageRetryAfter{1000};
+
 ChoiceOptions choiceOptions() {
   ChoiceOptions options;
   options.Draws = CompareAll;
@@ -49,11 +53,18 @@
           std::chrono::ceil<std::chrono::milliseconds>(left), Ran::No};
 }
 
+// Returns the refusal for calls while all servers are out of service.
+Refusal refusalOfOutage() {
+  return {ErrorKind::Overloaded, OutageRetryAfter, Ran::No};
+}
+
 } // namespace
 
 ServerPool::ServerPool(event_base *loop, ServiceId service,
-                       const ServerNotices &notices, std::uint64_t seed)
-    : Loop(loop), Service(std::move(service)), Notices(notices), Random(seed) {
+                       const ServerNotices &notices, const OutOfService &orders,
+                       std::uint64_t seed)
+    : Loop(loop), Service(std::move(service)), Notices(notices), Orders(orders),
+      Random(seed) {
   AdmissionControl.Options = admissionOptions();
   Retries.Tokens = 0;
   Retries.HasPart = false;
@@ -91,12 +102,21 @@
   startWaiting(Clock::now());
 }
 
-// Whether \p server gets no new work: it leaves, is gone, or its group is
-// broken.
+// Whether \p server gets no new work: it leaves, is gone, its group is broken,
+// or its data centre is out of service.
 bool ServerPool::takesNoWork(const KeptConnections &server) const {
   return server.Record.Leaving ||
          BrokenGroupReportedAt.contains(server.Record.Id) ||
-         hasNotice(Notices, server.Incarnation);
+         hasNotice(Notices, server.Incarnation) ||
+         isOutOfService(Orders, server.Record.DataCentre);
+}
+
+// Whether no server takes work and one of them only because its data centre is
+// out of service, which may last: calls then wait for nothing.
+bool ServerPool::areLastServersOut() const {
+  return !hasServers() && std::ranges::any_of(Views, [&](const auto &view) {
+    return isOutOfService(Orders, view.Target.DataCentre);
+  });
 }
 
 void ServerPool::applyNotices() {
@@ -108,6 +128,13 @@
   }
   if (isChanged)
     updateStreamLimit();
+  refuseIfOut();
+}
+
+// Refuses the calls that wait if no server is left because of an order.
+void ServerPool::refuseIfOut() {
+  if (!Waiting.empty() && areLastServersOut())
+    refuseWaiting(refusalOf(refusalOfOutage()));
 }
 
 // Returns \p why; for a model group, with a RetryAfter of at least
@@ -270,6 +297,12 @@
       Views, [](const EndpointView &view) { return !view.Target.Leaving; });
 }
 
+bool ServerPool::hasServersIn(const DataCentreId &dataCentre) const {
+  return std::ranges::any_of(Views, [&](const EndpointView &view) {
+    return view.Target.DataCentre == dataCentre;
+  });
+}
+
 void ServerPool::submit(PoolCall call) {
   auto now = Clock::now();
   recordDemand(Demand, now);
@@ -277,6 +310,8 @@
   endPauses(Views, now);
   if (auto left = timeToFirstPauseEnd(Views, now))
     return call.OnRefused(refusalOfPause(*left));
+  if (areLastServersOut())
+    return call.OnRefused(refusalOf(refusalOfOutage()));
   ArrivingCall arriving;
   arriving.Id = call.Id;
   arriving.Workspace = call.Workspace;
@@ -413,6 +448,7 @@
       expired.push_back(id);
   for (const ServerId &id : expired)
     recordGroupOpen(id, true);
+  refuseIfOut();
   for (const RefusedCall &it : expire(AdmissionControl, capacity(), now))
     if (auto node = Waiting.extract(it.Call.Id))
       node.mapped().OnRefused(refusalOf(it.Reason));
--- a/src/direct/shared_state.cpp
+++ b/src/direct/shared_state.cpp
@@ -14,6 +14,33 @@
 // freeze or a cut that ends again.
 constexpr std::chrono::milliseconds ShareHoldTime{8000};
 
+void logOrder(const OrderChange &change) {
+  const DataCentreOrder &it = change.Order;
+  LogLine line(it.IsOut ? "data_centre_out" : "data_centre_back");
+  line.add("data_centre", change.DataCentre.Value);
+  line.add("from", it.Source == OrderSource::Store ? "store" : "peer");
+  line.add("timeline", static_cast<std::int64_t>(it.At.Timeline.Value));
+  line.add("revision", static_cast<std::int64_t>(it.At.Value));
+  logInfo(Part::Route, line.text());
+}
+
+bool logOrders(const std::vector<OrderChange> &changes) {
+  for (const OrderChange &it : changes)
+    logOrder(it);
+  return !changes.empty();
+}
+
+// Logs each order that the store doesn't hold any more and that stays in force
+// for a time.
+void logHeldOrders(const OutOfService &orders, const OrderReport &report) {
+  for (const auto &[id, it] : orders.DataCentres)
+    if (report.IsSnapshot && it.EndsAt)
+      logWarning(Part::Route, LogLine("data_centre_order_lost")
+                                  .add("data_centre", id.Value)
+                                  .addMs("held_ms", orders.HoldAfterRestore)
+                                  .text());
+}
+
 } // namespace
 
 void writeShared(SharedState &state, wire::Members &digest,
@@ -22,6 +49,7 @@
                 digest);
   writeLimits(takeLimitRows(state.Limits, MaxLimitRows, now), digest);
   writeNotices(noticeRows(state.Notices, MaxNoticeRows, now), digest);
+  writeOrders(orderRows(state.Orders, MaxOrderRows), digest);
 }
 
 bool mergeShared(SharedState &state, const wire::Members &digest,
@@ -33,6 +61,11 @@
     isNews = mergeLimit(state.Limits, it, now) || isNews;
   for (const NoticeRow &it : readNotices(digest))
     isNews = mergeNotice(state.Notices, it, now) || isNews;
+  for (const OrderRow &it : readOrders(digest))
+    if (auto change = mergeOrder(state.Orders, it, now)) {
+      logOrder(*change);
+      isNews = true;
+    }
   return isNews;
 }
 
@@ -67,6 +100,26 @@
   return true;
 }
 
+bool recordStoreOrders(SharedState &state, const OrderReport &report,
+                       Clock::time_point now) {
+  bool isChanged = logOrders(recordOrders(state.Orders, report, now));
+  logHeldOrders(state.Orders, report);
+  return isChanged;
+}
+
+bool endOrders(SharedState &state, Clock::time_point now) {
+  return logOrders(expireOrders(state.Orders, now));
+}
+
+void logUnknownOrders(SharedState &state,
+                      const std::function<bool(const DataCentreId &)> &isKnown,
+                      Clock::time_point now) {
+  for (const DataCentreId &it : takeUnknown(state.Orders, isKnown, now))
+    logWarning(
+        Part::Route,
+        LogLine("data_centre_unknown").add("data_centre", it.Value).text());
+}
+
 bool isTrialEntry(const MemberView &members, PromptPartId part) {
   std::vector<Address> entries;
   for (const auto &[address, it] : members.Members)
@@ -121,6 +174,8 @@
            static_cast<double>(blockedParts(state.Guard.Evidence, now)));
   setGauge(counters, {"greengagespar_server_notices"},
            static_cast<double>(state.Notices.Servers.size()));
+  setGauge(counters, {"greengagespar_data_centres_out"},
+           static_cast<double>(countOutOfService(state.Orders)));
   auto limited = std::ranges::count_if(state.Limits.Servers, [](auto &it) {
     return it.second.PerSecond.has_value();
   });
--- a/src/direct/site_follower.cpp
+++ b/src/direct/site_follower.cpp
@@ -2,6 +2,7 @@
 
 #include "greengagespar/base/log.h"
 #include "greengagespar/base/log_output.h"
+#include "greengagespar/base/schema.h"
 #include <boost/json.hpp>
 
 namespace greengagespar {
@@ -58,11 +59,18 @@
   return options;
 }
 
-// Returns the id of the server whose registration has \p path.
-ServerId idOf(const std::string &path) {
-  return {path.substr(path.rfind('/') + 1)};
+PollSpread spreadFor(milliseconds changeTime) {
+  return {MaxPollWait,
+          std::chrono::duration_cast<milliseconds>(changeTime * PollGapShare)};
+}
+
+std::string nameOf(const std::string &path) {
+  return path.substr(path.rfind('/') + 1);
 }
 
+// Returns the id of the server whose registration has \p path.
+ServerId idOf(const std::string &path) { return {nameOf(path)}; }
+
 } // namespace
 
 SiteFollower::SiteFollower(event_base *loop, const Address &store,
@@ -77,17 +85,29 @@
       Servers(
           loop, Client, watchOptions(dialect.ServersPrefix, Hooks), seed + 1,
           [this](const PrefixChange &it) { onServers(it); },
+          [this](const Error &e) { onStoreUnavailable(e); }),
+      Orders(
+          loop, Client, watchOptions(dialect.OutOfServicePrefix, Hooks),
+          seed + 2, [this](const PrefixChange &it) { onOrders(it); },
           [this](const Error &e) { onStoreUnavailable(e); }) {
   Client.onRestore([this](StoreTimeline before) { onStoreRestored(before); });
 }
 
 void SiteFollower::setChangeTime(milliseconds time) {
-  PollSpread spread{MaxPollWait, std::chrono::duration_cast<milliseconds>(
-                                     time * PollGapShare)};
+  PollSpread spread = spreadFor(time);
   Configurations.setSpread(spread);
   Servers.setSpread(spread);
 }
 
+void SiteFollower::setOutOfServiceTime(milliseconds time) {
+  FollowsOrders = time > milliseconds::zero();
+  Orders.setSpread(spreadFor(time));
+  if (FollowsOrders && IsStarted)
+    Orders.start();
+  else if (!FollowsOrders)
+    Orders.stop();
+}
+
 StoreNews SiteFollower::news(Clock::time_point now) const {
   auto recent = [now](const PrefixWatch &watch) {
     bool isRecent = now - watch.lastChangeAt() <= NewsAge;
@@ -106,6 +126,10 @@
 }
 
 void SiteFollower::start() {
+  IsStarted = true;
+  // First, so that a starting entry knows its servers' state when they come.
+  if (FollowsOrders)
+    Orders.start();
   Configurations.start();
   Servers.start();
 }
@@ -253,6 +277,23 @@
   HasServers = HasServers || change.IsSnapshot;
 }
 
+void SiteFollower::onOrders(const PrefixChange &change) {
+  onStoreAnswered();
+  logUnreadable(change.Unreadable);
+  OrderReport orders;
+  orders.IsSnapshot = change.IsSnapshot;
+  orders.At = change.Revision;
+  for (const Object &it : change.Objects)
+    if (std::string name = nameOf(it.Path); isIdText(name))
+      orders.InForce[{std::move(name)}] = it.Version;
+    else
+      logUnreadable({"out of service: no name of a data centre: " + it.Path});
+  for (const std::string &path : change.Deleted)
+    orders.Withdrawn.insert({nameOf(path)});
+  if (Hooks.OnOrders)
+    Hooks.OnOrders(orders);
+}
+
 void SiteFollower::report(const ServerChanges &changes) {
   for (const ServerRecord &it : changes.Updated)
     logInfo(Part::Host, LogLine("server")
--- a/src/include/greengagespar/direct/digest_messages.h
+++ b/src/include/greengagespar/direct/digest_messages.h
@@ -1,8 +1,8 @@
 /// \file
 /// Converts what entries add to their digests to and from messages: evidence
-/// about parts of prompts, rate limits of servers, notices about servers and
-/// changes in the store.
-/// Pure functions; thread safe.
+/// about parts of prompts, rate limits of servers, notices about servers,
+/// orders about data centres and changes in the store. Pure functions; thread
+/// safe.
 #ifndef GREENGAGESPAR_DIRECT_DIGEST_MESSAGES_H
 #define GREENGAGESPAR_DIRECT_DIGEST_MESSAGES_H
 
@@ -25,6 +25,9 @@
 /// Most notices in one digest. A row takes at most 17 bytes.
 inline constexpr std::size_t MaxNoticeRows = 32;
 
+/// Most orders about data centres in one digest. A row takes at most 91 bytes.
+inline constexpr std::size_t MaxOrderRows = 8;
+
 /// Adds \p rows to \p digest.
 void writeEvidence(const std::vector<EvidenceRow> &rows, wire::Members &digest);
 
@@ -46,6 +49,13 @@
 /// Reads the first MaxNoticeRows notices of \p digest.
 std::vector<NoticeRow> readNotices(const wire::Members &digest);
 
+/// Adds \p rows to \p digest.
+void writeOrders(const std::vector<OrderRow> &rows, wire::Members &digest);
+
+/// Reads the first MaxOrderRows orders of \p digest and leaves out those whose
+/// data centre has no valid name.
+std::vector<OrderRow> readOrders(const wire::Members &digest);
+
 /// Adds the revisions of \p news that are not 0 to \p digest.
 void writeStoreNews(const StoreNews &news, wire::Members &digest);
 
--- a/src/include/greengagespar/direct/direct_entry.h
+++ b/src/include/greengagespar/direct/direct_entry.h
@@ -63,6 +63,9 @@
   void onNotice(const ServerRecord &server, NoticeKind kind,
                 std::string_view requestId);
   void applyNotices();
+  void onOrders(const OrderReport &report);
+  void followOrders();
+  bool knowsDataCentre(const DataCentreId &dataCentre) const;
   void shareLimits(Clock::time_point now);
   void pullFrom(const Address &peer, Generation at);
   bool isReady() const;
--- a/src/include/greengagespar/direct/direct_settings.h
+++ b/src/include/greengagespar/direct/direct_settings.h
@@ -34,6 +34,9 @@
   /// Time in which a change in the store has to be in force.
   std::chrono::milliseconds ChangeTime{2000};
   int LogLinesPerSecond = 400; ///< Further lines are counted and left out.
+  /// Time in which the operator's order to take a data centre out of service
+  /// has to be in force; zero: there are no such orders.
+  std::chrono::milliseconds OutOfServiceTime{0};
 };
 
 /// Returns the schema of the settings file. Thread safe.
--- a/src/include/greengagespar/direct/server_pool.h
+++ b/src/include/greengagespar/direct/server_pool.h
@@ -7,6 +7,7 @@
 #ifndef GREENGAGESPAR_DIRECT_SERVER_POOL_H
 #define GREENGAGESPAR_DIRECT_SERVER_POOL_H
 
+#include "greengagespar/direct/out_of_service.h"
 #include "greengagespar/direct/site.h"
 #include "greengagespar/http/client.h"
 #include "greengagespar/report/metrics.h"
@@ -50,9 +51,9 @@
 /// The servers of one service and its waiting calls.
 class ServerPool {
 public:
-  /// Precondition: \p loop and \p notices outlive the pool.
+  /// Precondition: \p loop, \p notices and \p orders outlive the pool.
   ServerPool(event_base *loop, ServiceId service, const ServerNotices &notices,
-             std::uint64_t seed);
+             const OutOfService &orders, std::uint64_t seed);
 
   /// Applies what the operator declares about the service.
   void configure(const Backend &backend);
@@ -83,7 +84,8 @@
   /// those that wait.
   void pauseServer(const ServerRecord &server, std::chrono::milliseconds time,
                    std::string_view requestId);
-  /// Applies the notices about servers; call it after a change of them.
+  /// Applies the notices about servers and the orders about data centres; call
+  /// it after a change of them.
   void applyNotices();
   /// Sets this entry's parts of the servers' rate limits \p limits, which the
   /// entries \p sharers share. Precondition: the entry \p self is one of them.
@@ -115,6 +117,8 @@
   std::size_t waiting() const { return AdmissionControl.Queue.Calls.size(); }
   /// Whether any server accepts work.
   bool hasServers() const;
+  /// Whether any server runs in \p dataCentre.
+  bool hasServersIn(const DataCentreId &dataCentre) const;
   /// Sets the gauges about this pool.
   void recordMetrics(Metrics &counters) const;
 
@@ -133,6 +137,8 @@
   Refusal refusalOf(const Refusal &why) const;
   bool hasRoom(Clock::time_point now) const;
   bool takesNoWork(const KeptConnections &server) const;
+  bool areLastServersOut() const;
+  void refuseIfOut();
   void updateStreamLimit();
   void updateRates(Clock::time_point now);
   void refuseWaiting(const Refusal &why);
@@ -146,6 +152,7 @@
   event_base *Loop;
   ServiceId Service;
   const ServerNotices &Notices;
+  const OutOfService &Orders;
   Backend Declared;
   std::vector<EndpointView> Views;
   std::map<ServerId, KeptConnections> Servers;
--- a/src/include/greengagespar/direct/shared_state.h
+++ b/src/include/greengagespar/direct/shared_state.h
@@ -1,11 +1,12 @@
 /// \file
 /// What entries learn from each other beside membership and settings: evidence
-/// about parts of prompts that crash servers, rate limits of servers, and
-/// notices about servers. All travel in the digests of the membership. Not
-/// thread safe: belongs to the thread of its loop.
+/// about parts of prompts that crash servers, rate limits of servers, notices
+/// about servers, and orders about data centres. All travel in the digests of
+/// the membership. Not thread safe: belongs to the thread of its loop.
 #ifndef GREENGAGESPAR_DIRECT_SHARED_STATE_H
 #define GREENGAGESPAR_DIRECT_SHARED_STATE_H
 
+#include "greengagespar/direct/out_of_service.h"
 #include "greengagespar/direct/part_guard.h"
 #include "greengagespar/host/member.h"
 #include "greengagespar/link/link.pb.h"
@@ -21,6 +22,7 @@
   RateLimits Limits;
   ServerNotices Notices;
   std::uint64_t NextObservation = 0;
+  OutOfService Orders;
 };
 
 /// Adds \p state to a digest for another entry.
@@ -45,6 +47,21 @@
                         NoticeKind kind, std::string_view requestId,
                         Clock::time_point now);
 
+/// Records and logs what the store reports about data centres out of service.
+/// Returns whether it changes which servers get new work.
+bool recordStoreOrders(SharedState &state, const OrderReport &report,
+                       Clock::time_point now);
+
+/// Ends orders whose time is over, and logs them. Returns whether there were
+/// any.
+bool endOrders(SharedState &state, Clock::time_point now);
+
+/// Logs the data centres out of service that \p isKnown doesn't know; see
+/// takeUnknown().
+void logUnknownOrders(SharedState &state,
+                      const std::function<bool(const DataCentreId &)> &isKnown,
+                      Clock::time_point now);
+
 /// Whether this entry is the one of all that may try requests with a suspect
 /// \p part: the first in the rendezvous order of the part.
 bool isTrialEntry(const MemberView &members, PromptPartId part);
--- a/src/include/greengagespar/direct/site.h
+++ b/src/include/greengagespar/direct/site.h
@@ -188,6 +188,10 @@
   /// callers may keep them for \p keep.
   std::string (*WriteAddresses)(const std::vector<Address> &entries,
                                 std::chrono::milliseconds keep);
+
+  /// Path prefix of one object for each data centre that the operator has taken
+  /// out of service. The object's name is the data centre's.
+  std::string OutOfServicePrefix;
 };
 
 } // namespace greengagespar
--- a/src/include/greengagespar/direct/site_follower.h
+++ b/src/include/greengagespar/direct/site_follower.h
@@ -1,12 +1,14 @@
 /// \file
 /// Keeps an entry's configuration and servers up to date with the platform's
 /// store, by one long poll for each, and provides both to peers that the store
-/// refuses to serve. Entries tell each other of changes, so that one whose poll
-/// the store has lost does not wait until it ends. Not thread safe: belongs to
-/// the thread of its loop.
+/// refuses to serve. Where the settings call for it, a third long poll follows
+/// the operator's orders to take data centres out of service. Entries tell each
+/// other of changes, so that one whose poll the store has lost does not wait
+/// until it ends. Not thread safe: belongs to the thread of its loop.
 #ifndef GREENGAGESPAR_DIRECT_SITE_FOLLOWER_H
 #define GREENGAGESPAR_DIRECT_SITE_FOLLOWER_H
 
+#include "greengagespar/direct/out_of_service.h"
 #include "greengagespar/direct/route_table.h"
 #include "greengagespar/direct/server_table.h"
 #include "greengagespar/store/prefix_watch.h"
@@ -23,6 +25,9 @@
   /// Returns the place of this entry among those that follow the store; empty:
   /// it is the only one.
   std::function<PollSlot()> Slot = {};
+  /// The store has told which data centres are out of service, or that nothing
+  /// about them has changed.
+  std::function<void(const OrderReport &)> OnOrders = {};
 };
 
 /// The last changes that an entry has received from the store, as it tells the
@@ -52,6 +57,10 @@
   /// often an entry asks a store that reports no changes.
   void setChangeTime(std::chrono::milliseconds time);
 
+  /// Sets the time in which an order to take a data centre out of service has
+  /// to be in force; zero: such orders are not followed, which costs no call.
+  void setOutOfServiceTime(std::chrono::milliseconds time);
+
   /// Returns the changes of the last seconds, for the other entries.
   StoreNews news(Clock::time_point now) const;
   /// Asks the store again if it does not report \p news of another entry soon.
@@ -91,6 +100,7 @@
                           std::string_view source);
   void onConfiguration(const PrefixChange &change);
   void onServers(const PrefixChange &change);
+  void onOrders(const PrefixChange &change);
   std::vector<ServerRecord> readServers(const std::vector<Object> &objects);
   void report(const ServerChanges &changes);
   void logUnreadable(const std::vector<std::string> &entries);
@@ -112,6 +122,9 @@
   std::optional<Clock::time_point> UnavailableSince;
   std::optional<Clock::time_point> AnsweredAt; ///< Of the store's last answer.
   std::set<std::string> LoggedUnreadable;      ///< To log each entry once.
+  PrefixWatch Orders; ///< Runs only if the settings call for it.
+  bool FollowsOrders = false;
+  bool IsStarted = false;
 };
 
 } // namespace greengagespar
