--- a/src/direct/server_table.cpp
+++ b/src/direct/server_table.cpp
@@ -10,7 +10,8 @@
 
 bool isSame(const ServerRecord &a, const ServerRecord &b) {
   return a.Service == b.Service && a.At == b.At && a.Leaving == b.Leaving &&
-         a.Slots == b.Slots && a.StartedMs == b.StartedMs;
+         a.Slots == b.Slots && a.StartedMs == b.StartedMs &&
+         a.DataCentre == b.DataCentre;
 }
 
 // Removes a server from the table and remembers that it has left.
--- a/src/direct/server_table_test.cpp
+++ b/src/direct/server_table_test.cpp
@@ -39,6 +39,15 @@
   BOOST_TEST(!has("s1"));
 }
 
+// A server counts as one of the data centre that it last registered with.
+BOOST_AUTO_TEST_CASE(registration_withOtherDataCentre_isReported) {
+  ServerRecord moved = record("s1", false);
+  moved.DataCentre = {"north"};
+  auto updated = recordRegistrations(Table, {moved}).Updated;
+  BOOST_REQUIRE(updated.size() == 1U);
+  BOOST_TEST(updated[0].DataCentre.Value == "north");
+}
+
 BOOST_AUTO_TEST_CASE(registration_expiredInOutage_isKeptForReregistrationTime) {
   recordStoreUnavailable(Table);
   recordStoreAnswer(Table, Now);
--- a/testsuite/direct/site.cpp
+++ b/testsuite/direct/site.cpp
@@ -139,16 +139,17 @@
 
 void FakeStore::onCall(const HttpRequestMessage &request,
                        const std::shared_ptr<HttpReply> &reply) {
+  std::string target = request.Head.Target;
+  std::string path = target.substr(0, target.find('?'));
+  std::string kind = path.substr(path.rfind('/') + 1);
   ++Calls;
+  ++CallsByKind[kind];
   if (IsSilent) {
     Lost.push_back(reply);
     return;
   }
   if (IsUnavailable)
     return answer(reply, 503, {});
-  std::string target = request.Head.Target;
-  std::string path = target.substr(0, target.find('?'));
-  std::string kind = path.substr(path.rfind('/') + 1);
   std::size_t watch = target.find("watch=");
   if (watch == std::string::npos) {
     json::array items;
@@ -311,7 +312,7 @@
 json::object FakeServer::entry(const std::string &service,
                                const std::string &state) const {
   json::object spec{{"service", service},   {"address", At.Value},
-                    {"zone", "z"},          {"version", "v1"},
+                    {"zone", DataCentre},   {"version", "v1"},
                     {"slots", 12},          {"state", state},
                     {"coldRemainingMs", 0}, {"sequence", 1}};
   if (StartedMs > 0)
@@ -425,10 +426,12 @@
 }
 
 FakeServer &SiteFixture::addServer(const std::string &service,
-                                   FakeServer::Script script) {
+                                   FakeServer::Script script,
+                                   const std::string &dataCentre) {
   std::string id = "i-" + std::to_string(Servers.size() + 1);
   Servers.push_back(
       std::make_unique<FakeServer>(Loop.base(), id, std::move(script)));
+  Servers.back()->DataCentre = dataCentre;
   Objects.put("servers", id, Servers.back()->entry(service));
   return *Servers.back();
 }
--- a/testsuite/direct/site.h
+++ b/testsuite/direct/site.h
@@ -52,6 +52,11 @@
   bool StatesTimeline = true;
   const Address &at() const { return At; }
   int calls() const { return Calls; }
+  /// Returns the number of calls about objects of \p kind.
+  int calls(const std::string &kind) const {
+    auto it = CallsByKind.find(kind);
+    return it == CallsByKind.end() ? 0 : it->second;
+  }
 
 private:
   struct Entry {
@@ -99,6 +104,7 @@
   std::vector<std::shared_ptr<HttpReply>> Lost; ///< Never answered.
   Timer PollTimer;
   int Calls = 0;
+  std::map<std::string, int> CallsByKind;
 };
 
 /// What a server does with a request.
@@ -132,7 +138,8 @@
   /// Returns the server's object in the store.
   boost::json::object entry(const std::string &service,
                             const std::string &state = "ready") const;
-  std::uint64_t StartedMs = 0; ///< In the server's object; 0: left out.
+  std::uint64_t StartedMs = 0;  ///< In the server's object; 0: left out.
+  std::string DataCentre = "z"; ///< In the server's object.
 
   std::vector<HttpRequestMessage> Requests;
   Script Respond;
@@ -214,8 +221,9 @@
 
   /// Returns the configuration object with \p version.
   boost::json::object configuration(int version) const;
-  /// Starts a server of \p service and adds it to the store.
-  FakeServer &addServer(const std::string &service, FakeServer::Script script);
+  /// Starts a server of \p service in \p dataCentre and adds it to the store.
+  FakeServer &addServer(const std::string &service, FakeServer::Script script,
+                        const std::string &dataCentre = "z");
   /// Starts the entry and waits until it is ready. Throws if it can't start.
   void startEntry();
   /// Runs the loop until \p done returns true. Returns false if that takes more
