Take data centres out of service in the soak, and judge it

Each server has a data centre of its own; the operator takes one after the other out. OUTAGE: a request reaches a server that has been out of service for longer than the bound, from an entry that was calm, as was the store.

--- a/testsuite/soak/judge.cpp
+++ b/testsuite/soak/judge.cpp
@@ -99,6 +99,23 @@
                              [](auto *it) { return it->ServerBroke; });
 }
 
+// Whether the store was not disturbed in the stable window before \p at.
+bool isStoreCalm(const Record &record, Time at) {
+  return std::ranges::none_of(record.StoreTroubles, [&](const auto &it) {
+    return it.From <= at && it.To >= at - record.Limits.StableWindow;
+  });
+}
+
+// Whether the data centre of the server had been out of service for longer than
+// the bound when \p arrival came.
+bool isOutOfService(const Record &record, const Arrival &arrival) {
+  return std::ranges::any_of(record.Outages, [&](const Outage &it) {
+    return it.Server == arrival.Server &&
+           arrival.At > it.From + record.Limits.OutOfServiceTime &&
+           (!it.To || arrival.At < *it.To);
+  });
+}
+
 } // namespace
 
 std::vector<Finding> judgeRefused(const Record &record) {
@@ -208,6 +225,24 @@
   return lost;
 }
 
+std::vector<Finding> judgeOutages(const Record &record) {
+  std::vector<Finding> findings;
+  std::map<std::string, std::size_t> entryOf;
+  for (const Attempt &it : record.Attempts)
+    entryOf[it.Id] = it.Entry;
+  for (const Arrival &it : record.Arrivals) {
+    auto entry = entryOf.find(it.Id);
+    bool isInTouch = entry != entryOf.end() && isStoreCalm(record, it.At) &&
+                     !isDisturbed(record, entry->second, it.At, it.At, false);
+    if (isInTouch && isOutOfService(record, it))
+      findings.push_back({"OUTAGE", it.Id + " reached server " +
+                                        std::to_string(it.Server) + " at " +
+                                        std::to_string(it.At.count()) +
+                                        " ms, out of service"});
+  }
+  return findings;
+}
+
 std::size_t cutAroundPlannedWork(const Record &record) {
   return static_cast<std::size_t>(
       std::ranges::count_if(record.Attempts, [&](const Attempt &it) {
@@ -241,7 +276,7 @@
 std::vector<Finding> judge(const Record &record) {
   std::vector<Finding> all;
   for (auto *rule : {judgeRefused, judgeTwice, judgeMixed, judgeBudget,
-                     judgeLost, judgeLostAroundPlannedWork}) {
+                     judgeLost, judgeLostAroundPlannedWork, judgeOutages}) {
     auto findings = rule(record);
     all.insert(all.end(), findings.begin(), findings.end());
   }
--- a/testsuite/soak/judge.h
+++ b/testsuite/soak/judge.h
@@ -59,6 +59,20 @@
   Time To{0};
 };
 
+/// A time in which the operator had taken a server's data centre out of
+/// service.
+struct Outage {
+  std::size_t Server = 0;
+  Time From{0};           ///< When the store acknowledged the order.
+  std::optional<Time> To; ///< When it was withdrawn; empty: not in the run.
+};
+
+/// A time in which the store refused calls or was silent.
+struct StoreTrouble {
+  Time From{0};
+  Time To{0};
+};
+
 /// The bounds of a site, by the names that its sheet gives them.
 struct Bounds {
   double RetryShare = 0.2;
@@ -68,6 +82,7 @@
   Time Grace{8000};
   Time LossSlack{200};
   Time ConfigTime{2000};
+  Time OutOfServiceTime{3000}; ///< For an order to be in force.
 };
 
 /// All that a run has recorded.
@@ -79,6 +94,8 @@
   std::size_t Connections = 0; ///< That entries opened to servers.
   std::vector<Disruption> Disruptions;
   Time Length{0};
+  std::vector<Outage> Outages = {};
+  std::vector<StoreTrouble> StoreTroubles = {};
 };
 
 /// What broke a rule: its name, and ids or figures.
@@ -114,6 +131,11 @@
 /// passed on, or later than the slack after its last byte.
 std::vector<Finding> judgeLostAroundPlannedWork(const Record &record);
 
+/// OUTAGE: an entry in touch sent a request that reached a server whose data
+/// centre had been out of service for longer than the bound. An entry is in
+/// touch if neither it nor the store was disturbed in the stable window before.
+std::vector<Finding> judgeOutages(const Record &record);
+
 /// Returns the attempts that callers lost around planned work without
 /// unplanned disruption, whether or not they were read. No rule bounds their
 /// number.
--- a/testsuite/soak/judge_test.cpp
+++ b/testsuite/soak/judge_test.cpp
@@ -151,4 +151,30 @@
   BOOST_TEST(countCopies(Run).Met == 1U);
 }
 
+// An arrival 10005 ms after the start of the run.
+BOOST_AUTO_TEST_CASE(arrival_atServerOutOfService_breaksTheRuleBeyondTheBound) {
+  Run.Outages.push_back({0, 10005ms - Run.Limits.OutOfServiceTime, {}});
+  BOOST_TEST(!breaks("OUTAGE"));
+  Run.Outages[0].From -= 1ms;
+  BOOST_TEST(breaks("OUTAGE"));
+  Run.Outages[0].To = 10005ms;
+  BOOST_TEST(!breaks("OUTAGE"));
+  Run.Outages[0].To = 10006ms;
+  BOOST_TEST(breaks("OUTAGE"));
+  Run.Outages[0].Server = 1;
+  BOOST_TEST(!breaks("OUTAGE"));
+}
+
+BOOST_AUTO_TEST_CASE(arrival_ofEntryOutOfTouch_breaksNoRule) {
+  Run.Outages.push_back({0, 1000ms, {}});
+  BOOST_TEST(breaks("OUTAGE"));
+  Run.StoreTroubles.push_back({7500ms, 8000ms});
+  BOOST_TEST(!breaks("OUTAGE"));
+  Run.StoreTroubles.clear();
+  Run.Disruptions.push_back({0, DisruptionKind::Freeze, 8000ms, 8500ms});
+  BOOST_TEST(!breaks("OUTAGE"));
+  Run.Disruptions[0].Entry = 1;
+  BOOST_TEST(breaks("OUTAGE"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/testsuite/soak/soak.cpp
+++ b/testsuite/soak/soak.cpp
@@ -23,7 +23,8 @@
             << " refused, " << count([](auto &it) { return it.Status == 0; })
             << " without an answer, " << cutAroundPlannedWork(record)
             << " of them around planned work, " << record.Disruptions.size()
-            << " disruptions, " << findings.size() << " findings\n"
+            << " disruptions, " << record.Outages.size() << " outages, "
+            << findings.size() << " findings\n"
             << "  " << copies.Sent << " copies, " << copies.CameAgain
             << " of them with a request that came to the server again, "
             << copies.Met << " met it on their connection; "
@@ -41,7 +42,7 @@
 
 int main(int argc, char **argv) {
   CLI::App app{"Runs entries as processes under seeded disruptions and judges "
-               "the rules BUDGET, LOST, MIXED, REFUSED and TWICE."};
+               "the rules BUDGET, LOST, MIXED, OUTAGE, REFUSED and TWICE."};
   SoakOptions options;
   std::uint64_t seeds = 1;
   auto seconds = options.Length.count();
@@ -61,6 +62,8 @@
                "A store in trouble");
   app.add_flag("--lone-server,!--no-lone-server", options.LoneServer,
                "Spans with one usable server");
+  app.add_flag("--outages,!--no-outages", options.Outages,
+               "Data centres taken out of service");
   app.add_option("--refused", options.RefusedPercent,
                  "Requests that servers refuse at random, in percent");
   app.add_option("--copied-refusals", options.CopiedRefusalPercent,
--- a/testsuite/soak/soak_run.cpp
+++ b/testsuite/soak/soak_run.cpp
@@ -28,6 +28,13 @@
 // A client leaves this long after its deadline.
 constexpr auto Patience = 300ms;
 constexpr auto ReadyTimeout = 15s;
+// The time between the end of an outage and the next one, and its length.
+constexpr auto MinOutagePause = 500ms;
+constexpr auto MaxOutagePause = 3000ms;
+constexpr auto MinOutage = 2000ms;
+constexpr auto MaxOutage = 8000ms;
+// Added to the seed for the choices of outages.
+constexpr std::uint64_t OutageSeries = 1'000'000;
 // Descriptors below it are the standard ones.
 constexpr unsigned FirstOwnFile = 3;
 
@@ -39,6 +46,9 @@
   return text.append(std::to_string(number));
 }
 
+// The data centre of the server \p number.
+std::string dataCentreOf(std::size_t number) { return numbered("z", number); }
+
 /// An entry as a process, which is started again when it has ended.
 struct EntryProcess {
   DirectSettings Settings;
@@ -92,6 +102,8 @@
 
   void addLedger();
   void leaveOneServer();
+  bool hasOutages() const { return Options.Outages && Options.Ledgers > 1; }
+  void stepOutages();
 
   void step(Client &client);
   void send(Client &client);
@@ -99,6 +111,8 @@
 
   SoakOptions Options;
   Draw Choices;
+  /// Of the orders about data centres, which leave the other series as it is.
+  Draw OutageChoices;
   harness::TempDir Folder;
   Record Seen;
   Clock::time_point StartedAt;
@@ -106,6 +120,7 @@
   std::optional<Clock::time_point> FreezeAt;
   Clock::time_point NextDisruption;
   Clock::time_point StoreSoundAt;
+  Clock::time_point NextOutageStep;
   std::vector<EntryProcess> EntryProcesses;
   std::deque<Ledger> Ledgers;
   std::deque<Client> Callers;
@@ -113,7 +128,8 @@
 };
 
 Soak::Soak(const SoakOptions &options)
-    : Options(options), Choices(options.Seed) {
+    : Options(options), Choices(options.Seed),
+      OutageChoices(options.Seed + OutageSeries) {
   json::object site = configuration(1);
   for (json::value &it : site["services"].as_array())
     it.as_object()["maxConnections"] = 200;
@@ -161,6 +177,8 @@
                         {"retry_share", limits.RetryShare},
                         {"extra_retries", limits.ExtraRetries},
                         {"retry_window_s", limits.RetryWindow.count() / 1000}};
+  if (hasOutages())
+    settings["out_of_service_ms"] = limits.OutOfServiceTime.count();
   harness::writeFile(entry.File, json::serialize(settings));
   harness::Command command;
   command.Program = Options.Program.empty() ? "greengagespar-entry"
@@ -283,7 +301,9 @@
   auto now = Clock::now();
   if (StoreSoundAt > now)
     return;
-  StoreSoundAt = now + within(200ms, 1500ms);
+  auto length = within(200ms, 1500ms);
+  StoreSoundAt = now + length;
+  Seen.StoreTroubles.push_back({since(), since() + length});
   (pick(2) == 0 ? Objects.IsUnavailable : Objects.IsSilent) = true;
 }
 
@@ -293,9 +313,30 @@
   Ledger &ledger = Ledgers.emplace_back(
       LedgerRun{Options, Choices, Seen, [this] { return since(); }},
       Ledgers.size());
-  ledger.attach(addServer("ledger", [&ledger](const auto &request) {
-    return ledger.arrive(request);
-  }));
+  ledger.attach(addServer(
+      "ledger",
+      [&ledger](const auto &request) { return ledger.arrive(request); },
+      dataCentreOf(Ledgers.size() - 1)));
+}
+
+// Takes the data centre of one server out of service, or puts it back, when
+// that is due.
+void Soak::stepOutages() {
+  auto now = Clock::now();
+  if (!hasOutages() || now < NextOutageStep)
+    return;
+  bool isOut = !Seen.Outages.empty() && !Seen.Outages.back().To;
+  if (isOut) {
+    Outage &last = Seen.Outages.back();
+    Objects.remove("evacuations", dataCentreOf(last.Server));
+    last.To = since();
+    NextOutageStep = now + OutageChoices.within(MinOutagePause, MaxOutagePause);
+    return;
+  }
+  std::size_t server = OutageChoices.pick(Ledgers.size());
+  Objects.put("evacuations", dataCentreOf(server), json::object{});
+  Seen.Outages.push_back({server, since(), {}});
+  NextOutageStep = now + OutageChoices.within(MinOutage, MaxOutage);
 }
 
 // Leaves one server for a while: the others are away or full.
@@ -401,11 +442,13 @@
     }
   StartedAt = Clock::now();
   NextDisruption = NextClump = StartedAt + ClumpInterval;
+  NextOutageStep = StartedAt + MinOutagePause;
   auto end = StartedAt + Options.Length;
   while (Clock::now() < end) {
     runFor(StepTime);
     auto now = Clock::now();
     stepEntries();
+    stepOutages();
     if (now >= StoreSoundAt)
       Objects.IsUnavailable = Objects.IsSilent = false;
     for (Ledger &it : Ledgers)
--- a/testsuite/soak/soak_run.h
+++ b/testsuite/soak/soak_run.h
@@ -27,6 +27,9 @@
   bool BadServers = true; ///< Servers that reset, fail, are slow or full.
   bool StoreTrouble = true;
   bool LoneServer = true; ///< Spans in which all but one are away or full.
+  /// Each server has a data centre of its own, and the operator takes one of
+  /// them after the other out of service.
+  bool Outages = true;
   /// Shares of the requests that servers refuse at random, of their refusals
   /// that they copy, and of their other answers that they copy, in percent.
   std::size_t RefusedPercent = 10;
--- a/testsuite/soak/soak_test.cpp
+++ b/testsuite/soak/soak_test.cpp
@@ -7,7 +7,8 @@
 
 BOOST_AUTO_TEST_SUITE(ShortSoak)
 
-// Guards the rules BUDGET, LOST, MIXED, REFUSED and TWICE on real processes.
+// Guards the rules BUDGET, LOST, MIXED, OUTAGE, REFUSED and TWICE on real
+// processes.
 BOOST_AUTO_TEST_CASE(entries_underSeededDisruptions_keepTheRules) {
   for (std::uint64_t seed : {1, 2}) {
     SoakOptions options;
