Ask a lost store for orders seldom, and at once when it is back

Each watch that fails tried the store several times a second, and refused calls have a price as others. The orders' watch leaves that to the two others.

--- a/src/direct/out_of_service.cpp
+++ b/src/direct/out_of_service.cpp
@@ -134,6 +134,7 @@
   });
   all.resize(std::min(all.size(), most));
   std::vector<OrderRow> rows;
+  rows.reserve(all.size());
   for (const auto &[id, it] : all)
     rows.push_back({id, it.IsOut, it.At});
   return rows;
--- a/src/direct/site_follower.cpp
+++ b/src/direct/site_follower.cpp
@@ -4,6 +4,7 @@
 #include "greengagespar/base/log_output.h"
 #include "greengagespar/base/schema.h"
 #include <boost/json.hpp>
+#include <utility>
 
 namespace greengagespar {
 
@@ -36,6 +37,10 @@
 // after 2 s, so the entry has to notice the store's return well within one
 // second.
 constexpr BackoffOptions Retry{milliseconds{200}, milliseconds{800}};
+// The same for the orders about data centres. Another watch finds out that the
+// store answers again, and then this one asks at once: each call has a price,
+// and two watches that try are enough.
+constexpr BackoffOptions OrderRetry{milliseconds{1000}, milliseconds{8000}};
 // Unreadable entries that are remembered so that each is logged once.
 constexpr std::size_t MaxLoggedUnreadable = 256;
 
@@ -49,13 +54,14 @@
 }
 
 PrefixWatchOptions watchOptions(const std::string &prefix,
-                                const SiteFollowerHooks &hooks) {
+                                const SiteFollowerHooks &hooks,
+                                const BackoffOptions &retry = Retry) {
   PrefixWatchOptions options;
   options.Prefix = prefix;
   options.Slot = hooks.Slot;
   options.Pause = PollPause;
   options.Grace = PollGrace;
-  options.Retry = Retry;
+  options.Retry = retry;
   return options;
 }
 
@@ -87,9 +93,13 @@
           [this](const PrefixChange &it) { onServers(it); },
           [this](const Error &e) { onStoreUnavailable(e); }),
       Orders(
-          loop, Client, watchOptions(dialect.OutOfServicePrefix, Hooks),
-          seed + 2, [this](const PrefixChange &it) { onOrders(it); },
-          [this](const Error &e) { onStoreUnavailable(e); }) {
+          loop, Client,
+          watchOptions(dialect.OutOfServicePrefix, Hooks, OrderRetry), seed + 2,
+          [this](const PrefixChange &it) { onOrders(it); },
+          [this](const Error &e) {
+            AreOrdersLost = true;
+            onStoreUnavailable(e);
+          }) {
   Client.onRestore([this](StoreTimeline before) { onStoreRestored(before); });
 }
 
@@ -207,8 +217,18 @@
       });
 }
 
+// Asks for the orders at once if the last call about them has failed. The store
+// has just answered another one.
+void SiteFollower::retryOrders() {
+  if (!std::exchange(AreOrdersLost, false) || !FollowsOrders)
+    return;
+  Orders.stop();
+  Orders.start();
+}
+
 void SiteFollower::onConfiguration(const PrefixChange &change) {
   onStoreAnswered();
+  retryOrders();
   logUnreadable(change.Unreadable);
   for (const Object &it : change.Objects)
     applyConfiguration(it.Value, "store");
@@ -247,6 +267,7 @@
 
 void SiteFollower::onServers(const PrefixChange &change) {
   onStoreAnswered();
+  retryOrders();
   logUnreadable(change.Unreadable);
   auto now = Clock::now();
   std::vector<ServerRecord> records = readServers(change.Objects);
@@ -278,6 +299,7 @@
 }
 
 void SiteFollower::onOrders(const PrefixChange &change) {
+  AreOrdersLost = false;
   onStoreAnswered();
   logUnreadable(change.Unreadable);
   OrderReport orders;
--- a/src/include/greengagespar/direct/site_follower.h
+++ b/src/include/greengagespar/direct/site_follower.h
@@ -101,6 +101,7 @@
   void onConfiguration(const PrefixChange &change);
   void onServers(const PrefixChange &change);
   void onOrders(const PrefixChange &change);
+  void retryOrders();
   std::vector<ServerRecord> readServers(const std::vector<Object> &objects);
   void report(const ServerChanges &changes);
   void logUnreadable(const std::vector<std::string> &entries);
@@ -124,6 +125,7 @@
   std::set<std::string> LoggedUnreadable;      ///< To log each entry once.
   PrefixWatch Orders; ///< Runs only if the settings call for it.
   bool FollowsOrders = false;
+  bool AreOrdersLost = false; ///< The last call about them has failed.
   bool IsStarted = false;
 };
 
--- a/testsuite/direct/out_of_service_test.cpp
+++ b/testsuite/direct/out_of_service_test.cpp
@@ -147,6 +147,21 @@
   BOOST_TEST(isUsed(south));
 }
 
+// The calls about orders pause for seconds while the store is away.
+BOOST_AUTO_TEST_CASE(order_ofWhenStoreWasLost_isInForceAfterItsReturn) {
+  FakeServer &north = addServerIn("north", "ledger");
+  addServerIn("south", "ledger");
+  startEntries(1);
+  Objects.IsUnavailable = true;
+  steps(50ms);
+  takeOut("elsewhere"); // Ends the polls.
+  steps(4000ms);
+  takeOut("north");
+  Objects.IsUnavailable = false;
+  steps(InForceTime);
+  BOOST_TEST(!isUsed(north));
+}
+
 BOOST_AUTO_TEST_CASE(entry_startedMeanwhile_keepsTheOrder) {
   FakeServer &north = addServerIn("north", "ledger");
   addServerIn("south", "ledger");
