--- a/src/direct/site_follower.cpp
+++ b/src/direct/site_follower.cpp
@@ -2,7 +2,9 @@
 
 #include "greengagespar/base/log.h"
 #include "greengagespar/base/log_output.h"
+#include "greengagespar/base/schema.h"
 #include <boost/json.hpp>
+#include <utility>
 
 namespace greengagespar {
 
@@ -35,6 +37,10 @@
 // after 2 s, so the entry has to notice the store's return well within one
 // second.
 constexpr BackoffOptions Retry{milliseconds{200}, milliseconds{800}};
+// The same for the orders about data centres. Another watch finds out that the
+// store answers again, and then this one asks at once: each call has a price,
+// and two watches that try are enough.
+constexpr BackoffOptions OrderRetry{milliseconds{1000}, milliseconds{8000}};
 // Unreadable entries that are remembered so that each is logged once.
 constexpr std::size_t MaxLoggedUnreadable = 256;
 
@@ -48,21 +54,29 @@
 }
 
 PrefixWatchOptions watchOptions(const std::string &prefix,
-                                const SiteFollowerHooks &hooks) {
+                                const SiteFollowerHooks &hooks,
+                                const BackoffOptions &retry = Retry) {
   PrefixWatchOptions options;
   options.Prefix = prefix;
   options.Slot = hooks.Slot;
   options.Pause = PollPause;
   options.Grace = PollGrace;
-  options.Retry = Retry;
+  options.Retry = retry;
   return options;
 }
 
-// Returns the id of the server whose registration has \p path.
-ServerId idOf(const std::string &path) {
-  return {path.substr(path.rfind('/') + 1)};
+PollSpread spreadFor(milliseconds changeTime) {
+  return {MaxPollWait,
+          std::chrono::duration_cast<milliseconds>(changeTime * PollGapShare)};
+}
+
+std::string nameOf(const std::string &path) {
+  return path.substr(path.rfind('/') + 1);
 }
 
+// Returns the id of the server whose registration has \p path.
+ServerId idOf(const std::string &path) { return {nameOf(path)}; }
+
 } // namespace
 
 SiteFollower::SiteFollower(event_base *loop, const Address &store,
@@ -77,17 +91,33 @@
       Servers(
           loop, Client, watchOptions(dialect.ServersPrefix, Hooks), seed + 1,
           [this](const PrefixChange &it) { onServers(it); },
-          [this](const Error &e) { onStoreUnavailable(e); }) {
+          [this](const Error &e) { onStoreUnavailable(e); }),
+      Orders(
+          loop, Client,
+          watchOptions(dialect.OutOfServicePrefix, Hooks, OrderRetry), seed + 2,
+          [this](const PrefixChange &it) { onOrders(it); },
+          [this](const Error &e) {
+            AreOrdersLost = true;
+            onStoreUnavailable(e);
+          }) {
   Client.onRestore([this](StoreTimeline before) { onStoreRestored(before); });
 }
 
 void SiteFollower::setChangeTime(milliseconds time) {
-  PollSpread spread{MaxPollWait, std::chrono::duration_cast<milliseconds>(
-                                     time * PollGapShare)};
+  PollSpread spread = spreadFor(time);
   Configurations.setSpread(spread);
   Servers.setSpread(spread);
 }
 
+void SiteFollower::setOutOfServiceTime(milliseconds time) {
+  FollowsOrders = time > milliseconds::zero();
+  Orders.setSpread(spreadFor(time));
+  if (FollowsOrders && IsStarted)
+    Orders.start();
+  else if (!FollowsOrders)
+    Orders.stop();
+}
+
 StoreNews SiteFollower::news(Clock::time_point now) const {
   auto recent = [now](const PrefixWatch &watch) {
     bool isRecent = now - watch.lastChangeAt() <= NewsAge;
@@ -106,6 +136,10 @@
 }
 
 void SiteFollower::start() {
+  IsStarted = true;
+  // First, so that a starting entry knows its servers' state when they come.
+  if (FollowsOrders)
+    Orders.start();
   Configurations.start();
   Servers.start();
 }
@@ -183,8 +217,18 @@
       });
 }
 
+// Asks for the orders at once if the last call about them has failed. The store
+// has just answered another one.
+void SiteFollower::retryOrders() {
+  if (!std::exchange(AreOrdersLost, false) || !FollowsOrders)
+    return;
+  Orders.stop();
+  Orders.start();
+}
+
 void SiteFollower::onConfiguration(const PrefixChange &change) {
   onStoreAnswered();
+  retryOrders();
   logUnreadable(change.Unreadable);
   for (const Object &it : change.Objects)
     applyConfiguration(it.Value, "store");
@@ -223,6 +267,7 @@
 
 void SiteFollower::onServers(const PrefixChange &change) {
   onStoreAnswered();
+  retryOrders();
   logUnreadable(change.Unreadable);
   auto now = Clock::now();
   std::vector<ServerRecord> records = readServers(change.Objects);
@@ -253,6 +298,24 @@
   HasServers = HasServers || change.IsSnapshot;
 }
 
+void SiteFollower::onOrders(const PrefixChange &change) {
+  AreOrdersLost = false;
+  onStoreAnswered();
+  logUnreadable(change.Unreadable);
+  OrderReport orders;
+  orders.IsSnapshot = change.IsSnapshot;
+  orders.At = change.Revision;
+  for (const Object &it : change.Objects)
+    if (std::string name = nameOf(it.Path); isIdText(name))
+      orders.InForce[{std::move(name)}] = it.Version;
+    else
+      logUnreadable({"out of service: no name of a data centre: " + it.Path});
+  for (const std::string &path : change.Deleted)
+    orders.Withdrawn.insert({nameOf(path)});
+  if (Hooks.OnOrders)
+    Hooks.OnOrders(orders);
+}
+
 void SiteFollower::report(const ServerChanges &changes) {
   for (const ServerRecord &it : changes.Updated)
     logInfo(Part::Host, LogLine("server")
