Give slow ranks of a wide site fewer experts' tokens

Cause: the planner of expert maps counted tokens only. A rank whose server reports that it is slow kept its share, and in each layer all ranks waited for it. The pace came with each rank's state and was not used.

Change: the time of a rank is its tokens times its slowness (group/rank_speed, LoadTable::Slowness); the search may also clear a slot of a slow rank, which fetches nothing. In force on wide sites only, where there are more entries than slots of a server. Log lines rank_slow and rank_sound, gauge greengagespar_slow_ranks.

Measured: module test, one of 32 ranks slow by 8: estimated skew over 4 before, under 1.5 after at most five switches; back under 1.2 when the rank is sound again.

--- a/src/direct/direct_entry.cpp
+++ b/src/direct/direct_entry.cpp
@@ -216,6 +216,7 @@
     return positionAmong(Peers.view(), Self.ProcessIncarnation, takesPart);
   };
   hooks.Entries = [this] { return liveEntries(); };
+  hooks.SiteEntries = [this] { return Peers.view().Members.size(); };
   hooks.OnRankOpen = [this](const Address &agent, bool isOpen) {
     recordRankState(agent, isOpen);
   };
--- a/src/direct/map_coordinator.cpp
+++ b/src/direct/map_coordinator.cpp
@@ -92,6 +92,15 @@
                                                     : std::nullopt;
 }
 
+// Returns the slowness of each rank.
+std::vector<double> slownessOfRanks(const CoordinatedGroup &group) {
+  std::vector<double> slowness;
+  slowness.reserve(group.Ranks.size());
+  for (const KnownRank &it : group.Ranks)
+    slowness.push_back(it.Slowness);
+  return slowness;
+}
+
 // Forgets all but the addresses of the agents.
 void resetRanks(std::vector<KnownRank> &ranks, std::size_t size) {
   ranks.resize(size);
@@ -311,6 +320,7 @@
   rank.LastReceivedAt = now;
   rank.IsOpen = state.open();
   rank.InUse = {state.map()};
+  recordSpeed(state.group(), group, rank, state.pace());
   bool isAlreadyRequested =
       group.SettlementRequestedAt &&
       now - *group.SettlementRequestedAt < SettlementRequestKept;
@@ -363,6 +373,27 @@
       [](const Error &e) { logWarning(Part::Group, e.Message); });
 }
 
+// Records the speed of a rank's server on a wide site. The next plan gives the
+// rank tokens to match.
+void MapCoordinator::recordSpeed(const std::string &name,
+                                 CoordinatedGroup &group, KnownRank &rank,
+                                 double pace) {
+  constexpr RankSpeedLimits limits;
+  bool isWide =
+      Hooks.SiteEntries && isWideSite(group.Engine, Hooks.SiteEntries());
+  double before = rank.Slowness;
+  rank.Slowness = isWide ? slownessFrom(limits, before, pace) : 1;
+  if ((before > 1) == (rank.Slowness > 1))
+    return;
+  logInfo(
+      Part::Group,
+      LogLine(rank.Slowness > 1 ? "rank_slow" : "rank_sound")
+          .add("group", name)
+          .add("rank", static_cast<std::int64_t>(&rank - group.Ranks.data()))
+          .add("pace_x1000", static_cast<std::int64_t>(pace * 1000))
+          .text());
+}
+
 // Logs a refused order. The driver repeats an order that it can't give up, so
 // that the lines are limited.
 void MapCoordinator::logRefusal(const std::string &name,
@@ -392,6 +423,10 @@
                           now - group.Driver->PhaseSince)
                           .count()
                     : 0);
+    setGauge(
+        metrics, {"greengagespar_slow_ranks", {{"group", name}}},
+        static_cast<double>(std::ranges::count_if(
+            group.Ranks, [](const KnownRank &it) { return it.Slowness > 1; })));
     for (const auto &[outcome, n] : group.SwitchesEnded)
       setGauge(metrics,
                {"greengagespar_switches",
@@ -581,6 +616,7 @@
   std::optional<Placement> placement = placementOf(group);
   if (!placement)
     return;
+  group.Loads.Slowness = slownessOfRanks(group);
   double skew = estimateSkew(group.Loads, *placement, EvenOdds).Value;
   Plan next =
       planIncremental(group.Loads, *placement,
--- a/src/group/layer_search.cpp
+++ b/src/group/layer_search.cpp
@@ -45,7 +45,7 @@
   double sum = 0;
   for (std::size_t r : search.Holders[expert]) {
     sum -= excess(search, load[r]);
-    load[r] += change;
+    load[r] += search.Slowness[r] * change;
     sum += excess(search, load[r]);
   }
   return sum;
@@ -78,7 +78,7 @@
     double rise = riseWithoutOne(search, e);
     double sum = 0;
     for (std::size_t r : search.Holders[e])
-      sum += excess(search, search.Load[r] + rise) -
+      sum += excess(search, search.Load[r] + search.Slowness[r] * rise) -
              excess(search, search.Load[r]);
     choices.push_back({sum, rise, e});
   }
@@ -111,14 +111,17 @@
     double rise = riseWithoutOne(search, drop);
     double all = spreadChange;
     for (std::size_t r : ranks)
-      all += excess(search, load[r] + rise) - excess(search, load[r]);
+      all += excess(search, load[r] + search.Slowness[r] * rise) -
+             excess(search, load[r]);
     for (std::size_t r : ranks) {
       if (holds(search, r, expert))
         continue;
-      double change = all - excess(search, load[r] + rise) +
-                      excess(search, load[r] - now + added);
+      double slowness = search.Slowness[r];
+      double change = all - excess(search, load[r] + slowness * rise) +
+                      excess(search, load[r] + slowness * (added - now));
       if (-change > best.Gain)
-        best = LayerStep{r, drop, expert, false, 0, -change};
+        best = LayerStep{
+            .OnRank = r, .Drop = drop, .Load = expert, .Gain = -change};
     }
   }
 }
@@ -153,14 +156,43 @@
       double fall =
           tokens - replicaTokens(search, other, search.Holders[other].size());
       double gain = before + excess(search, search.Load[r]) -
-                    excess(search, search.Load[slowest] - fall) -
-                    excess(search, search.Load[r] + fall);
+                    excess(search, search.Load[slowest] -
+                                       search.Slowness[slowest] * fall) -
+                    excess(search, search.Load[r] + search.Slowness[r] * fall);
       if (gain / 2 > best.Gain)
-        best = LayerStep{slowest, expert, other, true, r, gain / 2};
+        best = LayerStep{.OnRank = slowest,
+                         .Drop = expert,
+                         .Load = other,
+                         .Exchange = true,
+                         .ExchangeRank = r,
+                         .Gain = gain / 2};
     }
   }
 }
 
+// Evaluates an empty slot in place of the replica of expert on the slowest
+// rank, and stores the step in best if its gain is larger. Only a slow rank is
+// better off with an empty slot than with an expert that has few tokens.
+void evaluateClearing(const LayerSearch &search, std::size_t slowest,
+                      std::size_t expert, LayerStep &best) {
+  std::size_t n = search.Holders[expert].size();
+  if (n < 2 || search.Slowness[slowest] <= 1)
+    return;
+  double rise = riseWithoutOne(search, expert);
+  double change = 0;
+  for (std::size_t r : search.Holders[expert]) {
+    double tokens = r == slowest ? -replicaTokens(search, expert, n) : rise;
+    change += excess(search, search.Load[r] + search.Slowness[r] * tokens) -
+              excess(search, search.Load[r]);
+  }
+  if (-change > best.Gain)
+    best = LayerStep{.OnRank = slowest,
+                     .Drop = expert,
+                     .Load = search.Experts,
+                     .Clears = true,
+                     .Gain = -change};
+}
+
 // Puts expert into the slot of drop on a rank. Does not change any loads.
 void replaceInSlot(LayerSearch &search, std::size_t rank, std::size_t drop,
                    std::size_t expert) {
@@ -181,7 +213,7 @@
   const std::vector<std::size_t> &ranks = search.Holders[expert];
   double tokens = replicaTokens(search, expert, ranks.size());
   for (std::size_t r : ranks)
-    search.Load[r] += factor * tokens;
+    search.Load[r] += factor * tokens * search.Slowness[r];
 }
 
 // Selects the candidates again, at most as many as given.
@@ -202,6 +234,7 @@
       continue;
     evaluateReplacements(search, expert, best);
     evaluateExchanges(search, slowest, expert, best);
+    evaluateClearing(search, slowest, expert, best);
   }
   return best;
 }
@@ -210,8 +243,10 @@
 
 LayerSearch makeLayerSearch(const GroupShape &shape,
                             std::span<const Expert> slots,
-                            std::span<const double> tokens, double limit) {
+                            std::span<const double> tokens,
+                            std::span<const double> slowness, double limit) {
   LayerSearch search;
+  search.Slowness.assign(slowness.begin(), slowness.end());
   search.Ranks = shape.Ranks;
   search.Experts = shape.Experts;
   search.SlotsPerRank = shape.SlotsPerLayer;
--- a/src/group/loads.cpp
+++ b/src/group/loads.cpp
@@ -61,6 +61,13 @@
   ++table.Periods;
 }
 
+double soundRanks(const LoadTable &table) {
+  double sum = 0;
+  for (std::size_t r = 0; r < table.Shape.Ranks; ++r)
+    sum += 1 / slownessOf(table, r);
+  return sum;
+}
+
 double dispersionOf(const LoadTable &table) {
   if (table.Periods < 2)
     return 1;
--- a/src/group/planner.cpp
+++ b/src/group/planner.cpp
@@ -20,11 +20,11 @@
 
 // Estimated times of one layer, in tokens.
 struct LayerEstimate {
-  double Slowest = 0; // Largest estimated load of a rank.
+  double Slowest = 0; // Largest estimated time of a rank.
   // Slowest, corrected for the bias of a maximum of noisy loads; at least Mean.
   double SlowestLow = 0;
-  double Mean = 0;      // Mean load of a rank.
-  double Deviation = 0; // Largest standard deviation of a rank's load.
+  double Mean = 0;      // Time of each rank with perfect balance.
+  double Deviation = 0; // Largest standard deviation of a rank's time.
 };
 
 std::vector<double> layerTokens(const LoadTable &loads, Layer layer) {
@@ -61,15 +61,17 @@
       tokens += load.Tokens * shares[i];
       variance += dispersion * load.Variance * shares[i] * shares[i];
     }
-    double deviation = std::sqrt(variance);
-    estimate.Slowest = std::max(estimate.Slowest, tokens);
+    double slowness = slownessOf(loads, r);
+    double time = slowness * tokens;
+    double deviation = slowness * std::sqrt(variance);
+    estimate.Slowest = std::max(estimate.Slowest, time);
     estimate.SlowestLow =
-        std::max(estimate.SlowestLow, tokens - bias * deviation);
+        std::max(estimate.SlowestLow, time - bias * deviation);
     estimate.Deviation = std::max(estimate.Deviation, deviation);
   }
   std::vector<double> tokens = layerTokens(loads, layer);
-  estimate.Mean = std::accumulate(tokens.begin(), tokens.end(), 0.0) /
-                  static_cast<double>(shape.Ranks);
+  estimate.Mean =
+      std::accumulate(tokens.begin(), tokens.end(), 0.0) / soundRanks(loads);
   estimate.SlowestLow = std::max(estimate.SlowestLow, estimate.Mean);
   return estimate;
 }
@@ -129,9 +131,12 @@
                               double limit, std::size_t maxFetches) {
   LayerSearchResult result;
   result.LayerIndex = layer;
+  std::vector<double> slowness(placement.Shape.Ranks, 1);
+  for (std::size_t r = 0; r < slowness.size(); ++r)
+    slowness[r] = slownessOf(loads, r);
   result.Start = detail::makeLayerSearch(
       placement.Shape, layerSlots(placement, Layer(layer)),
-      layerTokens(loads, Layer(layer)), limit);
+      layerTokens(loads, Layer(layer)), slowness, limit);
   result.Prefixes.push_back({0, 0, detail::slowestLoad(result.Start)});
   LayerSearch search = result.Start;
   std::size_t fetches = 0;
@@ -163,8 +168,8 @@
   const StepPrefix &from = result.Prefixes[result.Chosen];
   for (std::size_t i = result.Chosen + 1; i < result.Prefixes.size(); ++i) {
     const StepPrefix &to = result.Prefixes[i];
-    double fall = (from.Slowest - to.Slowest) /
-                  static_cast<double>(to.Fetches - from.Fetches);
+    std::size_t fetches = std::max<std::size_t>(1, to.Fetches - from.Fetches);
+    double fall = (from.Slowest - to.Slowest) / static_cast<double>(fetches);
     if (fall > best.FallPerFetch)
       best = {i, fall};
   }
@@ -190,6 +195,8 @@
   std::size_t most = limits.StagingSlotsPerLayer;
   for (std::size_t i = 0; i < result.Prefixes[prefix].Steps; ++i) {
     const LayerStep &step = result.Steps[i];
+    if (step.Clears)
+      continue;
     if (!countFetch(fetches, step.OnRank, most) ||
         (step.Exchange && !countFetch(fetches, step.ExchangeRank, most)))
       return false;
@@ -207,6 +214,8 @@
   for (std::size_t i = result.Prefixes[result.Chosen].Steps;
        i < result.Prefixes[prefix].Steps; ++i) {
     const LayerStep &step = result.Steps[i];
+    if (step.Clears)
+      continue;
     next.Bytes += detail::fetchesOf(step) * limits.ExpertBytes;
     std::size_t most = limits.StagingSlots;
     if (!countFetch(next.PerRank, step.OnRank, most) ||
@@ -270,7 +279,7 @@
 }
 
 // Appends the replacements that change the slots of one rank in a layer from
-// before to after.
+// before to after. Those that only clear a slot come last.
 void appendMoves(std::span<const Expert> before, std::span<const Expert> after,
                  Layer layer, Rank rank, std::vector<Move> &moves) {
   auto missing = [](std::span<const Expert> in, Expert e) {
@@ -286,6 +295,9 @@
     moves.push_back({layer, rank, dropped.back(), e});
     dropped.pop_back();
   }
+  for (Expert e : dropped)
+    if (e != NoExpert)
+      moves.push_back({layer, rank, e, NoExpert});
 }
 
 // Appends the replacements of the chosen prefix of a layer.
@@ -360,6 +372,12 @@
   return next;
 }
 
+// Returns how many of the moves fetch weights.
+std::size_t fetchesOf(const std::vector<Move> &moves) {
+  return static_cast<std::size_t>(std::ranges::count_if(
+      moves, [](const Move &it) { return it.Load != NoExpert; }));
+}
+
 // Returns a plan that keeps the placement, for this reason.
 Plan withoutChange(Plan plan, const Placement &placement, PlanReason reason) {
   plan.Reason = reason;
@@ -417,7 +435,7 @@
   }
   if (plan.SkewAfter > limits.TargetSkew) {
     plan.Moves = findMoves(loads, placement, limits);
-    plan.Bytes = plan.Moves.size() * limits.ExpertBytes;
+    plan.Bytes = fetchesOf(plan.Moves) * limits.ExpertBytes;
   }
   if (!plan.Moves.empty()) {
     plan.Reason = PlanReason::Moved;
--- a/src/include/greengagespar/direct/map_coordinator.h
+++ b/src/include/greengagespar/direct/map_coordinator.h
@@ -18,6 +18,7 @@
 #include "greengagespar/direct/site.h"
 #include "greengagespar/group/driver.h"
 #include "greengagespar/group/planner.h"
+#include "greengagespar/group/rank_speed.h"
 #include "greengagespar/group/standing.h"
 #include "greengagespar/link/link.h"
 #include "greengagespar/report/metrics.h"
@@ -32,6 +33,7 @@
   Address Agent;                    ///< The rank agent's address.
   Clock::time_point LastReceivedAt; ///< When its state was last received.
   bool IsOpen = false;              ///< Its group serves requests.
+  double Slowness = 1;              ///< See slownessFrom().
   MapNumber InUse;                  ///< The map that its server uses.
   std::vector<std::vector<Expert>> Places; ///< Its experts by layer.
   MapNumber PlacesMap;                     ///< The map of Places.
@@ -81,6 +83,9 @@
   /// Returns the server beside which the agent at \p agent runs; empty when it
   /// is not known.
   std::function<std::optional<Address>(const Address &agent)> ServerOf;
+  /// Returns the number of entries that the site has, also those that are down.
+  /// Empty: it is not known, and the site counts as not wide.
+  std::function<std::size_t()> SiteEntries = {};
 };
 
 /// The map coordinator of one entry.
@@ -111,6 +116,8 @@
                               const wire::RankState &state,
                               Clock::time_point now);
   void onReport(const Address &agent, const wire::MapReport &message);
+  void recordSpeed(const std::string &name, CoordinatedGroup &group,
+                   KnownRank &rank, double pace);
   void logRefusal(const std::string &name, const CoordinatedGroup &group,
                   const RankReport &report);
   void drive(const std::string &name, CoordinatedGroup &group,
--- a/src/include/greengagespar/direct/site.h
+++ b/src/include/greengagespar/direct/site.h
@@ -71,6 +71,14 @@
       0; ///< Megabits per second, for copies of weights.
 };
 
+/// Whether a site with \p entries entries is wide for the servers of a model
+/// group: there are more entries than a server has slots, so that an entry's
+/// own calls say little about a server. Decisions that rest on what the servers
+/// report are in force on wide sites. Thread safe.
+inline bool isWideSite(const EngineProfile &engine, std::size_t entries) {
+  return entries > static_cast<std::size_t>(engine.Slots);
+}
+
 /// A plain service or a model group that routes send requests to.
 struct Backend {
   ServiceId Id;
--- a/src/include/greengagespar/group/loads.h
+++ b/src/include/greengagespar/group/loads.h
@@ -30,8 +30,20 @@
   std::size_t Periods = 0;       ///< Periods added so far.
   /// Variance over mean of period counts, by period modulo DispersionWindow.
   std::array<double, DispersionWindow> Dispersions{};
+  /// By rank, how many times as long as a sound rank it takes for a token, at
+  /// least 1. Empty: all ranks are sound.
+  std::vector<double> Slowness = {};
 };
 
+/// Returns the slowness of \p rank. Thread safe.
+inline double slownessOf(const LoadTable &table, std::size_t rank) {
+  return rank < table.Slowness.size() ? table.Slowness[rank] : 1;
+}
+
+/// Returns how many sound ranks compute as fast as all ranks of \p table
+/// together. Thread safe.
+double soundRanks(const LoadTable &table);
+
 /// Returns a table without counts. Precondition: \p halfLife is over 0.
 LoadTable makeLoadTable(const GroupShape &shape,
                         std::chrono::milliseconds halfLife);
--- a/src/include/greengagespar/group/planner.h
+++ b/src/include/greengagespar/group/planner.h
@@ -42,12 +42,12 @@
 };
 
 /// One replacement: expert Load gets the slot of expert Drop. It needs one
-/// fetch.
+/// fetch, unless it clears the slot.
 struct Move {
   Layer InLayer{};
   Rank OnRank{};
   Expert Drop = NoExpert; ///< NoExpert: the slot was empty.
-  Expert Load = NoExpert;
+  Expert Load = NoExpert; ///< NoExpert: the slot becomes empty.
 
   bool operator==(const Move &) const = default;
 };
