Wait for ZeroMQ to release the address of a former link server

ZeroMQ closes the listening socket of a destroyed server in a thread of its own. LinkServer::bind() tries an address in use again for up to 1 s.

Errors of HttpListener::listen() now say why, and the fixtures of the site throw the message.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -423,7 +423,9 @@
       LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
       ListenBacklog, reinterpret_cast<sockaddr *>(&name), size);
   if (!S->Listener)
-    return fail(ErrorKind::LinkDown, "can't listen on " + address.Value);
+    return fail(ErrorKind::LinkDown,
+                "can't listen on " + address.Value + ": " +
+                    evutil_socket_error_to_string(EVUTIL_SOCKET_ERROR()));
   return {};
 }
 
--- a/src/include/greengagespar/http/server.h
+++ b/src/include/greengagespar/http/server.h
@@ -82,7 +82,7 @@
   HttpListener &operator=(const HttpListener &) = delete;
 
   /// Listens on \p address. Fails with BadSettings if \p address is not valid
-  /// and with LinkDown if it can't be bound.
+  /// and with LinkDown and the reason if it can't be bound.
   Result<void> listen(const Address &address);
   /// Sets the limits for requests that begin after this call.
   void setLimits(const HttpServerLimits &limits);
--- a/src/include/greengagespar/link/link.h
+++ b/src/include/greengagespar/link/link.h
@@ -84,7 +84,10 @@
   LinkServer(event_base *base, zmq::context_t &context,
              const LinkIdentity &self, Handler handler);
 
-  /// Listens on \p address. Fails with LinkDown when it can't be bound.
+  /// Listens on \p address. Tries an address in use again for up to 1 s, as
+  /// the socket of a server that was destroyed may not be closed yet, and
+  /// blocks the thread for that time. Fails with LinkDown and the reason when
+  /// the address can't be bound.
   Result<void> bind(const Address &address);
 
   /// Sends \p envelope to \p peer. Returns false and discards it when the peer
@@ -94,6 +97,7 @@
   const LinkCounts &counts() const { return Counts; }
 
 private:
+  int tryBind(const Address &address);
   bool receiveOne();
 
   const LinkIdentity &Self;
--- a/src/link/link.cpp
+++ b/src/link/link.cpp
@@ -1,6 +1,9 @@
 #include "greengagespar/link/link.h"
 
+#include "greengagespar/base/clock.h"
+#include <cerrno>
 #include <event2/event.h>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -23,6 +26,11 @@
 constexpr int ReconnectMs = 20;
 constexpr int MaxReconnectMs = 200;
 
+// ZeroMQ closes the listening socket of a destroyed server in a thread of its
+// own. An address in use is tried again at this interval, for so long.
+constexpr std::chrono::milliseconds BindRetryInterval{10};
+constexpr std::chrono::milliseconds BindRetryTime{1000};
+
 void setCommonOptions(zmq::socket_t &socket) {
   socket.set(zmq::sockopt::linger, 0);
   socket.set(zmq::sockopt::sndhwm, QueueLength);
@@ -108,14 +116,27 @@
 }
 
 Result<void> LinkServer::bind(const Address &address) {
+  auto end = Clock::now() + BindRetryTime;
+  int error = tryBind(address);
+  while (error == EADDRINUSE && Clock::now() < end) {
+    std::this_thread::sleep_for(BindRetryInterval);
+    error = tryBind(address);
+  }
+  if (error != 0)
+    return fail(ErrorKind::LinkDown, "cannot listen on " + address.Value +
+                                         ": " + zmq_strerror(error));
+  Pump.wake();
+  return {};
+}
+
+// Returns the number of the error; 0: the server listens.
+int LinkServer::tryBind(const Address &address) {
   try {
     Socket.bind("tcp://" + address.Value);
   } catch (const zmq::error_t &e) {
-    return fail(ErrorKind::LinkDown,
-                "cannot listen on " + address.Value + ": " + e.what());
+    return e.num();
   }
-  Pump.wake();
-  return {};
+  return 0;
 }
 
 bool LinkServer::send(const PeerId &peer, wire::Envelope &envelope) {
--- a/testsuite/direct/entries_site.cpp
+++ b/testsuite/direct/entries_site.cpp
@@ -34,8 +34,9 @@
   auto isReady = [&] {
     return getFrom(added.Settings.Ready, "/-/ready").Head.Status == 200;
   };
-  if (!added.Process->start() || !runUntil(isReady))
-    throw std::runtime_error("the entry can't start");
+  startOrThrow(*added.Process);
+  if (!runUntil(isReady))
+    throw std::runtime_error("the entry is not ready");
 }
 
 void EntriesFixture::steps(std::chrono::milliseconds time) {
--- a/testsuite/direct/rank_site.cpp
+++ b/testsuite/direct/rank_site.cpp
@@ -227,8 +227,7 @@
       rankAddress(rank, {"127.0.0.1:" + std::to_string(Settings.RankPort)});
   Agents[rank] = std::make_unique<RankAgent>(Loop.base(), Context, settings,
                                              platformRankDialect());
-  if (!Agents[rank]->start())
-    throw std::runtime_error("the process of a rank agent can't start");
+  startOrThrow(*Agents[rank]);
 }
 
 bool RankSiteFixture::hasSwitched() const {
--- a/testsuite/direct/site.cpp
+++ b/testsuite/direct/site.cpp
@@ -436,8 +436,7 @@
 void SiteFixture::startEntry() {
   Entry = std::make_unique<DirectEntry>(Loop.base(), Context, Settings,
                                         platformDialect());
-  if (!Entry->start())
-    throw std::runtime_error("the entry can't start");
+  startOrThrow(*Entry);
   runUntil(
       [&] { return getFrom(Settings.Ready, "/-/ready").Head.Status == 200; });
   // Then it has its part of the retries.
--- a/testsuite/direct/site.h
+++ b/testsuite/direct/site.h
@@ -169,6 +169,19 @@
   std::vector<std::unique_ptr<Connection>> Open;
 };
 
+/// Starts \p process, an entry or a rank agent. Throws std::runtime_error with
+/// the reason if it can't start.
+template <class Process> void startOrThrow(Process &process) {
+  std::string why = recoverFrom(
+      [&]() -> Result<std::string> {
+        BOOST_LEAF_CHECK(process.start());
+        return std::string();
+      },
+      [](const Error &e) { return "can't start: " + e.Message; });
+  if (!why.empty())
+    throw std::runtime_error(why);
+}
+
 /// An answer as the caller received it.
 struct Reply {
   bool IsDone = false;
