--- a/testsuite/direct/restart_test.cpp
+++ b/testsuite/direct/restart_test.cpp
@@ -40,6 +40,7 @@
   std::deque<Arrival> Recent;          ///< Of the last Window.
   int Requests = 0;
   int Misdirected = 0;         ///< Requests that were meant for another server.
+  std::string MisdirectedList; ///< Of each, when it came, its id and servers.
   double WorstExcess = -1000;  ///< Repeats in a window over those allowed.
   bool RegistersAtOnce = true; ///< Restarted servers register.
   bool RefusesAll = false;     ///< The servers run nothing.
@@ -69,9 +70,22 @@
   }
 
   FakeAnswer respond(const std::string &id, const HttpRequestMessage &request) {
-    record(*findField(request.Head.Fields, "X-Request-Id"));
-    if (*findField(request.Head.Fields, "X-Expect-Instance") != id) {
+    const std::string &name = *findField(request.Head.Fields, "X-Request-Id");
+    record(name);
+    const std::string &meant =
+        *findField(request.Head.Fields, "X-Expect-Instance");
+    if (meant != id) {
       ++Misdirected;
+      auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(
+          Clock::now() - Recent.front().At);
+      MisdirectedList
+          .append(numbered("\n", static_cast<std::uint64_t>(ms.count())))
+          .append(" ms: ")
+          .append(name)
+          .append(" meant for ")
+          .append(meant)
+          .append(" came to ")
+          .append(id);
       return {signedAnswer(request, 421, "")};
     }
     if (RefusesAll)
@@ -172,7 +186,8 @@
   steps(RestartTime + 50ms);
   BOOST_TEST(sendFor(2s, 150) >= 0.99);
   // The best is one for each server, from all entries together.
-  BOOST_TEST(Misdirected <= count);
+  BOOST_TEST(Misdirected <= count,
+             Misdirected << " of " << count << ":" << MisdirectedList);
 }
 
 // Guards against parts of the retry budget that add up to more than the whole:
