Bound the bytes that an entry keeps of requests and slow callers

An entry kept the body of each request as long as the request, and a copy for a server that had not taken it: 200 bodies of 4 MB at once took 982 MB with the bound out of reach (memory_mb 100000). Callers that read slowly were bounded one by one only, and a stream that a caller did not read for a moment was read to 1 MB and then cut.

The setting memory_mb (the platform's memoryMb, else 256) now gives one bound on bodies with their copies and on what callers have not taken. Large bodies get three quarters of it. A request without room is refused from its head alone, with 503 and a time to return; the rest is read and thrown away for up to 2 s, as closing would reset the connection and lose the answer. A body that could never fit gets 413. Over the bound, callers with more than an equal part of unsent bytes are closed. Reading of a stream stops while its caller has 64 KB or more to take, for at most 2 s while there is memory.

--- a/src/direct/answer_memory.cpp
+++ b/src/direct/answer_memory.cpp
@@ -12,7 +12,7 @@
 bool AnswerShare::keep(std::size_t bytes) {
   All.Bytes = All.Bytes - Own + bytes;
   Own = bytes;
-  return All.Bytes <= MaxAnswerMemory || Own <= MaxAnswerMemory / All.Answers;
+  return All.Bytes <= All.Limit || Own <= All.Limit / All.Answers;
 }
 
 } // namespace greengagespar
--- a/src/direct/direct_entry.cpp
+++ b/src/direct/direct_entry.cpp
@@ -3,6 +3,7 @@
 #include "greengagespar/base/log.h"
 #include "greengagespar/base/log_output.h"
 #include "greengagespar/direct/digest_messages.h"
+#include "greengagespar/direct/entry_memory.h"
 #include <algorithm>
 #include <event2/event.h>
 
@@ -127,6 +128,7 @@
   Context.Dialect = &Dialect;
   Context.Counters = &Counters;
   Context.Guard = &Shared.Guard;
+  boundMemory();
   Shared.Guard.MayTry = [this](PromptPartId part) {
     return isTrialEntry(Peers.view(), part);
   };
@@ -145,6 +147,16 @@
   Context.OnEnded = [this](CallId id) { scheduleDestruction(id); };
 }
 
+void DirectEntry::boundMemory() {
+  MemoryPlan plan = planMemory(Settings.MemoryMegabytes);
+  Context.Buffers.Limit = plan.Buffers;
+  Context.Answers.Limit = plan.Answers;
+  RequestListener.boundMemory(
+      Context.Buffers, [this](const HttpHead &head, std::size_t size) {
+        return refuseBody(Dialect, Counters, Context.Buffers, head, size);
+      });
+}
+
 PeerLinksHooks DirectEntry::peerHooks() {
   PeerLinksHooks hooks;
   hooks.OwnRow = [this] { return ownRow(); };
@@ -514,8 +526,7 @@
            static_cast<double>(Self.Settings.Value));
   setGauge(Counters, {"greengagespar_requests_open"},
            static_cast<double>(OpenExchanges.size()));
-  setGauge(Counters, {"greengagespar_answer_bytes"},
-           static_cast<double>(Context.Answers.Bytes));
+  recordMemory(Context.Buffers, Context.Answers, Counters);
   setGauge(Counters, {"greengagespar_connections"},
            static_cast<double>(RequestListener.connections()));
   setGauge(Counters, {"greengagespar_store_calls"},
--- a/src/direct/direct_settings.cpp
+++ b/src/direct/direct_settings.cpp
@@ -60,6 +60,8 @@
       field("log_lines_per_second", &S::LogLinesPerSecond,
             wholeNumber("lines", {1, 100000}), optional,
             "Most log lines in a second; more are counted and left out."),
+      field("memory_mb", &S::MemoryMegabytes, numberIn({16, 1000000}), optional,
+            "Memory of the process in MB. Requests and answers may fill half."),
   }};
 }
 
--- a/src/direct/exchange.cpp
+++ b/src/direct/exchange.cpp
@@ -61,7 +61,8 @@
     : Context(context), Pool(pool), Call(std::move(call)),
       Request(std::move(request)), Reply(std::move(reply)),
       Parts(partsOf(Call, Request)),
-      LimitTimer(context.Loop, [this] { onTimer(); }) {
+      LimitTimer(context.Loop, [this] { onTimer(); }),
+      PauseTimer(context.Loop, [this] { onPauseTimer(); }) {
   Stream.LastId = Call.Facts.LastEventId;
   Reply->onDisconnect([this] { onCallerGone(); });
 }
@@ -248,8 +249,10 @@
     HttpFields fields = CurrentAttempt->Head.Fields;
     removeHopByHopFields(fields);
     Reply->begin(CurrentAttempt->Head.Status, std::move(fields));
+    Reply->onDrained([this] { resumeReading(); });
   }
   Reply->sendPiece(events);
+  pauseIfCallerIsSlow();
 }
 
 void Exchange::onEnd(ExchangeEnd how, std::string_view why) {
@@ -301,6 +304,7 @@
 // Ends the current attempt: returns its connection to the pool and reports
 // \p outcome there.
 void Exchange::releaseServer(const PoolOutcome &outcome) {
+  resumeReading();
   auto connection = std::move(CurrentAttempt->Connection);
   ServerRecord server = CurrentAttempt->Server;
   CurrentAttempt.reset();
@@ -482,8 +486,8 @@
 // Whether the exchange leaves the server for another one when the server
 // becomes unresponsive. It does so once.
 bool Exchange::watchesInactivity() const {
-  return CurrentAttempt && isRepeatable() && !HasSwitchedServer &&
-         Runs < Call.MatchedRoute->Attempts;
+  return CurrentAttempt && !CurrentAttempt->IsPaused && isRepeatable() &&
+         !HasSwitchedServer && Runs < Call.MatchedRoute->Attempts;
 }
 
 void Exchange::armTimer() {
@@ -531,6 +535,7 @@
     return;
   HasEnded = true;
   LimitTimer.stop();
+  PauseTimer.stop();
   FinalAnswer answer{status, outcome, reason, Runs, Stream.EventCount, {}};
   if (HasSentHead)
     answer.FirstEventAt = FirstEventAt;
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -313,6 +313,14 @@
     S->Unsent = request;
 }
 
+void HttpClientConnection::pauseReading() {
+  bufferevent_disable(S->Stream, EV_READ);
+}
+
+void HttpClientConnection::resumeReading() {
+  bufferevent_enable(S->Stream, EV_READ);
+}
+
 bool HttpClientConnection::isReusable() const {
   return !S->IsUnusable && !S->InExchange && S->IsConnected &&
          !isFull(S->Carried) &&
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -45,6 +45,11 @@
 
 constexpr int StatusRequestTimeout = 408;
 
+// After an early answer the rest of the request is discarded for this long:
+// closing a connection that holds unread bytes resets it, and the caller may
+// then lose the answer.
+constexpr std::chrono::milliseconds DiscardTime{2000};
+
 } // namespace
 
 namespace detail {
@@ -54,6 +59,8 @@
   event_base *Loop = nullptr;
   HttpServerLimits Limits;
   HttpListener::Handler Handle;
+  BufferMemory *Memory = nullptr; ///< Null: not bounded.
+  BodyRefusal RefuseBody;
   evconnlistener *Listener = nullptr;
   std::unordered_map<ServerConnection *, std::shared_ptr<ServerConnection>>
       Open;
@@ -84,15 +91,22 @@
   /// or answers 408 if a request has begun but is not complete.
   void startTimeout(std::chrono::milliseconds wait);
   bool isIdle() const { return !InProgress && !HasBegunRequest; }
+  std::size_t unsentBytes() const;
 
   std::function<void()> OnDisconnect;
+  std::function<void()> OnDrained;
 
 private:
   static void onRead(bufferevent *, void *self);
   static void onWrite(bufferevent *, void *self);
   static void onEvent(bufferevent *, short what, void *self);
+  static void onOutputChange(evbuffer *, const evbuffer_cb_info *info,
+                             void *self);
   void onTimeout();
   void readRequest();
+  bool reserveBody();
+  void refuseBody();
+  void discard();
   void deliver();
   void refuse(int status);
   void closeIfWritten();
@@ -105,10 +119,12 @@
   Timer Timeout;
   std::unique_ptr<RequestReader> Reader;
   std::string Body;
-  bool HasBegunRequest = false; ///< Bytes of a request were received.
+  std::shared_ptr<BodyShare> BodyMemory; ///< Of Body.
+  bool HasBegunRequest = false;          ///< Bytes of a request were received.
   bool InProgress = false; ///< A complete request awaits the end of its answer.
   bool IsChunked = false;  ///< The answer in progress is chunked.
   bool CloseAfter = false; ///< Close once all output is written.
+  bool IsDiscarding = false; ///< Reads the rest of a refused request.
   bool IsClosed = false;
   bool ResetsOnClose = false; ///< See setResetOnClose().
   bool IsHead = false;        ///< The request's method is HEAD.
@@ -127,11 +143,30 @@
   setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
   bufferevent_setcb(Stream, onRead, onWrite, onEvent, this);
   bufferevent_setwatermark(Stream, EV_READ, 0, MaxReadAhead);
+  if (server.Memory)
+    evbuffer_add_cb(bufferevent_get_output(Stream), onOutputChange, this);
   bufferevent_enable(Stream, EV_READ | EV_WRITE);
   startTimeout(server.idleTimeout());
 }
 
-ServerConnection::~ServerConnection() { bufferevent_free(Stream); }
+ServerConnection::~ServerConnection() {
+  if (Server.Memory) {
+    evbuffer_remove_cb(bufferevent_get_output(Stream), onOutputChange, this);
+    recordUnsent(*Server.Memory, unsentBytes(), 0);
+  }
+  bufferevent_free(Stream);
+}
+
+std::size_t ServerConnection::unsentBytes() const {
+  return evbuffer_get_length(bufferevent_get_output(Stream));
+}
+
+void ServerConnection::onOutputChange(evbuffer *, const evbuffer_cb_info *info,
+                                      void *self) {
+  recordUnsent(*static_cast<ServerConnection *>(self)->Server.Memory,
+               info->orig_size,
+               info->orig_size + info->n_added - info->n_deleted);
+}
 
 void ServerConnection::startTimeout(std::chrono::milliseconds wait) {
   Timeout.start(wait);
@@ -161,14 +196,20 @@
   // output is still buffered.
   if (keep->CloseAfter && !keep->InProgress)
     keep->closeIfWritten();
+  else if (auto callback = keep->OnDrained;
+           callback && keep->unsentBytes() == 0)
+    callback();
 }
 
 // Closes the connection in order if its whole output was written.
 void ServerConnection::closeIfWritten() {
-  if (IsClosed || evbuffer_get_length(bufferevent_get_output(Stream)) > 0)
+  if (IsClosed || unsentBytes() > 0)
     return;
   setResetOnClose(false);
-  close();
+  if (!IsDiscarding)
+    return close();
+  shutdown(bufferevent_getfd(Stream), SHUT_WR);
+  startTimeout(DiscardTime);
 }
 
 void ServerConnection::onEvent(bufferevent *, short what, void *self) {
@@ -193,7 +234,9 @@
   IsReading = true;
   do {
     ReadAgain = false;
-    if (!InProgress && !CloseAfter && !IsClosed)
+    if (IsDiscarding)
+      discard();
+    else if (!InProgress && !CloseAfter && !IsClosed)
       readRequest();
   } while (ReadAgain && !IsClosed);
   IsReading = false;
@@ -207,6 +250,8 @@
   if (!HasBegunRequest) {
     HasBegunRequest = true;
     Body.clear();
+    if (Server.Memory)
+      BodyMemory = std::make_shared<BodyShare>(*Server.Memory);
     Reader = std::make_unique<RequestReader>(
         Server.Limits.Message,
         [this](std::string_view piece) { Body.append(piece); });
@@ -215,6 +260,10 @@
   bool wasHead = Reader->state() == ReadState::Head;
   const auto *bytes = reinterpret_cast<const char *>(evbuffer_pullup(buf, -1));
   evbuffer_drain(buf, Reader->take({bytes, size}));
+  bool hasHead = Reader->state() == ReadState::Body ||
+                 Reader->state() == ReadState::Complete;
+  if (hasHead && !reserveBody())
+    return refuseBody();
   switch (Reader->state()) {
   case ReadState::Broken:
     return refuse(statusOf(Reader->fault()));
@@ -231,11 +280,47 @@
   }
 }
 
+// Reserves memory for the body, as far as its size is known. Returns whether
+// there was room.
+bool ServerConnection::reserveBody() {
+  if (!BodyMemory)
+    return true;
+  auto stated = Reader->head().Length;
+  std::size_t kept = Body.empty() ? 0 : Body.capacity();
+  if (!BodyMemory->reserve(stated ? *stated : kept))
+    return false;
+  // Appending pieces to a smaller buffer could take twice the bytes.
+  if (stated && Reader->state() == ReadState::Body)
+    Body.reserve(*stated);
+  return true;
+}
+
+// Answers a request without room in memory, and discards the rest of it.
+void ServerConnection::refuseBody() {
+  ++Server.Memory->BodiesRefused;
+  HttpHead head = Reader->head();
+  HttpRefusal answer = Server.RefuseBody(
+      head, head.Length ? static_cast<std::size_t>(*head.Length) : Body.size());
+  IsDiscarding = Reader->state() == ReadState::Body;
+  IsHead = head.Method == "HEAD";
+  Reader.reset();
+  std::string().swap(Body);
+  BodyMemory.reset();
+  CloseAfter = true;
+  send(answer.Status, answer.Fields, "");
+}
+
+void ServerConnection::discard() {
+  evbuffer *buf = bufferevent_get_input(Stream);
+  evbuffer_drain(buf, evbuffer_get_length(buf));
+}
+
 void ServerConnection::deliver() {
   Timeout.stop();
   InProgress = true;
   HasBegunRequest = false;
-  HttpRequestMessage message{Reader->head(), std::move(Body)};
+  HttpRequestMessage message{Reader->head(), std::move(Body),
+                             std::move(BodyMemory)};
   Body.clear();
   Reader.reset();
   IsHead = message.Head.Method == "HEAD";
@@ -269,9 +354,12 @@
 
 void ServerConnection::write(std::string_view bytes) {
   bufferevent_write(Stream, bytes.data(), bytes.size());
-  evbuffer *out = bufferevent_get_output(Stream);
-  if (evbuffer_get_length(out) > Server.Limits.MaxUnsentBytes)
-    close();
+  if (unsentBytes() > Server.Limits.MaxUnsentBytes)
+    return close();
+  if (!Server.Memory || !mustEndReader(*Server.Memory, unsentBytes()))
+    return;
+  ++Server.Memory->ReadersEnded;
+  close();
 }
 
 void ServerConnection::send(int status, HttpFields &fields,
@@ -324,6 +412,7 @@
   InProgress = false;
   HasBegunRequest = false;
   OnDisconnect = nullptr;
+  OnDrained = nullptr;
   if (CloseAfter) {
     // The timeout closes the connection of a caller that does not read its
     // answer.
@@ -341,6 +430,16 @@
 
 bool HttpReply::isOpen() const { return !Connection.expired(); }
 
+std::size_t HttpReply::unsentBytes() const {
+  auto it = Connection.lock();
+  return it ? it->unsentBytes() : 0;
+}
+
+void HttpReply::onDrained(std::function<void()> callback) {
+  if (auto it = Connection.lock())
+    it->OnDrained = std::move(callback);
+}
+
 void HttpReply::onDisconnect(std::function<void()> callback) {
   if (auto it = Connection.lock())
     it->OnDisconnect = std::move(callback);
@@ -433,6 +532,11 @@
   S->Limits = limits;
 }
 
+void HttpListener::boundMemory(BufferMemory &memory, BodyRefusal refuse) {
+  S->Memory = &memory;
+  S->RefuseBody = std::move(refuse);
+}
+
 void HttpListener::drain(std::chrono::milliseconds linger) {
   S->Draining = true;
   S->Linger = linger;
--- a/src/include/greengagespar/direct/answer_memory.h
+++ b/src/include/greengagespar/direct/answer_memory.h
@@ -9,12 +9,13 @@
 
 namespace greengagespar {
 
-/// Most bytes of unfinished answers that one entry keeps.
+/// Most bytes of unfinished answers that one entry keeps, whatever its memory.
 inline constexpr std::size_t MaxAnswerMemory = std::size_t{32} * 1024 * 1024;
 
 /// What all unfinished answers of an entry keep together.
 struct AnswerMemory {
   std::size_t Bytes = 0;
+  std::size_t Limit = MaxAnswerMemory;
   std::size_t Answers = 0; ///< Number of attempts that may keep bytes.
 };
 
@@ -28,7 +29,7 @@
   AnswerShare &operator=(const AnswerShare &) = delete;
 
   /// Records that the answer keeps \p bytes now. Returns false if it must end:
-  /// all answers together are over MaxAnswerMemory, and this one over an equal
+  /// all answers together are over their limit, and this one over an equal
   /// part of it. Answers that keep little are never the ones to end.
   bool keep(std::size_t bytes);
 
--- a/src/include/greengagespar/direct/direct_settings.h
+++ b/src/include/greengagespar/direct/direct_settings.h
@@ -33,7 +33,8 @@
   std::chrono::milliseconds RegistrationHeartbeat{1200};
   /// Time in which a change in the store has to be in force.
   std::chrono::milliseconds ChangeTime{2000};
-  int LogLinesPerSecond = 400; ///< Further lines are counted and left out.
+  int LogLinesPerSecond = 400;  ///< Further lines are counted and left out.
+  double MemoryMegabytes = 256; ///< The process may use no more.
 };
 
 /// Returns the schema of the settings file. Thread safe.
--- a/src/include/greengagespar/direct/exchange.h
+++ b/src/include/greengagespar/direct/exchange.h
@@ -27,6 +27,7 @@
   Metrics *Counters = nullptr;
   PartGuard *Guard = nullptr;
   AnswerMemory Answers; ///< What unfinished answers keep.
+  BufferMemory Buffers; ///< What requests and slow callers keep.
   /// Reports the rate limit that an answer of a server states; empty: none.
   std::function<void(const ServerRecord &, std::optional<double> perSecond)>
       OnRateLimit;
@@ -68,6 +69,7 @@
   AnswerMetadata Answer;
   bool HasHead = false;
   bool IsForeign = false;    ///< The answer may belong to another request.
+  bool IsPaused = false;     ///< Nothing is read, as the caller is slow.
   bool RelaysEvents = false; ///< The exchange forwards events as they arrive.
   std::string Body;  ///< The answer so far; unused when RelaysEvents is set.
   AnswerShare Share; ///< Of Body, or of the event that is not complete yet.
@@ -108,6 +110,9 @@
   bool isBrokenOff() const;
   void onAnswerComplete();
   void relayEvents(std::string_view piece);
+  void pauseIfCallerIsSlow();
+  void onPauseTimer();
+  void resumeReading();
   void leaveTrial();
   bool noteCrash(AttemptEnd end, Clock::time_point now);
   void endAttempt(AttemptEnd end, std::string_view why);
@@ -142,6 +147,7 @@
   int Refusals = 0;               ///< See AttemptHistory.
   Clock::time_point FirstEventAt{};
   Timer LimitTimer; ///< Ends at the deadline or the limit on inactivity.
+  Timer PauseTimer; ///< Ends a pause of reading.
 };
 
 } // namespace greengagespar
--- a/src/include/greengagespar/http/client.h
+++ b/src/include/greengagespar/http/client.h
@@ -63,6 +63,13 @@
   void send(std::string_view request, bool isHead, ExchangeEvents events,
             std::string_view id = {});
 
+  /// Stops to read, so that the server can't send more than the kernel and one
+  /// buffer hold. While reading is stopped, the exchange doesn't end by itself.
+  void pauseReading();
+  /// Reads again after pauseReading(). May call the exchange's callbacks only
+  /// after it has returned.
+  void resumeReading();
+
   /// Whether the last answer was complete and the connection can carry another
   /// request: it is open, holds no unexpected bytes, has not carried
   /// MaxCarriedRequests requests, and the server has not announced that it will
--- a/src/include/greengagespar/http/server.h
+++ b/src/include/greengagespar/http/server.h
@@ -7,6 +7,7 @@
 
 #include "greengagespar/base/errors.h"
 #include "greengagespar/base/ids.h"
+#include "greengagespar/http/buffer_memory.h"
 #include "greengagespar/http/message.h"
 #include <chrono>
 #include <functional>
@@ -36,8 +37,21 @@
 struct HttpRequestMessage {
   HttpHead Head;
   std::string Body;
+  /// What Body takes of the memory for all bodies; null: it is not bounded.
+  std::shared_ptr<BodyShare> Memory = nullptr;
 };
 
+/// The status and the fields of an answer without a body.
+struct HttpRefusal {
+  int Status = 0;
+  HttpFields Fields;
+};
+
+/// Answers a request whose body is not read, as there is no memory for it. The
+/// body has \p size bytes; if its length is not known, it has more.
+using BodyRefusal =
+    std::function<HttpRefusal(const HttpHead &, std::size_t size)>;
+
 namespace detail {
 class ServerConnection;
 struct ServerState;
@@ -51,6 +65,12 @@
 
   /// Whether the caller's connection is open and the answer has not ended.
   bool isOpen() const;
+  /// Returns how many bytes the caller has not taken yet, without those that
+  /// the kernel holds.
+  std::size_t unsentBytes() const;
+  /// Calls \p callback each time that the caller has taken all bytes. A later
+  /// call replaces the function of an earlier one.
+  void onDrained(std::function<void()> callback);
   /// Calls \p callback once if the caller's connection closes before the answer
   /// has ended. A later call replaces the function of an earlier one.
   void onDisconnect(std::function<void()> callback);
@@ -86,6 +106,11 @@
   Result<void> listen(const Address &address);
   /// Sets the limits for requests that begin after this call.
   void setLimits(const HttpServerLimits &limits);
+  /// Counts what callers make this listener keep in \p memory and bounds it. A
+  /// request without room is answered by \p refuse before its body is read, and
+  /// its connection is closed. Call it before listen(). Precondition: \p memory
+  /// outlives this object.
+  void boundMemory(BufferMemory &memory, BodyRefusal refuse);
   /// From now on closes each connection after its current or next answer, and
   /// closes idle connections that receive no request within \p linger. New
   /// connections are still accepted.
