Bound what an entry sends to a server by the tokens of its memory

Servers crash, or give up requests that they have begun, when the requests that they hold exceed their memory; the engine's declared memory was not read. An entry now sends a request only to a server that has room for its prompt and longest answer beside this entry's other requests there, and refuses one that no server could hold at once, with a time to return. Engines that declare no memory are served as before.

--- a/src/direct/exchange.cpp
+++ b/src/direct/exchange.cpp
@@ -109,6 +109,7 @@
   call.Workspace = Call.Workspace;
   call.StartBy = std::min(Call.CallDeadline.At, now + wait);
   call.Exclude = TriedServers;
+  call.Tokens = tokensOf(Call.Facts.PromptTokens, Call.Facts.MaxAnswerTokens);
   call.OnStart = [this](const ServerRecord &server) { send(server); };
   call.OnRefused = [this](const Refusal &why) { refuse(why, "no_room"); };
   Pool.submit(std::move(call));
--- a/src/direct/exchange_flow.cpp
+++ b/src/direct/exchange_flow.cpp
@@ -38,7 +38,8 @@
   CurrentAttempt->LastReceivedAt = Clock::now();
   CurrentAttempt->LastEventAt.reset();
   CurrentAttempt->Connection->resumeReading();
-  armTimer();
+  if (!HasEnded)
+    armTimer();
 }
 
 } // namespace greengagespar
--- a/src/direct/server_pool.cpp
+++ b/src/direct/server_pool.cpp
@@ -64,9 +64,23 @@
   for (EndpointView &it : Views)
     if (auto found = Servers.find(it.Target.Id); found != Servers.end())
       it.Slots = slotsOfServer(found->second.Record);
+  for (EndpointView &it : Views)
+    it.Memory.Tokens = memoryOfServer().Tokens;
   updateStreamLimit();
 }
 
+// Returns the memory of a server without calls.
+ServerMemory ServerPool::memoryOfServer() const {
+  return {Declared.Engine ? Declared.Engine->MemoryTokens : 0, 0};
+}
+
+// Gives back what the call \p id takes of the memory of its server; \p view is
+// null if the pool has it no more.
+void ServerPool::releaseMemory(CallId id, EndpointView *view) {
+  if (auto node = TokensOfStarted.extract(id); node && view)
+    releaseTokens(view->Memory, node.mapped());
+}
+
 int ServerPool::slotsOfServer(const ServerRecord &record) const {
   return Declared.Engine ? Declared.Engine->Slots : record.Slots;
 }
@@ -244,8 +258,11 @@
     // What was learned about one incarnation is no evidence about another, so
     // only the number of calls in progress is kept.
     int inFlight = view->InFlight;
+    std::int64_t held = view->Memory.Held;
     *view = {};
     view->InFlight = inFlight;
+    view->Memory = memoryOfServer();
+    view->Memory.Held = held;
     int slots = slotsOfServer(record);
     double limit = slots + QueuedAtServer;
     view->Limit = {limit, limit, Clock::now()};
@@ -273,6 +290,10 @@
 void ServerPool::submit(PoolCall call) {
   auto now = Clock::now();
   recordDemand(Demand, now);
+  if (!canHold(memoryOfServer(), call.Tokens)) {
+    ++BeyondMemory;
+    return call.OnRefused(refusalOf({ErrorKind::Overloaded}));
+  }
   updateRates(now);
   endPauses(Views, now);
   if (auto left = timeToFirstPauseEnd(Views, now))
@@ -304,8 +325,10 @@
                                               Clock::time_point now) {
   static const ChoiceOptions options = choiceOptions();
   ChoiceRequest request;
-  if (auto it = Waiting.find(call.Id); it != Waiting.end())
+  if (auto it = Waiting.find(call.Id); it != Waiting.end()) {
     request.Exclude = it->second.Exclude;
+    request.Tokens = it->second.Tokens;
+  }
   request.MeanCall = std::chrono::milliseconds(
       static_cast<int>(AdmissionControl.Times.MeanMs));
   auto choice = chooseEndpoint(Views, request, options, now, Random);
@@ -334,6 +357,10 @@
     recordSentCall(view);
     recordCallToGroup(Progress, static_cast<int>(Started.size()), now);
     Started.emplace(id, placed->Call);
+    if (view.Memory.Tokens > 0) {
+      holdTokens(view.Memory, node.mapped().Tokens);
+      TokensOfStarted.emplace(id, node.mapped().Tokens);
+    }
     ServerRecord record = Servers[view.Target.Id].Record;
     node.mapped().OnStart(record);
   }
@@ -346,7 +373,9 @@
   if (auto node = Started.extract(id))
     finish(AdmissionControl, node.mapped(),
            !outcome.Failure && !outcome.IsAbandoned, now);
-  if (EndpointView *view = viewOf(server)) {
+  EndpointView *view = viewOf(server);
+  releaseMemory(id, view);
+  if (view) {
     if (outcome.IsAbandoned)
       recordAbandonedCall(*view);
     else if (outcome.Failure)
@@ -434,6 +463,12 @@
       static_cast<double>(ConnectionsOpened));
   set("greengagespar_server_connections_for_repeats",
       static_cast<double>(ConnectionsForRepeats));
+  double held = 0;
+  for (const EndpointView &it : Views)
+    held = std::max(held, static_cast<double>(it.Memory.Held));
+  set("greengagespar_server_tokens_held", held);
+  set("greengagespar_requests_beyond_server_memory",
+      static_cast<double>(BeyondMemory));
   set("greengagespar_retry_tokens", Retries.Tokens);
   set("greengagespar_retry_part", Retries.MaxTokens + Retries.Overdraft);
   set("greengagespar_retry_entries", static_cast<double>(Entries));
--- a/src/include/greengagespar/direct/server_pool.h
+++ b/src/include/greengagespar/direct/server_pool.h
@@ -32,6 +32,7 @@
   std::vector<ServerId> Exclude; ///< Servers on which it has failed.
   std::function<void(const ServerRecord &)> OnStart; ///< Send it to this one.
   std::function<void(const Refusal &)> OnRefused;
+  std::int64_t Tokens = 0; ///< That it takes of a server's memory.
 };
 
 /// How a call on a server ended, as evidence about the server.
@@ -132,6 +133,8 @@
   Capacity capacity() const;
   Refusal refusalOf(const Refusal &why) const;
   bool hasRoom(Clock::time_point now) const;
+  ServerMemory memoryOfServer() const;
+  void releaseMemory(CallId id, EndpointView *view);
   bool takesNoWork(const KeptConnections &server) const;
   void updateStreamLimit();
   void updateRates(Clock::time_point now);
@@ -154,6 +157,8 @@
   Admission AdmissionControl;
   std::unordered_map<CallId, PoolCall> Waiting;
   std::unordered_map<CallId, StartedCall> Started;
+  /// Of calls in Started to servers that declare their memory.
+  std::unordered_map<CallId, std::int64_t> TokensOfStarted;
   RetryBudget Retries;
   PaceLimit StreamLimit; ///< Limits streams only in the pool of a group.
   StallState Progress;
@@ -164,6 +169,8 @@
   /// Of ConnectionsOpened, those for requests that each idle connection to the
   /// server had carried before.
   std::uint64_t ConnectionsForRepeats = 0;
+  /// Requests that no server has the memory for.
+  std::uint64_t BeyondMemory = 0;
   bool IsStarting = false; ///< startWaiting() runs; it is not reentrant.
   Rng Random;
 };
--- a/src/include/greengagespar/direct/site.h
+++ b/src/include/greengagespar/direct/site.h
@@ -69,6 +69,9 @@
   double ExpertMegabytes = 0; ///< Size of an expert's weights, in one layer.
   double LinkMegabitsPerSecond =
       0; ///< Megabits per second, for copies of weights.
+  /// Tokens of prompts and answers in progress that a server can hold; 0: the
+  /// engine declares no bound.
+  std::int64_t MemoryTokens = 0;
 };
 
 /// A plain service or a model group that routes send requests to.
--- a/src/include/greengagespar/route/choose.h
+++ b/src/include/greengagespar/route/choose.h
@@ -62,6 +62,8 @@
   std::chrono::milliseconds MeanCall{500};
   /// The call may be sent to a server that is being probed.
   bool MayProbe = true;
+  /// Tokens that the call takes of a server's memory.
+  std::int64_t Tokens = 0;
 };
 
 /// Why a server was chosen.
--- a/src/include/greengagespar/route/endpoint_view.h
+++ b/src/include/greengagespar/route/endpoint_view.h
@@ -12,6 +12,7 @@
 #include "greengagespar/route/concurrency.h"
 #include "greengagespar/route/priority.h"
 #include "greengagespar/route/rate_limit.h"
+#include "greengagespar/route/server_memory.h"
 #include <chrono>
 #include <optional>
 #include <vector>
@@ -71,6 +72,7 @@
   int ConsecutiveEjections = 0;
   int ProbesAnswered = 0; ///< Answers since probing began.
   int ProbesInFlight = 0; ///< Calls in flight that were sent while probing.
+  ServerMemory Memory; ///< What this entry's calls take of it.
 };
 
 /// Records that a call was sent to the server of \p view, and uses a token of
--- a/src/route/choose.cpp
+++ b/src/route/choose.cpp
@@ -42,7 +42,8 @@
 }
 
 bool isEligible(const EndpointView &view, const ChoiceRequest &request) {
-  return takesCalls(view) && !contains(request.Exclude, view.Target.Id);
+  return takesCalls(view) && hasMemoryFor(view.Memory, request.Tokens) &&
+         !contains(request.Exclude, view.Target.Id);
 }
 
 bool isHealthy(const EndpointView &view) {
