--- a/src/http/buffer_memory_test.cpp
+++ b/src/http/buffer_memory_test.cpp
@@ -82,7 +82,7 @@
 
 // The load: callers that take nothing of long answers beside one that reads.
 BOOST_AUTO_TEST_CASE(readers_thatTakeNothing_endBeforeOthers) {
-  constexpr std::size_t step = 16 * 1024;
+  constexpr std::size_t step = std::size_t{16} * 1024;
   std::list<std::size_t> slow(1000, 0);
   std::size_t most = 0;
   bool hasEnded = false;
--- a/src/include/greengagespar/route/endpoint_view.h
+++ b/src/include/greengagespar/route/endpoint_view.h
@@ -72,7 +72,7 @@
   int ConsecutiveEjections = 0;
   int ProbesAnswered = 0; ///< Answers since probing began.
   int ProbesInFlight = 0; ///< Calls in flight that were sent while probing.
-  ServerMemory Memory; ///< What this entry's calls take of it.
+  ServerMemory Memory;    ///< What this entry's calls take of it.
 };
 
 /// Records that a call was sent to the server of \p view, and uses a token of
--- a/testsuite/direct/memory_test.cpp
+++ b/testsuite/direct/memory_test.cpp
@@ -154,6 +154,20 @@
   }
 }
 
+// A body that could never be kept is refused before a byte of it has come, also
+// where the operator allows bodies of any size.
+BOOST_AUTO_TEST_CASE(body_largerThanAllMemory_isRefusedFromItsHead) {
+  json::object config = configuration(2);
+  config["limits"].as_object()["maxBodyBytes"] = 1e15;
+  Objects.put("config", "main", config);
+  startProcess();
+  Reply reply = sendAndWait(
+      "POST", "/book/1", "X-Api-Key: k1\r\nContent-Length: 900000000000\r\n");
+  BOOST_TEST(reply.Head.Status == 413);
+  BOOST_TEST(!findField(reply.Head.Fields, "Retry-After"));
+  BOOST_TEST(findField(reply.Head.Fields, "X-Request-Id"));
+}
+
 // The load: a caller takes nothing of a long stream for a while. Without a
 // pause in reading its server, the entry would hold the stream and give the
 // caller up.
