--- a/src/direct/direct_settings.cpp
+++ b/src/direct/direct_settings.cpp
@@ -64,6 +64,8 @@
             duration("milliseconds", 1, {0, 600000}), optional,
             "Time in which an order to take a data centre out of service has "
             "to be in force; 0: there are no such orders."),
+      field("memory_mb", &S::MemoryMegabytes, numberIn({16, 1000000}), optional,
+            "Memory of the process in MB. Requests and answers may fill half."),
   }};
 }
 
--- a/src/include/greengagespar/direct/direct_settings.h
+++ b/src/include/greengagespar/direct/direct_settings.h
@@ -37,6 +37,7 @@
   /// Time in which the operator's order to take a data centre out of service
   /// has to be in force; zero: there are no such orders.
   std::chrono::milliseconds OutOfServiceTime{0};
+  double MemoryMegabytes = 256; ///< The process may use no more.
 };
 
 /// Returns the schema of the settings file. Thread safe.
