Bound what all entries send to cold servers

A server that has just started bears few requests a second, and the operator bounds what it gets in any second from all entries together.

--- a/src/include/greengagespar/route/rate_limit.h
+++ b/src/include/greengagespar/route/rate_limit.h
@@ -116,6 +116,25 @@
                    const Address &self,
                    const std::vector<LimitSharer> &sharers);
 
+/// A division of a limit into equal parts.
+struct EqualParts {
+  double PerSecond = 0;       ///< Requests of all holders together.
+  std::size_t Holders = 1;    ///< Most entries that have a part.
+  std::size_t LeastParts = 1; ///< Parts are no larger than for so many holders.
+};
+
+/// Returns how many requests a second the entry \p self may send to \p server
+/// if the first \p parts.Holders of \p entries in the server's rendezvous order
+/// have equal parts; zero if it is none of them. Other than with partOfLimit()
+/// demand plays no role, so that entries which know the same others agree at
+/// once. Precondition: \p self is one of \p entries.
+double equalPartOfLimit(const EqualParts &parts, ServerIncarnationId server,
+                        const Address &self,
+                        const std::vector<Address> &entries);
+
+/// A share saves tokens up for this long, but at least one token.
+inline constexpr std::chrono::duration<double> TokenSaveTime{0.2};
+
 /// This entry's part of one server's limit.
 struct RateShare {
   double PerSecond = 0; ///< Requests that this entry may send.
--- a/src/route/rate_limit.cpp
+++ b/src/route/rate_limit.cpp
@@ -21,9 +21,6 @@
 // many powers of two; rounding alone would change it at half of one.
 constexpr double ReportHysteresis = 0.75;
 
-// A share saves tokens up for this long, but at least one.
-constexpr Seconds SaveTime{0.2};
-
 // The least rate at which all entries together send to a limited server:
 // otherwise nobody would learn that a limit of zero has ended.
 constexpr double MinPerSecond = 0.25;
@@ -188,9 +185,25 @@
   return own > 0 ? limit * own / sum : 0;
 }
 
+double equalPartOfLimit(const EqualParts &parts, ServerIncarnationId server,
+                        const Address &self,
+                        const std::vector<Address> &entries) {
+  std::uint64_t own = rendezvousScore(server.Value, self.Value);
+  std::size_t before = 0;
+  for (const Address &it : entries) {
+    std::uint64_t score = rendezvousScore(server.Value, it.Value);
+    bool isBefore = score > own || (score == own && it < self);
+    if (isBefore && ++before >= parts.Holders)
+      return 0;
+  }
+  std::size_t held = std::min(parts.Holders, entries.size());
+  return parts.PerSecond / static_cast<double>(std::max<std::size_t>(
+                               {1, held, parts.LeastParts}));
+}
+
 void updateRateShare(RateShare &rate, Clock::time_point now) {
   double due = rate.PerSecond * Seconds(now - rate.UpdatedAt).count();
-  double most = std::max(1.0, rate.PerSecond * SaveTime.count());
+  double most = std::max(1.0, rate.PerSecond * TokenSaveTime.count());
   rate.Tokens = std::min(most, rate.Tokens + due);
   rate.UpdatedAt = now;
 }
