Read what the platform says about cold servers

The time and rate of a service's cold servers, how much longer a server is cold (in its registration and in its answers) and the site's bound. Members that are not valid are left out and logged once; the rest of the object holds. A cold server's renewed registration reaches the pools without counting as a change of the server. Deployments without the bound get no new settings.

--- a/src/direct/direct_settings.cpp
+++ b/src/direct/direct_settings.cpp
@@ -57,6 +57,11 @@
       field("change_time_ms", &S::ChangeTime,
             duration("milliseconds", 1, {100, 600000}), optional,
             "Time in which a change in the store has to be in force."),
+      field("cold_overage", &S::ColdOverage, numberIn({0, 1000}), optional,
+            "A cold server gets at most its service's rate times this in any "
+            "second, from all entries; 0: no bound."),
+      field("cold_slack", &S::ColdSlack, numberIn({0, 1000000}), optional,
+            "Requests beyond that in any second."),
       field("log_lines_per_second", &S::LogLinesPerSecond,
             wholeNumber("lines", {1, 100000}), optional,
             "Most log lines in a second; more are counted and left out."),
--- a/src/direct/server_table.cpp
+++ b/src/direct/server_table.cpp
@@ -8,6 +8,7 @@
 
 namespace {
 
+// Whether the records agree in all but the time for which the server is cold.
 bool isSame(const ServerRecord &a, const ServerRecord &b) {
   return a.Service == b.Service && a.At == b.At && a.Leaving == b.Leaving &&
          a.Slots == b.Slots && a.StartedMs == b.StartedMs;
@@ -113,8 +114,12 @@
       continue;
     bool isNew = known.Record.Id.Value.empty();
     known.RemoveAt.reset();
-    if (!isNew && isSame(known.Record, it))
+    if (!isNew && isSame(known.Record, it)) {
+      known.Record.ColdRemaining = it.ColdRemaining;
+      if (known.IsUsed && it.ColdRemaining > std::chrono::milliseconds::zero())
+        changes.Cold.push_back(it);
       continue;
+    }
     if (known.IsUsed && known.Record.Service != it.Service)
       changes.Removed.push_back(known.Record);
     known.Record = it;
--- a/src/direct/server_table_test.cpp
+++ b/src/direct/server_table_test.cpp
@@ -221,4 +221,23 @@
   BOOST_TEST(recordConfirmed(Table, Now + 1min).Updated.empty());
 }
 
+// A cold server registers again with less time left: that reaches the pools,
+// but is no change of the server.
+BOOST_AUTO_TEST_CASE(registration_ofAColdServer_isReportedApart) {
+  ServerRecord cold = record("s1", false);
+  cold.ColdRemaining = 2500ms;
+  ServerChanges changes = recordRegistrations(Table, {cold});
+  BOOST_TEST(changes.Updated.empty());
+  BOOST_REQUIRE(changes.Cold.size() == 1);
+  BOOST_TEST((changes.Cold[0].ColdRemaining == 2500ms));
+  // Cold again, or still: the same figure counts from now.
+  BOOST_TEST(recordRegistrations(Table, {cold}).Cold.size() == 1);
+  cold.ColdRemaining = 0ms;
+  changes = recordRegistrations(Table, {cold});
+  BOOST_TEST(changes.Cold.empty());
+  BOOST_TEST(changes.Updated.empty());
+  cold.ColdRemaining.reset();
+  BOOST_TEST(recordRegistrations(Table, {cold}).Cold.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/direct/site_follower.cpp
+++ b/src/direct/site_follower.cpp
@@ -161,6 +161,7 @@
                   .text());
         if (site.Version <= known)
           return {};
+        logLeftOut("configuration", site.LeftOut);
         logInfo(
             Part::Contract,
             LogLine("configuration_in_force")
@@ -201,6 +202,14 @@
   }
 }
 
+// Logs each member of `names` of the object `path` that was not valid, once: a
+// server writes its registration again and again.
+void SiteFollower::logLeftOut(const std::string &path,
+                              const std::vector<std::string> &names) {
+  for (const std::string &it : names)
+    logUnreadable({it + " of " + path});
+}
+
 std::vector<ServerRecord>
 SiteFollower::readServers(const std::vector<Object> &objects) {
   std::vector<ServerRecord> records;
@@ -208,6 +217,7 @@
     recoverFrom(
         [&]() -> Result<void> {
           BOOST_LEAF_AUTO(record, Dialect.ReadServer(it));
+          logLeftOut(it.Path, record.LeftOut);
           records.push_back(std::move(record));
           ServerValues[it.Path] = it.Value;
           return {};
@@ -264,7 +274,8 @@
   for (const ServerRecord &it : changes.Removed)
     logInfo(Part::Host,
             LogLine("server_gone").add("server", it.Id.Value).text());
-  if (!changes.Updated.empty() || !changes.Removed.empty())
+  if (!changes.Updated.empty() || !changes.Removed.empty() ||
+      !changes.Cold.empty())
     Hooks.OnServers(changes);
 }
 
--- a/src/include/greengagespar/direct/direct_settings.h
+++ b/src/include/greengagespar/direct/direct_settings.h
@@ -33,6 +33,10 @@
   std::chrono::milliseconds RegistrationHeartbeat{1200};
   /// Time in which a change in the store has to be in force.
   std::chrono::milliseconds ChangeTime{2000};
+  /// A cold server gets at most its service's rate times this in any second,
+  /// from all entries together, and ColdSlack more; 0: no bound.
+  double ColdOverage = 0;
+  double ColdSlack = 0;        ///< In requests.
   int LogLinesPerSecond = 400; ///< Further lines are counted and left out.
 };
 
--- a/src/include/greengagespar/direct/server_table.h
+++ b/src/include/greengagespar/direct/server_table.h
@@ -83,6 +83,9 @@
 struct ServerChanges {
   std::vector<ServerRecord> Updated; ///< Added, or with a changed record.
   std::vector<ServerRecord> Removed;
+  /// Cold servers whose record is otherwise the same, once for each time that
+  /// they registered again.
+  std::vector<ServerRecord> Cold;
 };
 
 /// Records that the store did not answer.
--- a/src/include/greengagespar/direct/site.h
+++ b/src/include/greengagespar/direct/site.h
@@ -75,6 +75,10 @@
 struct Backend {
   ServiceId Id;
   std::optional<EngineProfile> Engine; ///< Set for model groups.
+  /// Time for which a server is cold after its start.
+  std::chrono::milliseconds ColdTime{0};
+  /// Requests a second that a cold server bears; 0: no bound.
+  double ColdPerSecond = 0;
 };
 
 /// Who an API key belongs to.
@@ -92,6 +96,8 @@
   HttpServerLimits Limits;
   bool NeedsKeys = false; ///< Routes that aren't public require an API key.
   std::unordered_map<std::string, ApiKeyOwner> Keys; ///< Owners by API key.
+  /// Where members were not valid and were left out, for the log.
+  std::vector<std::string> LeftOut;
 };
 
 /// A server's registration in the platform's store.
@@ -104,6 +110,10 @@
   bool Leaving = false; ///< It accepts no new work.
   /// Start of this incarnation in milliseconds; a later one replaces it.
   std::uint64_t StartedMs = 0;
+  /// How much longer the server is cold; empty: the registration says nothing.
+  std::optional<std::chrono::milliseconds> ColdRemaining;
+  /// Names of members that were not valid and were left out, for the log.
+  std::vector<std::string> LeftOut;
 };
 
 /// What the header fields of a caller's request say about it.
@@ -155,6 +165,8 @@
   /// Requests a second that the server takes from all entries together, for as
   /// long as its answers say so; empty: it states none.
   std::optional<double> RateLimit;
+  /// How much longer the server is cold; empty: the answer says nothing.
+  std::optional<std::chrono::milliseconds> ColdRemaining;
 };
 
 /// What a call to one of the entry's addresses is for.
--- a/src/include/greengagespar/direct/site_follower.h
+++ b/src/include/greengagespar/direct/site_follower.h
@@ -94,6 +94,8 @@
   std::vector<ServerRecord> readServers(const std::vector<Object> &objects);
   void report(const ServerChanges &changes);
   void logUnreadable(const std::vector<std::string> &entries);
+  void logLeftOut(const std::string &path,
+                  const std::vector<std::string> &names);
   void onStoreAnswered();
   void onStoreRestored(StoreTimeline before);
   void onStoreUnavailable(const Error &error);
