Limit what entries send to cold servers

Pools take a cold server's part as its rate: from the time left that its registration or an answer states, from what other entries tell in their digests (at most 16 servers each, first-hand only, by turns), and by guess after a server comes back without a statement or the entry stood still for 2 s. The smaller of this part and that of a limit that the server states counts. An entry that has just started sends to cold servers after one second.

--- a/src/direct/digest_messages.cpp
+++ b/src/direct/digest_messages.cpp
@@ -92,6 +92,25 @@
   return rows;
 }
 
+void writeColdRows(const std::vector<ColdRow> &rows, wire::Members &digest) {
+  for (std::size_t i = 0; i < std::min(rows.size(), MaxColdRows); ++i) {
+    const ColdRow &row = rows[i];
+    wire::ColdServer &out = *digest.add_cold();
+    out.set_server(row.Server.Value);
+    out.set_remaining_ms(
+        static_cast<std::uint32_t>(millisecondsOf(row.Remaining)));
+  }
+}
+
+std::vector<ColdRow> readColdRows(const wire::Members &digest) {
+  std::vector<ColdRow> rows;
+  int count = std::min(digest.cold_size(), static_cast<int>(MaxColdRows));
+  for (int i = 0; i < count; ++i)
+    rows.push_back({{digest.cold(i).server()},
+                    std::chrono::milliseconds(digest.cold(i).remaining_ms())});
+  return rows;
+}
+
 void writeNotices(const std::vector<NoticeRow> &rows, wire::Members &digest) {
   for (const NoticeRow &row : rows) {
     wire::ServerNotice &out = *digest.add_notices();
--- a/src/direct/digest_messages_test.cpp
+++ b/src/direct/digest_messages_test.cpp
@@ -87,6 +87,26 @@
   BOOST_TEST(bytes <= mostBytes);
 }
 
+BOOST_AUTO_TEST_CASE(coldServers_writtenAndRead_areTheSameUpToTheLimit) {
+  constexpr std::size_t mostBytes = 17;
+  wire::Members digest;
+  std::vector<ColdRow> rows;
+  for (std::uint64_t i = 1; i <= MaxColdRows + 5; ++i)
+    rows.push_back({{~i}, std::chrono::milliseconds(i * 10)});
+  writeColdRows(rows, digest);
+  auto read = readColdRows(digest);
+  BOOST_REQUIRE(read.size() == MaxColdRows);
+  BOOST_TEST(read[0].Server.Value == rows[0].Server.Value);
+  BOOST_TEST((read[0].Remaining == rows[0].Remaining));
+  BOOST_TEST(digest.ByteSizeLong() <= mostBytes * MaxColdRows);
+  digest.mutable_cold(0)->set_remaining_ms(~0U);
+  for (int i = 0; i < 100; ++i)
+    digest.add_cold();
+  read = readColdRows(digest);
+  BOOST_TEST(read.size() == MaxColdRows);
+  BOOST_TEST(read[0].Remaining.count() > 0);
+}
+
 BOOST_AUTO_TEST_CASE(notices_writtenAndRead_areTheSameUpToTheLimit) {
   wire::Members digest;
   std::vector<NoticeRow> rows;
--- a/src/direct/direct_entry.cpp
+++ b/src/direct/direct_entry.cpp
@@ -16,6 +16,10 @@
 // finds its peers.
 constexpr milliseconds PeerDiscoveryTime{2000};
 
+// A starting entry sends nothing to cold servers for this long: the entry
+// before it at its address may have used its part in the same second.
+constexpr milliseconds ColdStartGrace{1000};
+
 // Interval between two checks of waiting calls and old connections: while calls
 // wait or the entry leaves, and otherwise.
 constexpr milliseconds BusyTick{20};
@@ -138,6 +142,9 @@
                                std::optional<double> perSecond) {
     onRateLimit(server, perSecond);
   };
+  Context.OnCold = [this](const ServerRecord &server, milliseconds remaining) {
+    onCold(server, remaining);
+  };
   Context.OnNotice = [this](const ServerRecord &server, NoticeKind kind,
                             std::string_view requestId) {
     onNotice(server, kind, requestId);
@@ -162,9 +169,12 @@
   hooks.AddToDigest = [this](wire::Members &digest) {
     writeShared(Shared, digest, Clock::now());
     writeStoreNews(Site.news(Clock::now()), digest);
+    writeColdRows(coldRows(), digest);
   };
   hooks.OnDigest = [this](const wire::Members &digest) {
     Site.expect(readStoreNews(digest));
+    for (auto &[service, pool] : Pools)
+      pool->recordToldCold(readColdRows(digest), Clock::now());
     bool isNews = mergeShared(Shared, digest, Clock::now());
     if (isNews)
       applyNotices();
@@ -182,6 +192,25 @@
   Peers.announce();
 }
 
+void DirectEntry::onCold(const ServerRecord &server, milliseconds remaining) {
+  if (poolOf(server.Service).recordCold(server, remaining))
+    shareLimits(Clock::now());
+}
+
+// Returns the entries that share what cold servers bear, where `sharers` share
+// the servers' own limits.
+ColdSharers DirectEntry::coldSharers(const std::vector<LimitSharer> &sharers,
+                                     Clock::time_point now) const {
+  ColdSharers all;
+  for (const LimitSharer &it : sharers)
+    all.Entries.push_back(it.Entry);
+  all.Known = std::max(sharers.size(), Peers.view().Members.size());
+  bool hasPeers = !Settings.Peers.empty();
+  all.IsAlone = hasPeers && all.Known <= 1;
+  all.IsStarting = hasPeers && now - StartedAt < ColdStartGrace;
+  return all;
+}
+
 void DirectEntry::onNotice(const ServerRecord &server, NoticeKind kind,
                            std::string_view requestId) {
   if (kind == NoticeKind::Gone)
@@ -192,6 +221,20 @@
   Peers.announceNews();
 }
 
+// Returns what this entry itself has learned about cold servers, in the next
+// digest from another one on, so that all take turns.
+std::vector<ColdRow> DirectEntry::coldRows() {
+  std::vector<ColdRow> rows;
+  for (const auto &[service, pool] : Pools)
+    pool->addColdRows(rows, Clock::now());
+  if (rows.size() <= MaxColdRows)
+    return rows;
+  std::ranges::rotate(rows, rows.begin() + static_cast<std::ptrdiff_t>(
+                                               NextColdRow % rows.size()));
+  NextColdRow += MaxColdRows;
+  return rows;
+}
+
 void DirectEntry::applyNotices() {
   for (auto &[service, pool] : Pools)
     pool->applyNotices();
@@ -200,11 +243,13 @@
 // Sets each pool's parts of the rate limits of its servers.
 void DirectEntry::shareLimits(Clock::time_point now) {
   for (auto &[service, pool] : Pools) {
-    if (Shared.Limits.Servers.empty() && !pool->isRateLimited())
+    if (Shared.Limits.Servers.empty() && !pool->isRateLimited() &&
+        !pool->hasCold(now))
       continue;
-    pool->shareLimits(
-        Shared.Limits, Settings.Link,
-        limitSharers(Peers.view(), service, pool->reportedDemand(), now));
+    auto sharers =
+        limitSharers(Peers.view(), service, pool->reportedDemand(), now);
+    pool->shareLimits(Shared.Limits, Settings.Link, sharers,
+                      coldSharers(sharers, now));
   }
 }
 
@@ -309,6 +354,10 @@
   Settings.RetryShare = settings.RetryShare;
   Settings.ExtraRetries = settings.ExtraRetries;
   Settings.RetryWindow = settings.RetryWindow;
+  Settings.ColdOverage = settings.ColdOverage;
+  Settings.ColdSlack = settings.ColdSlack;
+  for (auto &[id, pool] : Pools)
+    pool->setColdBound(Settings.ColdOverage, Settings.ColdSlack);
   Settings.Peers = settings.Peers;
   Site.setRegistrationHeartbeat(settings.RegistrationHeartbeat);
   Site.setChangeTime(settings.ChangeTime);
@@ -415,6 +464,7 @@
   if (!pool) {
     pool =
         std::make_unique<ServerPool>(Loop, service, Shared.Notices, Random());
+    pool->setColdBound(Settings.ColdOverage, Settings.ColdSlack);
     shareRetries();
   }
   return *pool;
@@ -462,6 +512,9 @@
     reportServerStart(Shared.Guard, it, Clock::now());
     poolOf(it.Service).update(it);
   }
+  for (const ServerRecord &it : changes.Cold)
+    poolOf(it.Service).recordCold(it, *it.ColdRemaining);
+  shareLimits(Clock::now());
   updateRankAgents();
 }
 
--- a/src/direct/exchange.cpp
+++ b/src/direct/exchange.cpp
@@ -201,6 +201,8 @@
                      Call.Facts.RequestId);
   else if (!isForeign)
     Context.OnRateLimit(CurrentAttempt->Server, facts.RateLimit);
+  if (facts.ColdRemaining && !facts.IsOtherServer && !isForeign)
+    Context.OnCold(CurrentAttempt->Server, *facts.ColdRemaining);
   if (facts.Pause)
     Pool.pauseServer(CurrentAttempt->Server, *facts.Pause,
                      Call.Facts.RequestId);
--- a/src/direct/server_pool.cpp
+++ b/src/direct/server_pool.cpp
@@ -132,19 +132,26 @@
 }
 
 void ServerPool::shareLimits(const RateLimits &limits, const Address &self,
-                             const std::vector<LimitSharer> &sharers) {
+                             const std::vector<LimitSharer> &sharers,
+                             const ColdSharers &coldSharers) {
+  auto now = Clock::now();
+  ColdStartRule rule = coldRule();
   HasRates = false;
   for (EndpointView &view : Views) {
-    ServerIncarnationId id = Servers[view.Target.Id].Incarnation;
+    const KeptConnections &kept = Servers[view.Target.Id];
+    ServerIncarnationId id = kept.Incarnation;
     auto limit = limitOf(limits, id);
-    if (!limit) {
+    auto cold = coldPart(rule, kept.Cold, id, self, coldSharers, now);
+    if (!limit && !cold) {
       view.Rate.reset();
       continue;
     }
     HasRates = true;
     if (!view.Rate)
-      view.Rate = RateShare{0, 0, Clock::now()};
-    double part = partOfLimit(*limit, id, self, sharers);
+      view.Rate = RateShare{0, 0, now};
+    double unlimited = std::numeric_limits<double>::infinity();
+    double part = limit ? partOfLimit(*limit, id, self, sharers) : unlimited;
+    part = std::min(part, cold.value_or(unlimited));
     // A part that is taken over is no reason to send at once what the holder
     // before may have sent just now.
     if (view.Rate->PerSecond == 0)
@@ -250,8 +257,10 @@
     double limit = slots + QueuedAtServer;
     view->Limit = {limit, limit, Clock::now()};
   }
+  bool wasLeaving = view->Target.Leaving;
   view->Target = {record.Id, record.At, record.DataCentre, false,
                   takesNoWork(kept)};
+  applyColdRecord(kept, isNewServer, wasLeaving && !view->Target.Leaving);
   view->Slots = slotsOfServer(record);
   updateStreamLimit();
   startWaiting(Clock::now());
@@ -272,6 +281,7 @@
 
 void ServerPool::submit(PoolCall call) {
   auto now = Clock::now();
+  noticeStandstill(now);
   recordDemand(Demand, now);
   updateRates(now);
   endPauses(Views, now);
@@ -286,8 +296,10 @@
   workspace.Id = call.Workspace;
   AdmissionDecision decision =
       offer(AdmissionControl, arriving, workspace, capacity(), now);
-  if (decision.Refused)
+  if (decision.Refused) {
+    RefusedBesideCold += hasCold(now) ? 1 : 0;
     return call.OnRefused(refusalOf(*decision.Refused));
+  }
   Waiting.emplace(call.Id, std::move(call));
   for (const RefusedCall &it : decision.Evicted)
     if (auto node = Waiting.extract(it.Call.Id))
@@ -407,6 +419,7 @@
 }
 
 void ServerPool::tick(Clock::time_point now) {
+  noticeStandstill(now);
   std::vector<ServerId> expired;
   for (const auto &[id, at] : BrokenGroupReportedAt)
     if (now - at > BrokenGroupReportLifetime)
@@ -416,10 +429,12 @@
   for (const RefusedCall &it : expire(AdmissionControl, capacity(), now))
     if (auto node = Waiting.extract(it.Call.Id))
       node.mapped().OnRefused(refusalOf(it.Reason));
-  for (auto &[id, kept] : Servers)
+  for (auto &[id, kept] : Servers) {
+    reportCold(kept, now);
     std::erase_if(kept.Idle, [&](const auto &it) {
       return !it->isReusable() || now >= it->usableUntil();
     });
+  }
   startWaiting(now);
 }
 
@@ -437,6 +452,7 @@
   set("greengagespar_retry_tokens", Retries.Tokens);
   set("greengagespar_retry_part", Retries.MaxTokens + Retries.Overdraft);
   set("greengagespar_retry_entries", static_cast<double>(Entries));
+  recordColdMetrics(counters);
 }
 
 } // namespace greengagespar
--- a/src/include/greengagespar/direct/digest_messages.h
+++ b/src/include/greengagespar/direct/digest_messages.h
@@ -1,13 +1,14 @@
 /// \file
 /// Converts what entries add to their digests to and from messages: evidence
-/// about parts of prompts, rate limits of servers, notices about servers and
-/// changes in the store.
+/// about parts of prompts, rate limits of servers, notices about servers, cold
+/// servers and changes in the store.
 /// Pure functions; thread safe.
 #ifndef GREENGAGESPAR_DIRECT_DIGEST_MESSAGES_H
 #define GREENGAGESPAR_DIRECT_DIGEST_MESSAGES_H
 
 #include "greengagespar/direct/site_follower.h"
 #include "greengagespar/link/link.pb.h"
+#include "greengagespar/route/cold_start.h"
 #include "greengagespar/route/crash_evidence.h"
 #include "greengagespar/route/rate_limit.h"
 #include "greengagespar/route/server_notice.h"
@@ -40,6 +41,15 @@
 /// are no finite rates of zero or more.
 std::vector<LimitRow> readLimits(const wire::Members &digest);
 
+/// Most cold servers in one digest. A row takes at most 17 bytes.
+inline constexpr std::size_t MaxColdRows = 16;
+
+/// Adds the first MaxColdRows of \p rows to \p digest.
+void writeColdRows(const std::vector<ColdRow> &rows, wire::Members &digest);
+
+/// Reads the first MaxColdRows cold servers of \p digest.
+std::vector<ColdRow> readColdRows(const wire::Members &digest);
+
 /// Adds \p rows to \p digest.
 void writeNotices(const std::vector<NoticeRow> &rows, wire::Members &digest);
 
--- a/src/include/greengagespar/direct/direct_entry.h
+++ b/src/include/greengagespar/direct/direct_entry.h
@@ -62,6 +62,10 @@
   void onRateLimit(const ServerRecord &server, std::optional<double> perSecond);
   void onNotice(const ServerRecord &server, NoticeKind kind,
                 std::string_view requestId);
+  void onCold(const ServerRecord &server, std::chrono::milliseconds remaining);
+  ColdSharers coldSharers(const std::vector<LimitSharer> &sharers,
+                          Clock::time_point now) const;
+  std::vector<ColdRow> coldRows();
   void applyNotices();
   void shareLimits(Clock::time_point now);
   void pullFrom(const Address &peer, Generation at);
@@ -92,6 +96,7 @@
   std::unordered_map<CallId, std::unique_ptr<Exchange>> OpenExchanges;
   std::vector<std::unique_ptr<Exchange>> EndedExchanges; ///< To destroy.
   std::uint64_t NextCall = 0;
+  std::size_t NextColdRow = 0; ///< See coldRows().
   Clock::time_point StartedAt{};
   std::optional<Clock::time_point> LeavingSince;
   bool IsDraining = false;
--- a/src/include/greengagespar/direct/exchange.h
+++ b/src/include/greengagespar/direct/exchange.h
@@ -30,6 +30,8 @@
   /// Reports the rate limit that an answer of a server states; empty: none.
   std::function<void(const ServerRecord &, std::optional<double> perSecond)>
       OnRateLimit;
+  /// Reports how much longer a server is cold, as its answer says.
+  std::function<void(const ServerRecord &, std::chrono::milliseconds)> OnCold;
   /// Reports what an answer to the request \p requestId says about its server.
   std::function<void(const ServerRecord &, NoticeKind,
                      std::string_view requestId)>
--- a/src/include/greengagespar/direct/server_pool.h
+++ b/src/include/greengagespar/direct/server_pool.h
@@ -12,6 +12,7 @@
 #include "greengagespar/report/metrics.h"
 #include "greengagespar/route/admission.h"
 #include "greengagespar/route/choose.h"
+#include "greengagespar/route/cold_start.h"
 #include "greengagespar/route/pace_limit.h"
 #include "greengagespar/route/rate_limit.h"
 #include "greengagespar/route/retry_budget.h"
@@ -86,9 +87,24 @@
   /// Applies the notices about servers; call it after a change of them.
   void applyNotices();
   /// Sets this entry's parts of the servers' rate limits \p limits, which the
-  /// entries \p sharers share. Precondition: the entry \p self is one of them.
+  /// entries \p sharers share, and of what cold servers bear, which the entries
+  /// \p coldSharers share. Precondition: the entry \p self is one of both.
   void shareLimits(const RateLimits &limits, const Address &self,
-                   const std::vector<LimitSharer> &sharers);
+                   const std::vector<LimitSharer> &sharers,
+                   const ColdSharers &coldSharers);
+  /// Sets the site's bound on requests to cold servers; see ColdStartRule.
+  void setColdBound(double overage, double slack);
+  /// Records that \p server is cold for \p remaining. Returns whether it was
+  /// not known as cold; shareLimits() is to be called then.
+  bool recordCold(const ServerRecord &server,
+                  std::chrono::milliseconds remaining);
+  /// Records what another entry has learned about cold servers, as far as they
+  /// belong to this pool.
+  void recordToldCold(const std::vector<ColdRow> &rows, Clock::time_point now);
+  /// Adds the cold servers for other entries to \p rows.
+  void addColdRows(std::vector<ColdRow> &rows, Clock::time_point now) const;
+  /// Whether requests to some server are limited because it is or was cold.
+  bool hasCold(Clock::time_point now) const;
   /// Whether a server has a rate limit.
   bool isRateLimited() const { return HasRates; }
   /// Returns the demand that this entry reports; see reportedDemand().
@@ -125,6 +141,7 @@
   struct KeptConnections {
     ServerRecord Record;
     ServerIncarnationId Incarnation; ///< Of Record.
+    ColdState Cold;                  ///< Of Incarnation.
     IdleConnections Idle;
   };
 
@@ -135,6 +152,12 @@
   bool takesNoWork(const KeptConnections &server) const;
   void updateStreamLimit();
   void updateRates(Clock::time_point now);
+  ColdStartRule coldRule() const;
+  void applyColdRecord(KeptConnections &kept, bool isNewServer,
+                       bool hasReturned);
+  void noticeStandstill(Clock::time_point now);
+  void reportCold(KeptConnections &kept, Clock::time_point now) const;
+  void recordColdMetrics(Metrics &counters) const;
   void refuseWaiting(const Refusal &why);
   int slotsOfServer(const ServerRecord &record) const;
   void startWaiting(Clock::time_point now);
@@ -159,6 +182,11 @@
   StallState Progress;
   DemandRate Demand;
   bool HasRates = false; ///< A view has a rate limit.
+  double ColdOverage = 0;
+  double ColdSlack = 0;
+  /// When the pool last had the time, see noticeStandstill().
+  Clock::time_point AwakeAt = Clock::now();
+  std::uint64_t RefusedBesideCold = 0; ///< Calls refused while hasCold().
   std::size_t Entries = 1;
   std::uint64_t ConnectionsOpened = 0;
   /// Of ConnectionsOpened, those for requests that each idle connection to the
--- a/src/include/greengagespar/route/cold_start.h
+++ b/src/include/greengagespar/route/cold_start.h
@@ -101,8 +101,8 @@
   std::size_t Known = 1;        ///< All known ones, also those silent for long.
   /// The settings name others, but this entry has heard of none.
   bool IsAlone = false;
-  /// This entry has just started: it may not know all others yet, and the one
-  /// before it at its address may have used its part.
+  /// This entry has just started: the one before it at its address may have
+  /// used its part within the last second.
   bool IsStarting = false;
 };
 
