--- a/src/direct/digest_messages.cpp
+++ b/src/direct/digest_messages.cpp
@@ -105,6 +105,7 @@
 std::vector<ColdRow> readColdRows(const wire::Members &digest) {
   std::vector<ColdRow> rows;
   int count = std::min(digest.cold_size(), static_cast<int>(MaxColdRows));
+  rows.reserve(static_cast<std::size_t>(count));
   for (int i = 0; i < count; ++i)
     rows.push_back({{digest.cold(i).server()},
                     std::chrono::milliseconds(digest.cold(i).remaining_ms())});
