Keep what rank agents report of their servers' loads

Entries got the running and waiting calls, the step and the pace of each rank about once a second and used none of them, so that in a large deployment they ranked servers by their own few calls only.

A request for a rank's state carries the entry's own clock; the answer repeats it and states how long ago the state was read. The report's AsOf is the time of the request less that age: a bound that also holds for answers which waited in the socket of an entry whose host stood still. A state without an age, one that answers no request, and one that is older than MaxReportedLoadAge give no report; numbers out of range are bounded. Both fields are appended, so older processes ignore them and give no report.

The pool stores the report without adjusting the limit of calls on the server (recordLoadReport() would): such limits hold for an entry whose own calls are a good part of a server's load. Reports are kept only where they are not, ServerPool::hasThinKnowledge(), so that smaller deployments choose as before. The lag that a group's configuration states for reports counts as age.

--- a/src/direct/direct_entry.cpp
+++ b/src/direct/direct_entry.cpp
@@ -219,6 +219,9 @@
   hooks.OnRankOpen = [this](const Address &agent, bool isOpen) {
     recordRankState(agent, isOpen);
   };
+  hooks.OnRankLoad = [this](const Address &agent, const LoadReport &load) {
+    recordRankLoad(agent, load);
+  };
   hooks.ServerOf = [this](const Address &agent) -> std::optional<Address> {
     const EndpointView *server = serverOnHostOf(agent);
     return server ? std::optional(server->Target.Endpoint) : std::nullopt;
@@ -247,6 +250,15 @@
   }
 }
 
+// Passes the load of the server on the host of \p agent on to its pool.
+void DirectEntry::recordRankLoad(const Address &agent, const LoadReport &load) {
+  if (const EndpointView *server = serverOnHostOf(agent)) {
+    ServerId id = server->Target.Id;
+    for (auto &[service, pool] : Pools)
+      pool->recordServerLoad(id, load);
+  }
+}
+
 // Updates the addresses of the rank agents. Each runs on the host of its rank's
 // server.
 void DirectEntry::updateRankAgents() {
--- a/src/direct/map_coordinator.cpp
+++ b/src/direct/map_coordinator.cpp
@@ -264,6 +264,7 @@
                                   bool isDriver) {
   wire::Envelope envelope;
   envelope.mutable_rank_ask()->set_with_counts(isDriver);
+  envelope.mutable_rank_ask()->set_asked_at_ms(writeAskTime(Clock::now()));
   client.send(envelope);
   if (!isDriver)
     return;
@@ -287,6 +288,8 @@
 void MapCoordinator::onState(const Address &agent,
                              const wire::RankState &state) {
   auto now = Clock::now();
+  if (std::optional<LoadReport> load = readLoadReport(state, now))
+    Hooks.OnRankLoad(agent, *load);
   if (state.group().empty() || state.rank() >= state.size() ||
       Engine.Experts == 0)
     return Hooks.OnRankOpen(agent, state.open());
--- a/src/direct/map_messages.cpp
+++ b/src/direct/map_messages.cpp
@@ -1,9 +1,17 @@
 #include "greengagespar/direct/map_messages.h"
 
+#include <algorithm>
+
 namespace greengagespar {
 
 namespace {
 
+using std::chrono::milliseconds;
+
+// Bounds of what a rank may state, so that sums over all ranks stay in range.
+constexpr std::uint32_t MaxReportedCalls = 100000;
+constexpr double MaxReportedPace = 100;
+
 // Returns the error for a field \p what whose value is out of range.
 boost::leaf::error_id outOfRange(std::string_view what) {
   return fail(ErrorKind::BadRequest,
@@ -153,4 +161,31 @@
   return out;
 }
 
+std::uint64_t writeAskTime(Clock::time_point now) {
+  auto time = std::chrono::duration_cast<milliseconds>(now.time_since_epoch());
+  return static_cast<std::uint64_t>(time.count());
+}
+
+std::optional<LoadReport> readLoadReport(const wire::RankState &state,
+                                         Clock::time_point now) {
+  std::uint64_t nowMs = writeAskTime(now);
+  std::uint64_t maxAgeMs = MaxReportedLoadAge.count();
+  std::uint64_t askedMs = state.asked_at_ms();
+  bool isAnswer = askedMs > 0 && askedMs <= nowMs;
+  if (!isAnswer || !state.has_age_ms() || state.age_ms() > maxAgeMs ||
+      nowMs - askedMs + state.age_ms() > maxAgeMs)
+    return std::nullopt;
+  auto callsOf = [](std::uint32_t n) {
+    return static_cast<int>(std::min<std::uint32_t>(n, MaxReportedCalls));
+  };
+  LoadReport report;
+  report.Running = callsOf(state.running());
+  report.Waiting = callsOf(state.waiting());
+  report.AsOf = now - milliseconds(nowMs - askedMs + state.age_ms());
+  report.Step = state.step();
+  if (state.pace() > 1)
+    report.Pace = std::min(state.pace(), MaxReportedPace);
+  return report;
+}
+
 } // namespace greengagespar
--- a/src/direct/map_messages_test.cpp
+++ b/src/direct/map_messages_test.cpp
@@ -1,8 +1,34 @@
 #include "greengagespar/direct/map_messages.h"
 
 #include <boost/test/unit_test.hpp>
+#include <limits>
 
 using namespace greengagespar;
+using std::chrono::milliseconds;
+
+namespace {
+
+// A request for a rank's state at AskedAt, and its answer with a state that was
+// read 120 ms before.
+struct AnsweredAsk {
+  Clock::time_point AskedAt{std::chrono::hours(5)};
+  wire::RankState State;
+
+  AnsweredAsk() {
+    State.set_running(7);
+    State.set_waiting(2);
+    State.set_step(41);
+    State.set_pace(2.5);
+    State.set_age_ms(120);
+    State.set_asked_at_ms(writeAskTime(AskedAt));
+  }
+
+  auto readAfter(milliseconds transit) const {
+    return readLoadReport(State, AskedAt + transit);
+  }
+};
+
+} // namespace
 
 BOOST_AUTO_TEST_SUITE(MapMessages)
 
@@ -50,4 +76,50 @@
   BOOST_TEST(!readMapOrder(message));
 }
 
+BOOST_FIXTURE_TEST_CASE(loadReport_ofAnswer_isAsOldAsItCanBe, AnsweredAsk) {
+  auto load = readAfter(milliseconds(40)).value();
+  BOOST_TEST(load.Running == 7);
+  BOOST_TEST(load.Waiting == 2);
+  BOOST_TEST(load.Step == 41U);
+  BOOST_TEST(load.Pace == 2.5);
+  BOOST_TEST(bool(load.AsOf == AskedAt - milliseconds(120)));
+}
+
+// The failure: the entry's host stands still for 3 s, and the answer waits in
+// its socket.
+BOOST_FIXTURE_TEST_CASE(loadReport_readAfterFreeze_countsTheFreezeAsAge,
+                        AnsweredAsk) {
+  auto load = readAfter(milliseconds(3000)).value();
+  BOOST_TEST(bool(load.AsOf == AskedAt - milliseconds(120)));
+  BOOST_TEST(!readAfter(MaxReportedLoadAge).has_value());
+}
+
+BOOST_FIXTURE_TEST_CASE(loadReport_withoutAge_isWorthNothing, AnsweredAsk) {
+  State.clear_age_ms();
+  BOOST_TEST(!readAfter(milliseconds(40)).has_value());
+}
+
+// An agent sends a change of its state without being asked.
+BOOST_FIXTURE_TEST_CASE(loadReport_ofStateThatAnswersNothing_isNone,
+                        AnsweredAsk) {
+  State.set_asked_at_ms(0);
+  BOOST_TEST(!readAfter(milliseconds(40)).has_value());
+}
+
+BOOST_FIXTURE_TEST_CASE(loadReport_withImpossibleValues_isBounded,
+                        AnsweredAsk) {
+  State.set_running(std::numeric_limits<std::uint32_t>::max());
+  State.set_pace(std::numeric_limits<double>::quiet_NaN());
+  auto load = readAfter(milliseconds(40)).value();
+  BOOST_TEST(load.Running > 0);
+  BOOST_TEST(load.Pace == 1);
+  State.set_pace(std::numeric_limits<double>::infinity());
+  BOOST_TEST(readAfter(milliseconds(40))->Pace < 1000);
+  State.set_asked_at_ms(std::numeric_limits<std::uint64_t>::max());
+  BOOST_TEST(!readAfter(milliseconds(40)).has_value());
+  State.set_asked_at_ms(writeAskTime(AskedAt));
+  State.set_age_ms(std::numeric_limits<std::uint32_t>::max());
+  BOOST_TEST(!readAfter(milliseconds(40)).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/direct/rank_agent.cpp
+++ b/src/direct/rank_agent.cpp
@@ -140,9 +140,11 @@
 }
 
 void RankAgent::readState(std::function<void()> done) {
-  Client.readState([this, done = std::move(done)](
+  Client.readState([this, begunAt = Clock::now(), done = std::move(done)](
                        const std::optional<RankServerState> &state) {
     IsFresh = state.has_value();
+    if (state)
+      ReadAt = begunAt;
     countUp(Counters, {"greengagespar_server_reads_total",
                        {{"read", IsFresh ? "yes" : "no"}}});
     if (state)
@@ -421,13 +423,13 @@
     return;
   if (ask.with_places())
     return Client.readPlaces(
-        [this, to](const std::vector<std::vector<Expert>> &places) {
-          sendState(to, {}, places);
+        [this, to, ask](const std::vector<std::vector<Expert>> &places) {
+          sendState(to, ask, {}, places);
         });
   if (!ask.with_counts())
-    return sendState(to, {}, {});
-  Client.readCounts([this, to](const std::vector<std::uint64_t> &counts) {
-    sendState(to, newCountsFor(to, counts), {});
+    return sendState(to, ask, {}, {});
+  Client.readCounts([this, to, ask](const std::vector<std::uint64_t> &counts) {
+    sendState(to, ask, newCountsFor(to, counts), {});
   });
 }
 
@@ -486,9 +488,11 @@
   out.set_running(static_cast<std::uint32_t>(Server->Running));
   out.set_waiting(static_cast<std::uint32_t>(Server->Waiting));
   out.set_pace(Server->Pace);
+  out.set_age_ms(static_cast<std::uint32_t>(
+      std::chrono::ceil<milliseconds>(Clock::now() - ReadAt).count()));
 }
 
-void RankAgent::sendState(const PeerId &to,
+void RankAgent::sendState(const PeerId &to, const wire::RankAsk &ask,
                           const std::vector<std::uint64_t> &counts,
                           const std::vector<std::vector<Expert>> &places) {
   if (!Server)
@@ -496,6 +500,7 @@
   wire::Envelope envelope;
   wire::RankState &out = *envelope.mutable_rank_state();
   fillState(out);
+  out.set_asked_at_ms(ask.asked_at_ms());
   for (std::uint64_t it : counts)
     out.add_new_counts(it);
   for (const auto &layer : places) {
--- a/src/direct/server_pool.cpp
+++ b/src/direct/server_pool.cpp
@@ -91,6 +91,21 @@
   startWaiting(Clock::now());
 }
 
+bool ServerPool::hasThinKnowledge() const {
+  return Declared.Engine &&
+         std::cmp_greater(Entries, std::max(1, Declared.Engine->Slots));
+}
+
+void ServerPool::recordServerLoad(const ServerId &id, const LoadReport &load) {
+  EndpointView *view = hasThinKnowledge() ? viewOf(id) : nullptr;
+  if (!view)
+    return;
+  LoadReport known = load;
+  known.Slots = view->Slots;
+  known.AsOf -= Declared.Engine->ReportLag;
+  recordKnownLoad(*view, known);
+}
+
 // Whether \p server gets no new work: it leaves, is gone, or its group is
 // broken.
 bool ServerPool::takesNoWork(const KeptConnections &server) const {
--- a/src/include/greengagespar/direct/direct_entry.h
+++ b/src/include/greengagespar/direct/direct_entry.h
@@ -56,6 +56,7 @@
   void updateRankAgents();
   const EndpointView *serverOnHostOf(const Address &agent) const;
   void recordRankState(const Address &agent, bool isOpen);
+  void recordRankLoad(const Address &agent, const LoadReport &load);
   MapCoordinatorHooks mapHooks();
   PeerLinksHooks peerHooks();
   MemberRow ownRow() const;
--- a/src/include/greengagespar/direct/map_coordinator.h
+++ b/src/include/greengagespar/direct/map_coordinator.h
@@ -81,6 +81,9 @@
   /// Returns the server beside which the agent at \p agent runs; empty when it
   /// is not known.
   std::function<std::optional<Address>(const Address &agent)> ServerOf;
+  /// Called with the load of the server beside which the agent at \p agent
+  /// runs, when the agent has answered a request for it.
+  std::function<void(const Address &agent, const LoadReport &load)> OnRankLoad;
 };
 
 /// The map coordinator of one entry.
--- a/src/include/greengagespar/direct/map_messages.h
+++ b/src/include/greengagespar/direct/map_messages.h
@@ -1,11 +1,12 @@
 /// \file
-/// Converts the messages of a map switch between entries and rank agents to and
-/// from their wire form. Pure; thread safe.
+/// Converts the messages between entries and rank agents, those of a map switch
+/// and the state of a rank, to and from their wire form. Pure; thread safe.
 #ifndef GREENGAGESPAR_DIRECT_MAP_MESSAGES_H
 #define GREENGAGESPAR_DIRECT_MAP_MESSAGES_H
 
 #include "greengagespar/direct/rank_server.h"
 #include "greengagespar/link/link.pb.h"
+#include "greengagespar/route/endpoint_view.h"
 
 namespace greengagespar {
 
@@ -40,6 +41,23 @@
 /// outside of its range.
 Result<DirectMapReport> readMapReport(const wire::MapReport &message);
 
+/// Age from which the load in a rank's state is of no use, and a request for it
+/// counts as unanswered.
+inline constexpr std::chrono::milliseconds MaxReportedLoadAge{10000};
+
+/// Returns the time \p now of this process's clock as a request for a rank's
+/// state carries it.
+std::uint64_t writeAskTime(Clock::time_point now);
+
+/// Returns the load in the answer \p state to a request of this process, which
+/// receives it at \p now; the caller sets LoadReport::Slots. Empty when the
+/// state answers no request, does not state its age, or is older than
+/// MaxReportedLoadAge. LoadReport::AsOf is the time of the request less the
+/// stated age: the state can't be older than that, however long the answer was
+/// under way or waited to be read. Values out of range are bounded.
+std::optional<LoadReport> readLoadReport(const wire::RankState &state,
+                                         Clock::time_point now);
+
 } // namespace greengagespar
 
 #endif // GREENGAGESPAR_DIRECT_MAP_MESSAGES_H
--- a/src/include/greengagespar/direct/rank_agent.h
+++ b/src/include/greengagespar/direct/rank_agent.h
@@ -78,7 +78,8 @@
 
   void onEnvelope(const PeerId &from, const wire::Envelope &envelope);
   void answerState(const PeerId &to, const wire::RankAsk &ask);
-  void sendState(const PeerId &to, const std::vector<std::uint64_t> &counts,
+  void sendState(const PeerId &to, const wire::RankAsk &ask,
+                 const std::vector<std::uint64_t> &counts,
                  const std::vector<std::vector<Expert>> &places);
   Watcher *watcherAt(const PeerId &at);
   std::vector<std::uint64_t>
@@ -112,6 +113,7 @@
   RankServerClient Client;
   std::optional<RankServerState> Server; ///< As it was last read.
   bool IsFresh = false;                  ///< The last read succeeded.
+  Clock::time_point ReadAt{}; ///< When the read that gave Server was begun.
   std::optional<RankState> Switch;      ///< Set once the server was in a group.
   std::optional<RankWork> Work;         ///< The task in progress; empty: none.
   std::map<MapNumber, RankPlaces> Maps; ///< Received in orders to prepare.
--- a/src/include/greengagespar/direct/server_pool.h
+++ b/src/include/greengagespar/direct/server_pool.h
@@ -78,6 +78,12 @@
   /// Records whether the group of server \p id accepts work, as the server's
   /// rank agent reports.
   void recordGroupOpen(const ServerId &id, bool isOpen);
+  /// Records the load of server \p id, as its rank agent reports, where this
+  /// entry's own calls say little of it; see hasThinKnowledge().
+  void recordServerLoad(const ServerId &id, const LoadReport &load);
+  /// Whether this entry's own calls say little of the servers' loads: its part
+  /// of the slots of each server of the group is under one call.
+  bool hasThinKnowledge() const;
   /// Sends nothing to \p server for \p time, as it asked in its answer to the
   /// request \p requestId. When no server is left that takes calls, refuses
   /// those that wait.
--- a/src/include/greengagespar/direct/site.h
+++ b/src/include/greengagespar/direct/site.h
@@ -69,6 +69,8 @@
   double ExpertMegabytes = 0; ///< Size of an expert's weights, in one layer.
   double LinkMegabitsPerSecond =
       0; ///< Megabits per second, for copies of weights.
+  /// Age of what a server states of its load at the moment that it answers.
+  std::chrono::milliseconds ReportLag{0};
 };
 
 /// A plain service or a model group that routes send requests to.
--- a/src/include/greengagespar/route/endpoint_view.h
+++ b/src/include/greengagespar/route/endpoint_view.h
@@ -13,6 +13,7 @@
 #include "greengagespar/route/priority.h"
 #include "greengagespar/route/rate_limit.h"
 #include <chrono>
+#include <cstdint>
 #include <optional>
 #include <vector>
 
@@ -26,6 +27,8 @@
   int Slots = 0;   ///< Calls that it processes at a time.
   /// When the load was measured: the time of receipt minus the report's age.
   Clock::time_point AsOf;
+  std::uint64_t Step = 0; ///< The last pass that was begun; 0: not stated.
+  double Pace = 1;        ///< Over 1: the server is slow.
 };
 
 /// Whether the entry sends calls to a server.
@@ -98,6 +101,11 @@
 void recordLoadReport(EndpointView &view, const LoadReport &report,
                       Clock::time_point now);
 
+/// Stores a load report and leaves the entry's limit as it is: for servers on
+/// which the entry's own calls are too few to be limited one server at a time.
+/// A report that is older than the stored one is discarded.
+void recordKnownLoad(EndpointView &view, const LoadReport &report);
+
 /// Records whether the server is unresponsive: its link is down or misses
 /// heartbeats. Calls in flight are not ended by this function; the
 /// failure of each is recorded on its own.
--- a/src/route/endpoint_view.cpp
+++ b/src/route/endpoint_view.cpp
@@ -148,7 +148,11 @@
   if (kind == ErrorKind::Overloaded) {
     int slots = view.Report ? view.Report->Slots : view.Slots;
     lowerLimit(view.Limit, view.InFlight);
-    storeReport(view, LoadReport{slots, 1, slots, now}, 1.0);
+    LoadReport full = view.Report.value_or(LoadReport{});
+    full.Running = full.Slots = slots;
+    full.Waiting = 1;
+    full.AsOf = now;
+    storeReport(view, full, 1.0);
     return;
   }
   if (!isServerFault(kind))
@@ -173,6 +177,11 @@
               now);
 }
 
+void recordKnownLoad(EndpointView &view, const LoadReport &report) {
+  if (!view.Report || report.AsOf >= view.Report->AsOf)
+    storeReport(view, report, ReportWeight);
+}
+
 void recordLongStreams(EndpointView &view, int change) {
   view.LongInFlight = std::max(0, view.LongInFlight + change);
 }
