Draw servers by reported loads that are a little old

Many entries that share the servers of a group each have few calls on a server and rank the servers nearly blind by them. The least reported load is no remedy: all entries would send to the same servers until the next reports.

even_load draws a server with the chance by which the calls of all entries, in the lifetime of a report, bring the servers to one level (Basic Load Interpretation, Dahlin 2000). Reported loads go to the mean as the calls they counted end; this entry's own calls since are added; a slow server's level is lower.

--- a/src/include/greengagespar/route/choose.h
+++ b/src/include/greengagespar/route/choose.h
@@ -12,10 +12,12 @@
 #define GREENGAGESPAR_ROUTE_CHOOSE_H
 
 #include "greengagespar/route/endpoint_view.h"
+#include "greengagespar/route/even_load.h"
 #include <cstddef>
 #include <optional>
 #include <random>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace greengagespar {
@@ -43,6 +45,9 @@
   double SpillCostShare = 0.7;
   /// Latency assumed when no healthy server has answered yet.
   std::chrono::milliseconds AssumedLatency{50};
+  /// Set where this entry's own calls say little of the servers' loads: the
+  /// healthy servers are drawn by drawEvenly().
+  std::optional<EvenLoadOptions> Even = {};
 };
 
 /// One call that needs a server.
@@ -71,6 +76,7 @@
   Cheapest, ///< Cheapest server drawn in the entry's own data centre.
   Spill,    ///< Another data centre is cheaper, or the own one has no server.
   AllUnhealthy, ///< No server is healthy, so every server takes part.
+  EvenLoad,     ///< Drawn by drawEvenly().
 };
 
 /// A chosen server.
@@ -102,6 +108,9 @@
 double estimateCost(const EndpointView &view, double load,
                     const TypicalTimes &typical);
 
+/// Returns the name of \p reason in logs.
+std::string_view nameOf(ChoiceReason reason);
+
 /// Returns the sum of the limits and calls of the healthy servers, or of all
 /// servers that are not leaving when none of them is healthy.
 Capacity capacityOf(const std::vector<EndpointView> &views);
--- a/src/include/greengagespar/route/endpoint_view.h
+++ b/src/include/greengagespar/route/endpoint_view.h
@@ -74,12 +74,23 @@
   int ConsecutiveEjections = 0;
   int ProbesAnswered = 0; ///< Answers since probing began.
   int ProbesInFlight = 0; ///< Calls in flight that were sent while probing.
+  /// When this entry sent its last calls to the server, oldest first; see
+  /// recordSendTime().
+  std::vector<Clock::time_point> RecentSends;
 };
 
 /// Records that a call was sent to the server of \p view, and uses a token of
 /// its rate limit up.
 void recordSentCall(EndpointView &view);
 
+/// Most times kept in EndpointView::RecentSends.
+inline constexpr std::size_t MaxRecentSends = 32;
+
+/// Records when a call was sent to the server of \p view, for choices that
+/// count the calls sent since a load report. Forgets the oldest when there are
+/// more than MaxRecentSends.
+void recordSendTime(EndpointView &view, Clock::time_point now);
+
 /// Records that a call was answered. \p latency is a time that is comparable
 /// between the servers of one group, such as the time between tokens or the
 /// answer time of a service.
--- a/src/route/choose.cpp
+++ b/src/route/choose.cpp
@@ -160,6 +160,17 @@
   return {near.Index, ChoiceReason::Cheapest};
 }
 
+Choice chooseEvenly(const std::vector<EndpointView> &views,
+                    const Candidates &from, const EvenLoadOptions &options,
+                    Clock::time_point now, Rng &rng) {
+  std::vector<std::size_t> indices;
+  indices.reserve(from.size());
+  for (const Candidate &it : from)
+    indices.push_back(it.Index);
+  return {drawEvenly(views, indices, options, now, rng),
+          ChoiceReason::EvenLoad};
+}
+
 // Chooses when every server is excluded or at its limit: the servers on which
 // the call failed may be chosen again.
 std::optional<Choice> chooseDespiteFailures(
@@ -198,6 +209,24 @@
   return loads;
 }
 
+std::string_view nameOf(ChoiceReason reason) {
+  switch (reason) {
+  case ChoiceReason::Probe:
+    return "probe";
+  case ChoiceReason::Affinity:
+    return "affinity";
+  case ChoiceReason::Cheapest:
+    return "cheapest";
+  case ChoiceReason::Spill:
+    return "spill";
+  case ChoiceReason::AllUnhealthy:
+    return "all_unhealthy";
+  case ChoiceReason::EvenLoad:
+    return "even_load";
+  }
+  return "";
+}
+
 Capacity capacityOf(const std::vector<EndpointView> &views) {
   Capacity healthy;
   Capacity all;
@@ -248,7 +277,11 @@
                                         : other;
     list.push_back(it);
   }
-  if (!own.empty() || !other.empty())
+  bool hasCandidates = !own.empty() || !other.empty();
+  if (options.Even && hasCandidates)
+    return chooseEvenly(views, own.empty() ? other : own, *options.Even, now,
+                        rng);
+  if (hasCandidates)
     return chooseAmong(views, own, other, request, options, rng);
   if (anyHealthy)
     return std::nullopt;
--- a/src/route/choose_test.cpp
+++ b/src/route/choose_test.cpp
@@ -184,6 +184,38 @@
   BOOST_TEST(Views[0].Report->Running == 5);
 }
 
+// The load: many entries share the servers, so that the reported loads decide
+// and this entry's own calls do not.
+BOOST_AUTO_TEST_CASE(choose_byReportedLoads_drawsFromServersThatMayBeChosen) {
+  Options.Even = EvenLoadOptions{3000ms, 33, 0, 5000ms};
+  for (EndpointView &it : Views)
+    recordKnownLoad(it, {5, 0, 10, Now});
+  Views[0].Target.Leaving = true;
+  failTimes(1, 3);
+  recordKnownLoad(Views[3], {10, 200, 10, Now});
+  auto counts = countChoices();
+  BOOST_TEST(counts[2] == 400);
+  auto choice = choose({.Exclude = {Views[2].Target.Id}});
+  BOOST_TEST(choice->Index == 3);
+  BOOST_TEST((choice->Reason == ChoiceReason::EvenLoad));
+}
+
+BOOST_AUTO_TEST_CASE(recordKnownLoad_olderReport_isDiscardedAndLimitKept) {
+  ConcurrencyLimit limit = Views[0].Limit;
+  recordKnownLoad(Views[0], {10, 40, 10, Now});
+  recordKnownLoad(Views[0], {1, 0, 10, Now - 1ms});
+  BOOST_TEST(Views[0].Report->Running == 10);
+  BOOST_TEST(Views[0].Limit.Value == limit.Value);
+}
+
+BOOST_AUTO_TEST_CASE(recordSendTime_manyCalls_keepsTheNewest) {
+  for (std::size_t n = 0; n < 2 * MaxRecentSends; ++n)
+    recordSendTime(Views[0], Now + std::chrono::milliseconds(n));
+  BOOST_TEST(Views[0].RecentSends.size() == MaxRecentSends);
+  BOOST_TEST(bool(Views[0].RecentSends.back() ==
+                  Now + std::chrono::milliseconds(2 * MaxRecentSends - 1)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(DataCentreSpill)
--- a/src/route/endpoint_view.cpp
+++ b/src/route/endpoint_view.cpp
@@ -128,6 +128,12 @@
     ++view.ProbesInFlight;
 }
 
+void recordSendTime(EndpointView &view, Clock::time_point now) {
+  if (view.RecentSends.size() >= MaxRecentSends)
+    view.RecentSends.erase(view.RecentSends.begin());
+  view.RecentSends.push_back(now);
+}
+
 void recordAnsweredCall(EndpointView &view, std::chrono::microseconds latency,
                         Clock::time_point) {
   endCall(view);
