Choose servers of large groups by their reported loads

ServerPool uses the draw by reported loads where this entry's own calls say little of them. The line send says why the server was chosen and what was known of it; gauges show how even the loads are and how old the reports.

--- a/src/direct/exchange.cpp
+++ b/src/direct/exchange.cpp
@@ -164,7 +164,7 @@
   CurrentAttempt->LastReceivedAt = now;
   CurrentAttempt->Connection = Pool.connect(server, Call.Facts.RequestId);
   ++Runs;
-  logSend(Call, *CurrentAttempt, Runs, resumeAfter());
+  logSend(Call, *CurrentAttempt, Pool.lastChoice(), Runs, resumeAfter());
   ExchangeEvents events;
   events.OnHead = [this](const HttpHead &head) { return onHead(head); };
   events.OnBody = [this](std::string_view piece) { onBody(piece); };
--- a/src/direct/exchange_log.cpp
+++ b/src/direct/exchange_log.cpp
@@ -42,7 +42,8 @@
 
 } // namespace
 
-void logSend(const AcceptedCall &call, const detail::Attempt &attempt, int run,
+void logSend(const AcceptedCall &call, const detail::Attempt &attempt,
+             const ChosenServer &chosen, int run,
              std::optional<std::uint64_t> after) {
   LogLine line("send");
   line.add("id", call.Facts.RequestId)
@@ -53,7 +54,11 @@
   addConnection(line, *attempt.Connection);
   line.add("run", run)
       .addMs("waited_ms", attempt.SentAt - call.Arrived)
-      .addMs("left_ms", call.CallDeadline.At - attempt.SentAt);
+      .addMs("left_ms", call.CallDeadline.At - attempt.SentAt)
+      .add("chosen", nameOf(chosen.Reason));
+  if (chosen.Report)
+    line.add("known_calls", chosen.Report->Running + chosen.Report->Waiting)
+        .addMs("known_age_ms", attempt.SentAt - chosen.Report->AsOf);
   if (after)
     line.add("after_event", static_cast<std::int64_t>(*after));
   logInfo(Part::Route, line.text());
--- a/src/direct/exchange_log.h
+++ b/src/direct/exchange_log.h
@@ -8,8 +8,10 @@
 namespace greengagespar {
 
 /// Logs that \p call is sent to the server of \p attempt for the \p run th
-/// time. \p after is the event after which a stream is resumed.
-void logSend(const AcceptedCall &call, const detail::Attempt &attempt, int run,
+/// time, and why its server was \p chosen. \p after is the event after which a
+/// stream is resumed.
+void logSend(const AcceptedCall &call, const detail::Attempt &attempt,
+             const ChosenServer &chosen, int run,
              std::optional<std::uint64_t> after);
 
 /// Logs and counts that \p call got an answer with \p head on the connection of
--- a/src/direct/server_pool.cpp
+++ b/src/direct/server_pool.cpp
@@ -317,14 +317,29 @@
 
 std::optional<std::size_t> ServerPool::choose(const QueuedCall &call,
                                               Clock::time_point now) {
-  static const ChoiceOptions options = choiceOptions();
+  ChoiceOptions options = choiceOptions();
+  if (hasThinKnowledge())
+    options.Even = evenLoadOptions();
   ChoiceRequest request;
   if (auto it = Waiting.find(call.Id); it != Waiting.end())
     request.Exclude = it->second.Exclude;
   request.MeanCall = std::chrono::milliseconds(
       static_cast<int>(AdmissionControl.Times.MeanMs));
   auto choice = chooseEndpoint(Views, request, options, now, Random);
-  return choice ? std::optional(choice->Index) : std::nullopt;
+  if (!choice)
+    return std::nullopt;
+  LastChoice = {choice->Reason, Views[choice->Index].Report};
+  return choice->Index;
+}
+
+EvenLoadOptions ServerPool::evenLoadOptions() const {
+  EvenLoadOptions options;
+  options.MeanCall = std::chrono::milliseconds(
+      static_cast<int>(AdmissionControl.Times.MeanMs));
+  options.Entries = Entries;
+  if (Declared.Engine && Declared.Engine->PerRequestMs > 0)
+    options.IdleCalls = Declared.Engine->StepMs / Declared.Engine->PerRequestMs;
+  return options;
 }
 
 // Starts as many waiting calls as the servers have room for.
@@ -347,6 +362,8 @@
     auto node = Waiting.extract(id);
     EndpointView &view = Views[placed->Server];
     recordSentCall(view);
+    if (hasThinKnowledge())
+      recordSendTime(view, now);
     recordCallToGroup(Progress, static_cast<int>(Started.size()), now);
     Started.emplace(id, placed->Call);
     ServerRecord record = Servers[view.Target.Id].Record;
@@ -452,6 +469,13 @@
   set("greengagespar_retry_tokens", Retries.Tokens);
   set("greengagespar_retry_part", Retries.MaxTokens + Retries.Overdraft);
   set("greengagespar_retry_entries", static_cast<double>(Entries));
+  if (!Declared.Engine)
+    return;
+  LoadEvenness loads = evennessOf(Views, evenLoadOptions(), Clock::now());
+  set("greengagespar_load_reports", loads.Reported);
+  set("greengagespar_load_report_age_ms", loads.MeanAgeMs);
+  set("greengagespar_load_largest_over_mean", loads.LargestOverMean);
+  set("greengagespar_load_waiting_beside_free", loads.WaitingBesideFree);
 }
 
 } // namespace greengagespar
--- a/src/include/greengagespar/direct/server_pool.h
+++ b/src/include/greengagespar/direct/server_pool.h
@@ -47,6 +47,13 @@
   std::chrono::microseconds Latency{0};
 };
 
+/// Why a server was chosen for a call, and what was known of its load then.
+struct ChosenServer {
+  ChoiceReason Reason = ChoiceReason::Cheapest;
+  /// Its newest load report; empty: none.
+  std::optional<LoadReport> Report;
+};
+
 /// The servers of one service and its waiting calls.
 class ServerPool {
 public:
@@ -117,6 +124,8 @@
 
   RetryBudget &budget() { return Retries; }
   const std::vector<EndpointView> &views() const { return Views; }
+  /// Returns the newest choice; in OnStart, that of the call's server.
+  const ChosenServer &lastChoice() const { return LastChoice; }
   /// Number of calls that wait.
   std::size_t waiting() const { return AdmissionControl.Queue.Calls.size(); }
   /// Whether any server accepts work.
@@ -148,6 +157,7 @@
                                                  std::string_view requestId);
   std::optional<std::size_t> choose(const QueuedCall &call,
                                     Clock::time_point now);
+  EvenLoadOptions evenLoadOptions() const;
 
   event_base *Loop;
   ServiceId Service;
@@ -171,6 +181,7 @@
   /// server had carried before.
   std::uint64_t ConnectionsForRepeats = 0;
   bool IsStarting = false; ///< startWaiting() runs; it is not reentrant.
+  ChosenServer LastChoice;
   Rng Random;
 };
 
