--- a/src/direct/server_pool.cpp
+++ b/src/direct/server_pool.cpp
@@ -334,8 +334,9 @@
 
 EvenLoadOptions ServerPool::evenLoadOptions() const {
   EvenLoadOptions options;
-  options.MeanCall = std::chrono::milliseconds(
-      static_cast<int>(AdmissionControl.Times.MeanMs));
+  if (AdmissionControl.Times.Samples > 0)
+    options.MeanCall = std::chrono::milliseconds(
+        static_cast<int>(AdmissionControl.Times.MeanMs));
   options.Entries = Entries;
   if (Declared.Engine && Declared.Engine->PerRequestMs > 0)
     options.IdleCalls = Declared.Engine->StepMs / Declared.Engine->PerRequestMs;
