--- a/src/direct/server_pool.cpp
+++ b/src/direct/server_pool.cpp
@@ -116,6 +116,20 @@
   startWaiting(Clock::now());
 }
 
+bool ServerPool::hasThinKnowledge() const {
+  return Declared.Engine && isWideSite(*Declared.Engine, KnownEntries);
+}
+
+void ServerPool::recordServerLoad(const ServerId &id, const LoadReport &load) {
+  EndpointView *view = hasThinKnowledge() ? viewOf(id) : nullptr;
+  if (!view)
+    return;
+  LoadReport known = load;
+  known.Slots = view->Slots;
+  known.AsOf -= Declared.Engine->ReportLag;
+  recordKnownLoad(*view, known);
+}
+
 // Whether \p server gets no new work: it leaves, is gone, its group is broken,
 // or its data centre is out of service.
 bool ServerPool::takesNoWork(const KeptConnections &server) const {
@@ -238,8 +252,9 @@
       updateRateShare(*view.Rate, now);
 }
 
-void ServerPool::setEntries(std::size_t entries) {
-  Entries = std::max<std::size_t>(1, entries);
+void ServerPool::setEntries(std::size_t live, std::size_t known) {
+  Entries = std::max<std::size_t>(1, live);
+  KnownEntries = std::max(Entries, known);
   updateStreamLimit();
 }
 
@@ -370,7 +385,9 @@
 
 std::optional<std::size_t> ServerPool::choose(const QueuedCall &call,
                                               Clock::time_point now) {
-  static const ChoiceOptions options = choiceOptions();
+  ChoiceOptions options = choiceOptions();
+  if (hasThinKnowledge())
+    options.Even = evenLoadOptions();
   ChoiceRequest request;
   if (auto it = Waiting.find(call.Id); it != Waiting.end()) {
     request.Exclude = it->second.Exclude;
@@ -379,7 +396,21 @@
   request.MeanCall = std::chrono::milliseconds(
       static_cast<int>(AdmissionControl.Times.MeanMs));
   auto choice = chooseEndpoint(Views, request, options, now, Random);
-  return choice ? std::optional(choice->Index) : std::nullopt;
+  if (!choice)
+    return std::nullopt;
+  LastChoice = {choice->Reason, Views[choice->Index].Report};
+  return choice->Index;
+}
+
+EvenLoadOptions ServerPool::evenLoadOptions() const {
+  EvenLoadOptions options;
+  if (AdmissionControl.Times.Samples > 0)
+    options.MeanCall = std::chrono::milliseconds(
+        static_cast<int>(AdmissionControl.Times.MeanMs));
+  options.Entries = Entries;
+  if (Declared.Engine && Declared.Engine->PerRequestMs > 0)
+    options.IdleCalls = Declared.Engine->StepMs / Declared.Engine->PerRequestMs;
+  return options;
 }
 
 // Starts as many waiting calls as the servers have room for.
@@ -402,6 +433,8 @@
     auto node = Waiting.extract(id);
     EndpointView &view = Views[placed->Server];
     recordSentCall(view);
+    if (hasThinKnowledge())
+      recordSendTime(view, now);
     recordCallToGroup(Progress, static_cast<int>(Started.size()), now);
     Started.emplace(id, placed->Call);
     if (view.Memory.Tokens > 0) {
@@ -524,6 +557,13 @@
   set("greengagespar_retry_part", Retries.MaxTokens + Retries.Overdraft);
   set("greengagespar_retry_entries", static_cast<double>(Entries));
   recordColdMetrics(counters);
+  if (!Declared.Engine)
+    return;
+  LoadEvenness loads = evennessOf(Views, evenLoadOptions(), Clock::now());
+  set("greengagespar_load_reports", loads.Reported);
+  set("greengagespar_load_report_age_ms", loads.MeanAgeMs);
+  set("greengagespar_load_largest_over_mean", loads.LargestOverMean);
+  set("greengagespar_load_waiting_beside_free", loads.WaitingBesideFree);
 }
 
 } // namespace greengagespar
--- a/src/direct/server_pool_test.cpp
+++ b/src/direct/server_pool_test.cpp
@@ -164,7 +164,7 @@
   for (int i = 0; i < 4; ++i)
     addServer(std::to_string(i).append("n"), North);
   addServer("s1", South);
-  Pool.setEntries(1);
+  Pool.setEntries(1, 1);
   order(North, true);
   submitAll(40);
   BOOST_TEST(startedIn(North) == 0);
--- a/src/include/greengagespar/direct/direct_entry.h
+++ b/src/include/greengagespar/direct/direct_entry.h
@@ -57,6 +57,7 @@
   const EndpointView *serverOnHostOf(const Address &agent) const;
   void recordRankState(const Address &agent, bool isOpen);
   void boundMemory();
+  void recordRankLoad(const Address &agent, const LoadReport &load);
   MapCoordinatorHooks mapHooks();
   PeerLinksHooks peerHooks();
   MemberRow ownRow() const;
--- a/src/include/greengagespar/direct/server_pool.h
+++ b/src/include/greengagespar/direct/server_pool.h
@@ -50,6 +50,13 @@
   std::chrono::microseconds Latency{0};
 };
 
+/// Why a server was chosen for a call, and what was known of its load then.
+struct ChosenServer {
+  ChoiceReason Reason = ChoiceReason::Cheapest;
+  /// Its newest load report; empty: none.
+  std::optional<LoadReport> Report;
+};
+
 /// The servers of one service and its waiting calls.
 class ServerPool {
 public:
@@ -81,6 +88,12 @@
   /// Records whether the group of server \p id accepts work, as the server's
   /// rank agent reports.
   void recordGroupOpen(const ServerId &id, bool isOpen);
+  /// Records the load of server \p id, as its rank agent reports, where this
+  /// entry's own calls say little of it; see hasThinKnowledge().
+  void recordServerLoad(const ServerId &id, const LoadReport &load);
+  /// Whether this entry's own calls say little of the servers' loads; see
+  /// isWideSite().
+  bool hasThinKnowledge() const;
   /// Sends nothing to \p server for \p time, as it asked in its answer to the
   /// request \p requestId. When no server is left that takes calls, refuses
   /// those that wait.
@@ -112,8 +125,9 @@
   bool isRateLimited() const { return HasRates; }
   /// Returns the demand that this entry reports; see reportedDemand().
   double reportedDemand();
-  /// Sets the number of entries that share the servers, this one included.
-  void setEntries(std::size_t entries);
+  /// Sets the number of entries that share the servers, this one included:
+  /// those that are \p live, and all that are \p known, also if they are down.
+  void setEntries(std::size_t live, std::size_t known);
 
   /// Returns a connection to \p server that has not carried the request
   /// \p requestId: an idle one if one can be used, otherwise a new one.
@@ -130,6 +144,8 @@
 
   RetryBudget &budget() { return Retries; }
   const std::vector<EndpointView> &views() const { return Views; }
+  /// Returns the newest choice; in OnStart, that of the call's server.
+  const ChosenServer &lastChoice() const { return LastChoice; }
   /// Number of calls that wait.
   std::size_t waiting() const { return AdmissionControl.Queue.Calls.size(); }
   /// Whether any server accepts work.
@@ -174,6 +190,7 @@
                                                  std::string_view requestId);
   std::optional<std::size_t> choose(const QueuedCall &call,
                                     Clock::time_point now);
+  EvenLoadOptions evenLoadOptions() const;
 
   event_base *Loop;
   ServiceId Service;
@@ -200,6 +217,7 @@
   Clock::time_point AwakeAt = Clock::now();
   std::uint64_t RefusedBesideCold = 0; ///< Calls refused while hasCold().
   std::size_t Entries = 1;
+  std::size_t KnownEntries = 1; ///< Those that are down included.
   std::uint64_t ConnectionsOpened = 0;
   /// Of ConnectionsOpened, those for requests that each idle connection to the
   /// server had carried before.
@@ -207,6 +225,7 @@
   /// Requests that no server has the memory for.
   std::uint64_t BeyondMemory = 0;
   bool IsStarting = false; ///< startWaiting() runs; it is not reentrant.
+  ChosenServer LastChoice;
   Rng Random;
 };
 
--- a/src/include/greengagespar/direct/site.h
+++ b/src/include/greengagespar/direct/site.h
@@ -72,6 +72,8 @@
   /// Tokens of prompts and answers in progress that a server can hold; 0: the
   /// engine declares no bound.
   std::int64_t MemoryTokens = 0;
+  /// Age of what a server states of its load at the moment that it answers.
+  std::chrono::milliseconds ReportLag{0};
 };
 
 /// Whether a site with \p entries entries is wide for the servers of a model
--- a/src/include/greengagespar/route/endpoint_view.h
+++ b/src/include/greengagespar/route/endpoint_view.h
@@ -14,6 +14,7 @@
 #include "greengagespar/route/rate_limit.h"
 #include "greengagespar/route/server_memory.h"
 #include <chrono>
+#include <cstdint>
 #include <optional>
 #include <vector>
 
@@ -27,6 +28,8 @@
   int Slots = 0;   ///< Calls that it processes at a time.
   /// When the load was measured: the time of receipt minus the report's age.
   Clock::time_point AsOf;
+  std::uint64_t Step = 0; ///< The last pass that was begun; 0: not stated.
+  double Pace = 1;        ///< Over 1: the server is slow.
 };
 
 /// Whether the entry sends calls to a server.
@@ -73,12 +76,23 @@
   int ProbesAnswered = 0; ///< Answers since probing began.
   int ProbesInFlight = 0; ///< Calls in flight that were sent while probing.
   ServerMemory Memory;    ///< What this entry's calls take of it.
+  /// When this entry sent its last calls to the server, oldest first; see
+  /// recordSendTime().
+  std::vector<Clock::time_point> RecentSends;
 };
 
 /// Records that a call was sent to the server of \p view, and uses a token of
 /// its rate limit up.
 void recordSentCall(EndpointView &view);
 
+/// Most times kept in EndpointView::RecentSends.
+inline constexpr std::size_t MaxRecentSends = 32;
+
+/// Records when a call was sent to the server of \p view, for choices that
+/// count the calls sent since a load report. Forgets the oldest when there are
+/// more than MaxRecentSends.
+void recordSendTime(EndpointView &view, Clock::time_point now);
+
 /// Records that a call was answered. \p latency is a time that is comparable
 /// between the servers of one group, such as the time between tokens or the
 /// answer time of a service.
@@ -100,6 +114,11 @@
 void recordLoadReport(EndpointView &view, const LoadReport &report,
                       Clock::time_point now);
 
+/// Stores a load report and leaves the entry's limit as it is: for servers on
+/// which the entry's own calls are too few to be limited one server at a time.
+/// A report that is older than the stored one is discarded.
+void recordKnownLoad(EndpointView &view, const LoadReport &report);
+
 /// Records whether the server is unresponsive: its link is down or misses
 /// heartbeats. Calls in flight are not ended by this function; the
 /// failure of each is recorded on its own.
