--- a/src/include/greengagespar/direct/map_coordinator.h
+++ b/src/include/greengagespar/direct/map_coordinator.h
@@ -82,8 +82,10 @@
   /// is not known.
   std::function<std::optional<Address>(const Address &agent)> ServerOf;
   /// Called with the load of the server beside which the agent at \p agent
-  /// runs, when the agent has answered a request for it.
-  std::function<void(const Address &agent, const LoadReport &load)> OnRankLoad;
+  /// runs, when the agent has answered a request for it. Does nothing unless
+  /// set.
+  std::function<void(const Address &agent, const LoadReport &load)> OnRankLoad =
+      [](const Address &, const LoadReport &) {};
 };
 
 /// The map coordinator of one entry.
--- a/testsuite/direct/settlement_test.cpp
+++ b/testsuite/direct/settlement_test.cpp
@@ -25,7 +25,11 @@
       platformRankDialect(),
       {[] { return std::size_t{1}; }, [] { return std::size_t{2}; },
        [](const Address &, bool) {},
-       [](const Address &) { return std::optional<Address>(); }}};
+       [](const Address &) { return std::optional<Address>(); },
+       [this](const Address &agent, const LoadReport &load) {
+         Loads[agent] = load;
+       }}};
+  std::map<Address, LoadReport> Loads; ///< The newest of each agent.
   std::vector<std::unique_ptr<FakeRank>> Ranks;
   std::vector<std::unique_ptr<RankAgent>> Agents;
 
@@ -106,4 +110,26 @@
   BOOST_TEST(Ranks[GroupSize]->holds(Step));
 }
 
+// The failure: an agent dies; the report of its rank stays as old as it is.
+BOOST_AUTO_TEST_CASE(loads_ofAllRanks_arriveUntilTheirAgentsDie) {
+  auto startedAt = Clock::now();
+  BOOST_TEST(runUntil([&] { return Loads.size() == Ranks.size(); }));
+  for (const auto &[agent, load] : Loads) {
+    BOOST_TEST(bool(load.AsOf >= startedAt - 1000ms));
+    BOOST_TEST(bool(load.AsOf <= Clock::now()));
+  }
+  Agents[0].reset();
+  // An answer that was under way has been read after this.
+  runFor(200ms);
+  auto diedBefore = Clock::now();
+  auto freshLoads = [&] {
+    return std::ranges::count_if(
+        Loads, [&](const auto &it) { return it.second.AsOf > diedBefore; });
+  };
+  auto living = static_cast<std::ptrdiff_t>(Ranks.size() - 1);
+  BOOST_TEST(runUntil([&] { return freshLoads() == living; }));
+  runFor(1500ms);
+  BOOST_TEST(freshLoads() == living);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
