--- a/src/direct/map_coordinator.cpp
+++ b/src/direct/map_coordinator.cpp
@@ -297,8 +297,7 @@
 void MapCoordinator::onState(const Address &agent,
                              const wire::RankState &state) {
   auto now = Clock::now();
-  if (std::optional<LoadReport> load = readLoadReport(state, now);
-      load && Hooks.OnRankLoad)
+  if (std::optional<LoadReport> load = readLoadReport(state, now))
     Hooks.OnRankLoad(agent, *load);
   if (state.group().empty() || state.rank() >= state.size() ||
       Engine.Experts == 0)
--- a/src/include/greengagespar/direct/map_coordinator.h
+++ b/src/include/greengagespar/direct/map_coordinator.h
@@ -84,9 +84,10 @@
   /// is not known.
   std::function<std::optional<Address>(const Address &agent)> ServerOf;
   /// Called with the load of the server beside which the agent at \p agent
-  /// runs, when the agent has answered a request for it.
+  /// runs, when the agent has answered a request for it. Does nothing unless
+  /// set.
   std::function<void(const Address &agent, const LoadReport &load)> OnRankLoad =
-      {};
+      [](const Address &, const LoadReport &) {};
   /// Returns the number of entries that the site has, also those that are down.
   /// Empty: it is not known, and the site counts as not wide.
   std::function<std::size_t()> SiteEntries = {};
