Start more urgent calls first, and keep the others from starving

Cause: the queue knew workspaces and start deadlines only, so that at a crest the most urgent streams were late as often as the least urgent ones.

Change: a queued call has an urgency. The most urgent call of all lanes starts first, and within a level lanes share as before. A level whose calls start less than 0.4 times as often as all calls together is owed a start that comes before any other; less urgent levels are owed a little less. The estimated wait counts the calls that come first and the starts that more urgent levels leave, so a call that would not get its turn is refused at once. Nothing changes where all calls have the same urgency.

--- a/src/include/greengagespar/route/admission.h
+++ b/src/include/greengagespar/route/admission.h
@@ -47,6 +47,7 @@
   std::optional<Clock::duration> ExpectedService = std::nullopt;
   /// Class of the call by the tokens that it has produced.
   LengthClass Length = LengthClass::Short;
+  Urgency CallUrgency = {}; ///< Among the calls of the same Admission.
 };
 
 /// A queued call that the entry refuses.
@@ -99,9 +100,12 @@
 /// start whenever any slot becomes free. Further calls start at the rate of the
 /// fair share, or at the workspace's current start rate if that is higher. The
 /// estimate is at least the time that the workspace's next call has waited.
+/// Less urgent calls don't count as waiting before it, and only the starts that
+/// more urgent levels leave (shareLeftFor()) are its own.
 Clock::duration estimateWait(const Admission &admission,
                              const Workspace &workspace,
-                             const Capacity &capacity, Clock::time_point now);
+                             const Capacity &capacity, Clock::time_point now,
+                             Urgency urgency = {});
 
 /// Decides whether to accept \p call, and adds it to the queue unless it is
 /// refused. It may evict waiting calls of other workspaces to make room.
--- a/src/include/greengagespar/route/queue.h
+++ b/src/include/greengagespar/route/queue.h
@@ -5,13 +5,15 @@
 /// is charged the mean slot time of its workspace's calls. Within a workspace,
 /// the call with the earliest start deadline is first (earliest deadline
 /// first). A call's start deadline is fixed when the call arrives, so no call
-/// starves. Not thread safe.
+/// starves. Calls of a more urgent level come before all others, except for a
+/// level that is owed a start (urgency.h). Not thread safe.
 #ifndef GREENGAGESPAR_ROUTE_QUEUE_H
 #define GREENGAGESPAR_ROUTE_QUEUE_H
 
 #include "greengagespar/base/clock.h"
 #include "greengagespar/base/ids.h"
 #include "greengagespar/route/priority.h"
+#include "greengagespar/route/urgency.h"
 #include <cstddef>
 #include <map>
 #include <optional>
@@ -33,12 +35,14 @@
   std::size_t Bytes = 0; ///< Memory that the call occupies.
   /// Class of the call by the tokens that it has produced.
   LengthClass Length = LengthClass::Short;
+  Urgency CallUrgency = {}; ///< Among the calls of the queue.
 };
 
 namespace detail {
 
 /// The position of a call in an ordered index.
 struct QueueKey {
+  Urgency CallUrgency; ///< That of all calls where it does not matter.
   Clock::time_point At;
   CallId Id;
   auto operator<=>(const QueueKey &) const = default;
@@ -55,9 +59,9 @@
   int CostSamples = 0;
   int Running = 0;       ///< Calls that were dequeued and have not ended.
   std::size_t Bytes = 0; ///< Memory of the waiting calls.
-  /// Calls that are not long, by start deadline.
+  /// Calls that are not long, by urgency and start deadline.
   std::set<detail::QueueKey> Regular;
-  std::set<detail::QueueKey> Long; ///< Resumed long calls, by start deadline.
+  std::set<detail::QueueKey> Long; ///< Resumed long calls, in that order too.
 };
 
 /// Returns the number of waiting calls of \p lane.
@@ -72,6 +76,8 @@
   std::set<detail::QueueKey> ByLatestStart;
   double VirtualTime = 0; ///< Greatest start tag of the calls started so far.
   std::size_t Bytes = 0;  ///< Memory of all waiting calls.
+  /// Arrivals, as Admission records them, and starts.
+  UrgencyShares Urgencies;
 };
 
 /// Returns the start deadline of \p call: its latest start, or a fixed time
@@ -87,6 +93,10 @@
 /// Calls to skip because no server that may run them has a free slot.
 using SkippedCalls = std::unordered_set<CallId>;
 
+/// Returns the number of waiting calls of \p lane that are at least as urgent
+/// as \p urgency.
+std::size_t waitingOf(const Lane &lane, Urgency urgency);
+
 /// Returns the call to start next, or null. Without \p allowLong, a resumed
 /// long call is skipped until its start deadline is reached. The pointer is
 /// valid until the queue changes. Calls past their latest start are not
@@ -119,9 +129,9 @@
 std::optional<Clock::time_point> nextExpiry(const CallQueue &queue);
 
 /// Returns the call to evict when the queue is full: the call with the latest
-/// start deadline in the lane that has the most waiting calls relative to its
-/// weight. Resumed long calls are evicted only from lanes without other calls.
-/// Null when no call waits.
+/// start deadline of the least urgent ones in the lane that has the most
+/// waiting calls relative to its weight. Resumed long calls are evicted only
+/// from lanes without other calls. Null when no call waits.
 const QueuedCall *findEvictionCandidate(const CallQueue &queue);
 
 } // namespace greengagespar
--- a/src/route/admission.cpp
+++ b/src/route/admission.cpp
@@ -29,6 +29,10 @@
 constexpr double ArrivalKeep = 0.99;
 constexpr double RareShare = 0.05;
 
+// Least part of the starts that counts as left to a level of urgency, so that
+// the estimated wait of the least urgent calls stays bounded.
+constexpr double MinShareLeft = 0.05;
+
 // Waiting calls without a server that placeNext() skips before it stops.
 constexpr std::size_t MaxSkippedCalls = 16;
 
@@ -94,6 +98,14 @@
   return std::max(fair, startsPerSecond(admission, workspace.Id, now));
 }
 
+// Returns the number of waiting calls of \p workspace that come before a new
+// one of \p urgency.
+std::size_t waitingBefore(const CallQueue &queue, const WorkspaceId &workspace,
+                          Urgency urgency) {
+  auto it = queue.Lanes.find(workspace);
+  return it == queue.Lanes.end() ? 0 : waitingOf(it->second, urgency);
+}
+
 std::size_t waitingIn(const CallQueue &queue, const WorkspaceId &workspace) {
   auto it = queue.Lanes.find(workspace);
   return it == queue.Lanes.end() ? 0 : waitingOf(it->second);
@@ -105,12 +117,14 @@
 }
 
 // Returns how long a workspace's next call has waited, not counting resumed
-// long calls.
+// long calls. Zero when it is less urgent than \p urgency: its wait says
+// nothing about that of more urgent calls.
 Clock::duration waitedSoFar(const CallQueue &queue,
-                            const WorkspaceId &workspace,
+                            const WorkspaceId &workspace, Urgency urgency,
                             Clock::time_point now) {
   auto it = queue.Lanes.find(workspace);
-  if (it == queue.Lanes.end() || it->second.Regular.empty())
+  if (it == queue.Lanes.end() || it->second.Regular.empty() ||
+      it->second.Regular.begin()->CallUrgency > urgency)
     return Clock::duration::zero();
   return now - queue.Calls.at(it->second.Regular.begin()->Id).EnqueuedAt;
 }
@@ -145,7 +159,8 @@
                         const Workspace &workspace, const Capacity &capacity,
                         Clock::time_point now) {
   Clock::duration left = call.AnswerDeadline.At - now;
-  Clock::duration wait = estimateWait(admission, workspace, capacity, now);
+  Clock::duration wait =
+      estimateWait(admission, workspace, capacity, now, call.CallUrgency);
   bool waits = wait > Clock::duration::zero();
   double quantile = waits ? CautiousQuantile : QuickQuantile;
   return {left, wait, neededService(admission, call, left, quantile)};
@@ -216,7 +231,8 @@
   Workspace workspace;
   workspace.Id = call.Workspace;
   workspace.Weight = admission.Queue.Lanes[call.Workspace].Weight;
-  Clock::duration wait = estimateWait(admission, workspace, capacity, now);
+  Clock::duration wait =
+      estimateWait(admission, workspace, capacity, now, call.CallUrgency);
   milliseconds retry = spacedRetry(admission, workspace, wait, capacity, now);
   return {call, {ErrorKind::Overloaded, retry}};
 }
@@ -267,6 +283,7 @@
   queued.LatestStart = std::max(now, call.AnswerDeadline.At - needed);
   queued.Bytes = call.Bytes;
   queued.Length = call.Length;
+  queued.CallUrgency = call.CallUrgency;
   push(admission.Queue, queued, workspace.Weight);
 }
 
@@ -276,24 +293,29 @@
 
 Clock::duration estimateWait(const Admission &admission,
                              const Workspace &workspace,
-                             const Capacity &capacity, Clock::time_point now) {
+                             const Capacity &capacity, Clock::time_point now,
+                             Urgency urgency) {
   if (hasFreeSlot(admission, capacity))
     return Clock::duration::zero();
   const CallQueue &queue = admission.Queue;
-  auto calls = static_cast<double>(waitingIn(queue, workspace.Id) + 1);
+  double left = std::max(MinShareLeft, shareLeftFor(queue.Urgencies, urgency));
+  auto calls =
+      static_cast<double>(waitingBefore(queue, workspace.Id, urgency) + 1);
   double fairSlots = fairShare(queue, workspace) * capacity.Limit;
   double under = std::max(0.0, fairSlots - runningOf(queue, workspace.Id));
   double first = std::min(calls, under);
   double rest = calls - first;
   Clock::duration wait =
       toDuration(Seconds(first / totalRate(admission, capacity) +
-                         rest / laneRate(admission, workspace, capacity, now)));
-  return std::max(wait, waitedSoFar(queue, workspace.Id, now));
+                         rest / laneRate(admission, workspace, capacity, now)) /
+                 left);
+  return std::max(wait, waitedSoFar(queue, workspace.Id, urgency, now));
 }
 
 AdmissionDecision offer(Admission &admission, const ArrivingCall &call,
                         const Workspace &workspace, const Capacity &capacity,
                         Clock::time_point now) {
+  recordArrival(admission.Queue.Urgencies, call.CallUrgency);
   if (capacity.Servers == 0)
     return refuse(
         {ErrorKind::NoEndpoint, answerRow(ErrorKind::NoEndpoint).RetryAfter});
--- a/src/route/admission_test.cpp
+++ b/src/route/admission_test.cpp
@@ -242,4 +242,31 @@
   BOOST_TEST(Tallies["a"].Accepted == Tallies["a"].Sent);
 }
 
+// The load: all slots are taken by a crest. A call that is less urgent than
+// most of the others is refused at once; a more urgent one waits its turn.
+BOOST_AUTO_TEST_CASE(offer_lessUrgentInCrest_isRefusedAtOnce) {
+  recordTypicalServiceTimes();
+  Slots.InFlight = 8;
+  auto arriveAt = [&](int level) {
+    ArrivingCall call{
+        CallId{Incarnation{1}, ++LastId}, {"w"}, deadlineAfter(300ms, Now)};
+    call.CallUrgency = {level};
+    return offer(State, call, workspace("w"), Slots, Now);
+  };
+  for (int n = 0; n < 40; ++n) {
+    for (int level : {0, 0, 1})
+      arriveAt(level);
+    if (const QueuedCall *next = nextCall(State, Now, true))
+      start(State, next->Id, Now);
+  }
+  while (const QueuedCall *next = nextCall(State, Now, true))
+    remove(State.Queue, next->Id);
+  while (auto owed = owedUrgency(State.Queue.Urgencies))
+    recordStart(State.Queue.Urgencies, *owed);
+  // Room for one more call before the level is owed a start again.
+  recordStart(State.Queue.Urgencies, {1});
+  BOOST_TEST(arriveAt(1).Refused.has_value());
+  BOOST_TEST(!arriveAt(0).Refused.has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/route/queue.cpp
+++ b/src/route/queue.cpp
@@ -26,38 +26,76 @@
   return isLongCall(call) ? lane.Long : lane.Regular;
 }
 
+// Returns the position of a call in the index of its lane.
+detail::QueueKey keyOf(const QueuedCall &call) {
+  return {call.CallUrgency, startDeadline(call), call.Id};
+}
+
 // Removes a waiting call from the queue and from every index.
 QueuedCall extract(CallQueue &queue, CallId id) {
   auto it = queue.Calls.find(id);
   QueuedCall call = it->second;
   queue.Calls.erase(it);
   Lane &lane = queue.Lanes[call.Workspace];
-  indexOf(lane, call).erase({startDeadline(call), id});
-  queue.ByLatestStart.erase({call.LatestStart, id});
+  indexOf(lane, call).erase(keyOf(call));
+  queue.ByLatestStart.erase({{}, call.LatestStart, id});
   lane.Bytes -= call.Bytes;
   queue.Bytes -= call.Bytes;
   return call;
 }
 
-// Returns the first call of an index that is not skipped, or null.
+// What peekNext() looks for.
+struct PeekRequest {
+  Clock::time_point Now;
+  bool AllowLong;
+  const SkippedCalls &Skipped;
+  std::optional<Urgency> Only; // Empty: calls of each level.
+};
+
+// Returns the first call of an index that is wanted, or null.
 const detail::QueueKey *firstOf(const std::set<detail::QueueKey> &index,
-                                const SkippedCalls &skipped) {
-  for (const detail::QueueKey &it : index)
-    if (!skipped.contains(it.Id))
-      return &it;
+                                const PeekRequest &request) {
+  auto it =
+      request.Only ? index.lower_bound({*request.Only, {}, {}}) : index.begin();
+  for (; it != index.end(); ++it) {
+    if (request.Only && it->CallUrgency != *request.Only)
+      return nullptr;
+    if (!request.Skipped.contains(it->Id))
+      return &*it;
+  }
   return nullptr;
 }
 
 // Returns the first call of a lane that may start, or null.
-const detail::QueueKey *firstOf(const Lane &lane, Clock::time_point now,
-                                bool allowLong, const SkippedCalls &skipped) {
-  const detail::QueueKey *best = firstOf(lane.Regular, skipped);
-  const detail::QueueKey *resumed = firstOf(lane.Long, skipped);
-  if (!resumed || (!allowLong && resumed->At > now))
+const detail::QueueKey *firstOf(const Lane &lane, const PeekRequest &request) {
+  const detail::QueueKey *best = firstOf(lane.Regular, request);
+  const detail::QueueKey *resumed = firstOf(lane.Long, request);
+  if (!resumed || (!request.AllowLong && resumed->At > request.Now))
     return best;
   return !best || *resumed < *best ? resumed : best;
 }
 
+// Returns the first wanted call of all lanes, or null: the most urgent one, and
+// of several that of the lane with the lowest start tag.
+const detail::QueueKey *firstOf(const CallQueue &queue,
+                                const PeekRequest &request) {
+  const Lane *bestLane = nullptr;
+  const detail::QueueKey *best = nullptr;
+  for (const auto &[workspace, lane] : queue.Lanes) {
+    const detail::QueueKey *first = firstOf(lane, request);
+    if (!first)
+      continue;
+    bool isBetter = !best || first->CallUrgency < best->CallUrgency ||
+                    (first->CallUrgency == best->CallUrgency &&
+                     lane.StartTag < bestLane->StartTag);
+    if (!isBetter)
+      continue;
+    bestLane = &lane;
+    best = first;
+  }
+  return best;
+}
+
 double waitingPerWeight(const Lane &lane) {
   return static_cast<double>(waitingOf(lane)) / lane.Weight;
 }
@@ -69,14 +107,23 @@
   return std::min(call.LatestStart, call.EnqueuedAt + StartWithin[length]);
 }
 
+std::size_t waitingOf(const Lane &lane, Urgency urgency) {
+  auto count = [&](const std::set<detail::QueueKey> &index) {
+    return std::ranges::count_if(index, [&](const detail::QueueKey &it) {
+      return it.CallUrgency <= urgency;
+    });
+  };
+  return static_cast<std::size_t>(count(lane.Regular) + count(lane.Long));
+}
+
 void push(CallQueue &queue, const QueuedCall &call, double weight) {
   Lane &lane = queue.Lanes[call.Workspace];
   lane.Weight = weight;
   // A workspace accumulates no credit while it is idle.
   if (waitingOf(lane) == 0)
     lane.StartTag = std::max(lane.StartTag, queue.VirtualTime);
-  indexOf(lane, call).insert({startDeadline(call), call.Id});
-  queue.ByLatestStart.insert({call.LatestStart, call.Id});
+  indexOf(lane, call).insert(keyOf(call));
+  queue.ByLatestStart.insert({{}, call.LatestStart, call.Id});
   lane.Bytes += call.Bytes;
   queue.Bytes += call.Bytes;
   queue.Calls.emplace(call.Id, call);
@@ -84,15 +131,12 @@
 
 const QueuedCall *peekNext(const CallQueue &queue, Clock::time_point now,
                            bool allowLong, const SkippedCalls &skipped) {
-  const Lane *bestLane = nullptr;
-  const detail::QueueKey *best = nullptr;
-  for (const auto &[workspace, lane] : queue.Lanes) {
-    const detail::QueueKey *first = firstOf(lane, now, allowLong, skipped);
-    if (!first || (bestLane && bestLane->StartTag <= lane.StartTag))
-      continue;
-    bestLane = &lane;
-    best = first;
-  }
+  PeekRequest request{now, allowLong, skipped, owedUrgency(queue.Urgencies)};
+  const detail::QueueKey *best =
+      request.Only ? firstOf(queue, request) : nullptr;
+  request.Only.reset();
+  if (!best)
+    best = firstOf(queue, request);
   return best ? &queue.Calls.at(best->Id) : nullptr;
 }
 
@@ -112,6 +156,7 @@
   queue.VirtualTime = std::max(queue.VirtualTime, lane.StartTag);
   lane.StartTag += chargeOf(queue, call.Workspace, meanCostMs) / lane.Weight;
   ++lane.Running;
+  recordStart(queue.Urgencies, call.CallUrgency);
   return call;
 }
 
--- a/src/route/queue_test.cpp
+++ b/src/route/queue_test.cpp
@@ -14,7 +14,8 @@
   std::uint64_t LastId = 0;
 
   CallId add(const std::string &workspace, Clock::duration latestStart = 30s,
-             LengthClass length = LengthClass::Short, double weight = 1) {
+             LengthClass length = LengthClass::Short, double weight = 1,
+             int level = 0) {
     QueuedCall call;
     call.Id = {Incarnation{1}, ++LastId};
     call.Workspace = {workspace};
@@ -23,6 +24,8 @@
     call.LatestStart = Now + latestStart;
     call.Length = length;
     call.Bytes = 10;
+    call.CallUrgency = urgencyAt(level);
+    recordArrival(Calls.Urgencies, call.CallUrgency);
     push(Calls, call, weight);
     return call.Id;
   }
@@ -129,4 +132,27 @@
   BOOST_TEST(Calls.Bytes == 0);
 }
 
+BOOST_AUTO_TEST_CASE(queue_urgentCallOfAnyWorkspace_startsFirst) {
+  add("a", 1s, LengthClass::Short, 1, 1);
+  CallId urgent = add("b", 2s, LengthClass::Short, 1, 0);
+  CallId late = add("b", 2s, LengthClass::Short, 1, 0);
+  BOOST_TEST((dequeueNext().Id == urgent));
+  BOOST_TEST((dequeueNext().Id == late));
+  BOOST_TEST(dequeueNext().CallUrgency.Level == 1);
+}
+
+// The load: more urgent calls than can start, and a few that are less urgent.
+BOOST_AUTO_TEST_CASE(queue_lessUrgentCalls_areNotStarved) {
+  for (int i = 0; i < 400; ++i) {
+    add("a", 30s, LengthClass::Short, 1, 0);
+    if (i % 4 == 0)
+      add("b", 30s, LengthClass::Short, 1, 2);
+  }
+  int lessUrgent = 0;
+  for (int i = 0; i < 200; ++i)
+    lessUrgent += dequeueNext().CallUrgency.Level == 2 ? 1 : 0;
+  BOOST_TEST(lessUrgent >= 10);
+  BOOST_TEST(lessUrgent <= 40);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
