Add the room of a group and an entry's part of it

Cause: entries limit their streams on a group each by itself, by the pauses that it sees, so that all together admit far more at a crest than the group carries.

Change: group_room estimates from reports, declared figures, pauses and the reported pace how many streams a group carries, and divides them by reported demand.

--- a/src/include/greengagespar/route/rate_limit.h
+++ b/src/include/greengagespar/route/rate_limit.h
@@ -116,6 +116,12 @@
                    const Address &self,
                    const std::vector<LimitSharer> &sharers);
 
+/// Returns the part of the demand of all of \p sharers that is that of the
+/// entry \p self, above 0 and at most 1. Precondition: \p self is one of \p
+/// sharers.
+double demandShare(const Address &self,
+                   const std::vector<LimitSharer> &sharers);
+
 /// This entry's part of one server's limit.
 struct RateShare {
   double PerSecond = 0; ///< Requests that this entry may send.
--- /dev/null
+++ b/src/route/group_room.cpp
@@ -0,0 +1,212 @@
+#include "greengagespar/route/group_room.h"
+
+#include "greengagespar/base/hash.h"
+#include <algorithm>
+#include <cmath>
+
+namespace greengagespar {
+
+namespace {
+
+using Seconds = std::chrono::duration<double>;
+using Milliseconds = std::chrono::duration<double, std::milli>;
+
+// Window of the decayed means of pauses: several passes of the longest duration
+// that is in time.
+constexpr Seconds PassWindow{1.0};
+// A pause counts as at most this many of the longest ones wanted: a stall of
+// the group says nothing about the room.
+constexpr double MaxCountedPauses = 4;
+// Without a pause for this long, only declared figures and reports count.
+constexpr std::chrono::milliseconds MaxPassAge{3000};
+// A stream is late if one of its passes is. Few passes are longer than the mean
+// and this many mean deviations.
+constexpr double DeviationFactor = 3;
+// Deviation assumed until pauses were observed, relative to the pass.
+constexpr double AssumedDeviation = 0.1;
+
+// The least share of servers with a fresh report with which the load of the
+// others is inferred.
+constexpr double MinKnownShare = 0.5;
+
+// Bounds of the correction of the declared pass.
+constexpr double MinCorrection = 0.5;
+constexpr double MaxCorrection = 50;
+
+// What an answer that is late but complete is worth, compared with one in time.
+constexpr double LateValue = 0.4;
+// The part of the time allowed for an answer in which its passes should end:
+// the rest is for waiting, for a second attempt and for longer answers.
+constexpr double AnswerTimeShare = 0.6;
+// Share of the time allowed by a caller who allows none explicitly.
+constexpr Milliseconds DefaultAnswerTime{8000};
+
+// Step in which the number of streams on a server is searched.
+constexpr double StreamStep = 0.25;
+
+// By how much limits grow with the free share of the room, and shrink with what
+// is above the room.
+constexpr double FreeGain = 1.5;
+// Age at which a report has lost half of its weight.
+constexpr Seconds LoadHalfLife{1.0};
+// The least that limits are reduced to, relative to the room, when reports show
+// more streams than it has.
+constexpr double MinFill = 0.5;
+
+// An entry has its fractional stream for a part of each of these periods.
+constexpr std::chrono::milliseconds FractionPeriod{4000};
+
+double toMs(Clock::duration time) { return Milliseconds(time).count(); }
+
+// The corrected passes of a group.
+struct Passes {
+  const PassModel &Model;
+  double Correction;
+  double DeviationMs;
+
+  double meanMs(double streams) const {
+    return Correction * passMs(Model, streams);
+  }
+  double longMs(double streams) const {
+    return meanMs(streams) + DeviationFactor * DeviationMs;
+  }
+};
+
+Passes correctedPasses(const PassModel &model, const GroupLoad &load,
+                       const ObservedPasses &seen, double pace,
+                       Clock::time_point now) {
+  double perServer = load.Streams / load.Servers;
+  double declared = passMs(model, perServer);
+  bool isFresh = seen.MeanMs > 0 && now - seen.At <= MaxPassAge;
+  double observed = isFresh ? seen.MeanMs / declared : 1;
+  double correction =
+      std::clamp(std::max(observed, pace), MinCorrection, MaxCorrection);
+  double deviation =
+      isFresh ? seen.DeviationMs : AssumedDeviation * correction * declared;
+  return {model, correction, deviation};
+}
+
+// Returns what an answer is worth that begins when each server has \p streams,
+// from 0 to 1.
+double valueAt(const Passes &passes, const RoomTargets &targets,
+               double streams) {
+  bool hasPause = targets.LongestPause.count() > 0;
+  if (!hasPause || passes.longMs(streams) <=
+                       static_cast<double>(targets.LongestPause.count()))
+    return 1;
+  double allowed = targets.AnswerTime.count() > 0
+                       ? static_cast<double>(targets.AnswerTime.count())
+                       : DefaultAnswerTime.count();
+  double answer = passesOfAnswer(passes.Model) * passes.meanMs(streams);
+  // Lengths of answers vary; the share of those that end in time is that of an
+  // exponential distribution.
+  return LateValue * -std::expm1(-AnswerTimeShare * allowed / answer);
+}
+
+} // namespace
+
+double passesOfAnswer(const PassModel &model) {
+  return std::max(1.0, model.AnswerTokens / std::max(1.0, model.StepsPerPass));
+}
+
+double passMs(const PassModel &model, double streams) {
+  double steps = std::max(1.0, model.StepsPerPass) *
+                 (model.StepMs + model.PerStreamMs * streams);
+  double reading = model.ReadTokensPerMs > 0
+                       ? model.PromptTokens / model.ReadTokensPerMs
+                       : 0;
+  return steps + reading * streams / passesOfAnswer(model);
+}
+
+void recordPass(ObservedPasses &passes, Clock::duration pause,
+                std::chrono::milliseconds longest, Clock::time_point now) {
+  if (longest <= std::chrono::milliseconds::zero())
+    return;
+  double ms = std::min(toMs(pause),
+                       MaxCountedPauses * static_cast<double>(longest.count()));
+  if (passes.MeanMs <= 0 || now - passes.At > MaxPassAge) {
+    passes = {ms, 0, now};
+    return;
+  }
+  double weight = -std::expm1(-Seconds(now - passes.At) / PassWindow);
+  double distance = ms - passes.MeanMs;
+  passes.MeanMs += weight * distance;
+  passes.DeviationMs += weight * (std::abs(distance) - passes.DeviationMs);
+  passes.At = now;
+}
+
+GroupLoad groupLoadOf(const std::vector<EndpointView> &views,
+                      Clock::time_point now) {
+  GroupLoad load;
+  int known = 0;
+  for (const EndpointView &it : views) {
+    if (!takesCalls(it))
+      continue;
+    ++load.Servers;
+    load.Slots += it.Slots;
+    if (!it.Report || now - it.Report->AsOf > MaxReportAge)
+      continue;
+    ++known;
+    load.Streams += it.Report->Running + it.Report->Waiting;
+    load.Age += std::max(Clock::duration::zero(), now - it.Report->AsOf);
+  }
+  if (known == 0)
+    return load;
+  load.Age /= known;
+  load.KnownShare = static_cast<double>(known) / load.Servers;
+  load.Streams /= load.KnownShare;
+  return load;
+}
+
+std::optional<GroupRoom> roomOf(const PassModel &model, const GroupLoad &load,
+                                const ObservedPasses &passes, double pace,
+                                const RoomTargets &targets,
+                                Clock::time_point now) {
+  bool isKnown = load.Servers > 0 && load.Slots > 0 && model.StepMs > 0 &&
+                 load.KnownShare >= MinKnownShare;
+  if (!isKnown)
+    return std::nullopt;
+  Passes corrected = correctedPasses(model, load, passes, pace, now);
+  double slots = load.Slots / load.Servers;
+  GroupRoom room;
+  double best = -1;
+  for (double n = std::min(1.0, slots); n <= slots; n += StreamStep) {
+    double answerMs = passesOfAnswer(model) * corrected.meanMs(n);
+    double starts = load.Servers * n * 1000 / answerMs;
+    double value = valueAt(corrected, targets, n);
+    if (starts * value <= best)
+      continue;
+    best = starts * value;
+    room = {load.Servers * n, starts, corrected.meanMs(n), corrected.Correction,
+            value >= 1};
+  }
+  return room;
+}
+
+double streamLimit(const GroupRoom &room, const GroupLoad &load, double share) {
+  double free = 1 - load.Streams / room.Streams;
+  double fill = 1;
+  if (free < 0)
+    fill = std::max(MinFill, 1 + free);
+  else
+    fill = std::min(MaxOvercommit,
+                    1 + FreeGain * free *
+                            std::exp2(-Seconds(load.Age) / LoadHalfLife));
+  return share * room.Streams * fill;
+}
+
+int wholeStreams(double limit, std::uint64_t entryHash, Clock::time_point now) {
+  auto period = static_cast<std::uint64_t>(
+      std::chrono::milliseconds(FractionPeriod).count());
+  auto at = static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          now.time_since_epoch())
+          .count());
+  std::uint64_t phase = (at + entryHash % period) % period;
+  double whole = std::floor(limit);
+  bool hasFraction = static_cast<double>(phase) <
+                     (limit - whole) * static_cast<double>(period);
+  return static_cast<int>(whole) + (hasFraction ? 1 : 0);
+}
+
+} // namespace greengagespar
--- a/src/route/rate_limit.cpp
+++ b/src/route/rate_limit.cpp
@@ -188,6 +188,19 @@
   return own > 0 ? limit * own / sum : 0;
 }
 
+double demandShare(const Address &self,
+                   const std::vector<LimitSharer> &sharers) {
+  double mean = meanDemand(sharers);
+  double sum = 0;
+  double own = mean;
+  for (const LimitSharer &it : sharers) {
+    double demand = it.Demand.value_or(mean);
+    sum += demand;
+    own = it.Entry == self ? demand : own;
+  }
+  return sum > 0 ? std::min(1.0, own / sum) : 1;
+}
+
 void updateRateShare(RateShare &rate, Clock::time_point now) {
   double due = rate.PerSecond * Seconds(now - rate.UpdatedAt).count();
   double most = std::max(1.0, rate.PerSecond * SaveTime.count());
