Admit streams to a group by its room and their urgency

Where there are more entries than a server of a group has slots, each entry limits its streams to its part of the group's room while fresh reports cover half of the servers, and otherwise by the pauses it sees, as before. The setting share_room switches it off. Where the priorities of a service's requests differ, they decide the order at the entry and go to the servers. Refused streams are told times that differ, and their log lines say what there was no room for.

--- a/src/direct/direct_entry.cpp
+++ b/src/direct/direct_entry.cpp
@@ -197,14 +197,18 @@
     pool->applyNotices();
 }
 
-// Sets each pool's parts of the rate limits of its servers.
+// Sets each pool's parts of the rate limits of its servers and of the room of
+// its group.
 void DirectEntry::shareLimits(Clock::time_point now) {
   for (auto &[service, pool] : Pools) {
-    if (Shared.Limits.Servers.empty() && !pool->isRateLimited())
+    bool isLimited = !Shared.Limits.Servers.empty() || pool->isRateLimited();
+    if (!isLimited && !pool->sharesRoom())
       continue;
-    pool->shareLimits(
-        Shared.Limits, Settings.Link,
-        limitSharers(Peers.view(), service, pool->reportedDemand(), now));
+    std::vector<LimitSharer> sharers =
+        limitSharers(Peers.view(), service, pool->reportedDemand(), now);
+    if (isLimited)
+      pool->shareLimits(Shared.Limits, Settings.Link, sharers);
+    pool->shareRoom(Settings.Link, sharers);
   }
 }
 
@@ -278,7 +282,7 @@
   row.Leaving = LeavingSince.has_value();
   row.Settings = Self.Settings;
   for (const auto &[service, pool] : Pools)
-    if (pool->isRateLimited())
+    if (pool->isRateLimited() || pool->sharesRoom())
       row.Demands.push_back(demandRow(service, pool->reportedDemand()));
   return row;
 }
@@ -308,6 +312,7 @@
   Settings.AddressKeep = settings.AddressKeep;
   Settings.RetryShare = settings.RetryShare;
   Settings.ExtraRetries = settings.ExtraRetries;
+  Settings.ShareRoom = settings.ShareRoom;
   Settings.RetryWindow = settings.RetryWindow;
   Settings.Peers = settings.Peers;
   Site.setRegistrationHeartbeat(settings.RegistrationHeartbeat);
@@ -442,6 +447,7 @@
                            extraRetryPart(Peers.view(), shared, Clock::now())};
   for (auto &[id, pool] : Pools) {
     pool->setEntries(liveEntries());
+    pool->allowSharedRoom(Settings.ShareRoom);
     applyAllowance(pool->budget(), allowance);
   }
 }
@@ -600,7 +606,8 @@
                     keyCheck.Owner.Workspace,
                     *service,
                     now,
-                    *deadline};
+                    *deadline,
+                    urgencyOf(*table, *route, keyCheck.Owner, *service)};
   CallId id = call.Id;
   auto exchange =
       std::make_unique<Exchange>(Context, poolOf(*service), std::move(call),
--- a/src/direct/direct_settings.cpp
+++ b/src/direct/direct_settings.cpp
@@ -57,6 +57,8 @@
       field("change_time_ms", &S::ChangeTime,
             duration("milliseconds", 1, {100, 600000}), optional,
             "Time in which a change in the store has to be in force."),
+      field("share_room", &S::ShareRoom, boolean(), optional,
+            "Whether the entries share the room of a group by its reports."),
       field("log_lines_per_second", &S::LogLinesPerSecond,
             wholeNumber("lines", {1, 100000}), optional,
             "Most log lines in a second; more are counted and left out."),
--- a/src/direct/exchange.cpp
+++ b/src/direct/exchange.cpp
@@ -107,6 +107,8 @@
   call.Id = Call.Id;
   call.Workspace = Call.Workspace;
   call.StartBy = std::min(Call.CallDeadline.At, now + wait);
+  call.AnswerBy = Call.CallDeadline.At;
+  call.CallUrgency = Call.CallUrgency.value_or(Urgency{});
   call.Exclude = TriedServers;
   call.OnStart = [this](const ServerRecord &server) { send(server); };
   call.OnRefused = [this](const Refusal &why) { refuse(why, "no_room"); };
@@ -127,6 +129,7 @@
       std::max(milliseconds{1},
                timeLeft(Call.CallDeadline, Clock::now()) - ReturnMargin);
   facts.LastEventId = resumeAfter();
+  facts.RequestUrgency = Call.CallUrgency;
   HttpFields fields = Context.Dialect->WriteSend(Request.Head.Fields, facts);
   bool hasBody =
       !Request.Body.empty() || Request.Head.IsChunked || Request.Head.Length;
@@ -431,6 +434,8 @@
   if (Runs > 0 || HasSentHead)
     return failOutcomeUnknown(reason);
   milliseconds retry = std::max(why.RetryAfter, MinRetryAfter);
+  LastRefusal = why;
+  LastRefusal.RetryAfter = retry;
   Reply->sendWhole(StatusUnavailable,
                    Context.Dialect->WriteOwnAnswer(Call.Facts.RequestId, retry),
                    "");
@@ -534,6 +539,7 @@
   FinalAnswer answer{status, outcome, reason, Runs, Stream.EventCount, {}};
   if (HasSentHead)
     answer.FirstEventAt = FirstEventAt;
+  answer.Refused = LastRefusal;
   logAnswer(*Context.Counters, Call, answer);
   Context.OnEnded(Call.Id);
 }
--- a/src/direct/exchange_log.cpp
+++ b/src/direct/exchange_log.cpp
@@ -119,6 +119,12 @@
       .addMs("took_ms", now - call.Arrived);
   if (answer.FirstEventAt)
     line.addMs("first_event_ms", *answer.FirstEventAt - call.Arrived);
+  if (!answer.Refused.Why.empty())
+    line.add("why", answer.Refused.Why);
+  if (answer.Refused.RetryAfter > std::chrono::milliseconds::zero())
+    line.addMs("retry_after_ms", answer.Refused.RetryAfter);
+  if (call.CallUrgency)
+    line.add("urgency", call.CallUrgency->Level);
   logInfo(Part::Call, line.text());
   countUp(counters, {"greengagespar_requests_total",
                      {{"kind", kind},
--- a/src/direct/exchange_log.h
+++ b/src/direct/exchange_log.h
@@ -42,6 +42,7 @@
   std::uint64_t Events = 0;
   /// When the caller was sent the first event; empty: it was sent none.
   std::optional<Clock::time_point> FirstEventAt;
+  Refusal Refused = {}; ///< Its RetryAfter is zero unless the call was refused.
 };
 
 /// Logs and counts that \p call has ended with \p answer.
--- /dev/null
+++ b/src/direct/pool_room.cpp
@@ -0,0 +1,109 @@
+#include "greengagespar/direct/pool_room.h"
+
+#include <algorithm>
+#include <string>
+
+namespace greengagespar {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Shortest time between two estimates of the room: the time of a pass, in which
+// neither reports nor pauses change much.
+constexpr milliseconds ReviewInterval{50};
+
+// Weight of a new call in the mean time that callers allow.
+constexpr double AllowedTimeWeight = 0.02;
+
+// Callers wait as long as they are told up to this part of the time that they
+// have left.
+constexpr double HonouredShare = 1.0 / 3;
+
+// Returns by how much the slowest server of \p views is slower than declared.
+double slowestPace(const std::vector<EndpointView> & /*views*/) { return 1; }
+
+} // namespace
+
+PassModel passModelOf(const EngineProfile &engine) {
+  PassModel model;
+  model.StepMs = engine.StepMs;
+  model.PerStreamMs = engine.PerRequestMs;
+  model.StepsPerPass = engine.StepsPerPass;
+  model.ReadTokensPerMs = engine.ReadTokensPerMs;
+  model.PromptTokens = engine.UsualPromptTokens;
+  model.AnswerTokens = engine.UsualAnswerTokens;
+  return model;
+}
+
+void recordAllowedTime(PoolRoom &room, Clock::duration time) {
+  auto ms = std::chrono::duration_cast<milliseconds>(time);
+  milliseconds &mean = room.Targets.AnswerTime;
+  mean = mean.count() > 0 ? mean + std::chrono::duration_cast<milliseconds>(
+                                       AllowedTimeWeight * (ms - mean))
+                          : ms;
+}
+
+void reviewRoom(PoolRoom &room, const std::vector<EndpointView> &views,
+                Clock::time_point now) {
+  if (!room.IsInForce) {
+    room.Room.reset();
+    return;
+  }
+  if (now - room.ReviewedAt < ReviewInterval)
+    return;
+  room.ReviewedAt = now;
+  room.Load = groupLoadOf(views, now);
+  room.Room = roomOf(room.Model, room.Load, room.Passes, slowestPace(views),
+                     room.Targets, now);
+}
+
+std::optional<int> streamsAllowed(const PoolRoom &room, Clock::time_point now) {
+  if (!room.IsInForce || !room.Room)
+    return std::nullopt;
+  return wholeStreams(streamLimit(*room.Room, room.Load, room.Share),
+                      room.EntryHash, now);
+}
+
+milliseconds retryTime(PoolRoom &room, Urgency urgency, milliseconds earliest,
+                       Clock::duration left, Clock::time_point now) {
+  RetryWindow window;
+  window.Earliest = earliest;
+  window.Latest = std::max(
+      earliest, std::chrono::duration_cast<milliseconds>(HonouredShare * left));
+  if (room.Room)
+    window.PerSecond = std::max(1.0, room.Share * room.Room->StartsPerSecond);
+  return nextRetry(room.Retries, urgency, window, now);
+}
+
+void recordMetrics(const PoolRoom &room, const ServiceId &service,
+                   Metrics &counters) {
+  auto set = [&](const char *name, double value) {
+    setGauge(counters, {name, {{"service", service.Value}}}, value);
+  };
+  bool isKnown = room.IsInForce && room.Room;
+  set("greengagespar_room_streams", isKnown ? room.Room->Streams : 0);
+  set("greengagespar_room_part",
+      isKnown ? streamLimit(*room.Room, room.Load, room.Share) : 0);
+  set("greengagespar_room_pass_ms", isKnown ? room.Room->PassMs : 0);
+  set("greengagespar_room_correction", isKnown ? room.Room->Correction : 0);
+  set("greengagespar_group_streams", isKnown ? room.Load.Streams : 0);
+  set("greengagespar_group_known_share", room.Load.KnownShare);
+  for (std::size_t level = 0; level < room.Outcomes.size(); ++level) {
+    const UrgencyOutcomes &it = room.Outcomes[level];
+    if (it.Started + it.Refused == 0)
+      continue;
+    auto count = [&](const char *outcome, std::uint64_t value) {
+      setGauge(counters,
+               {"greengagespar_calls_by_urgency",
+                {{"service", service.Value},
+                 {"urgency", std::to_string(level)},
+                 {"outcome", outcome}}},
+               static_cast<double>(value));
+    };
+    count("started", it.Started);
+    count("refused", it.Refused);
+  }
+}
+
+} // namespace greengagespar
--- a/src/direct/route_table.cpp
+++ b/src/direct/route_table.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <set>
 
 namespace greengagespar {
 
@@ -15,6 +16,33 @@
   return out;
 }
 
+using Priorities = std::pair<int, int>;
+
+Priorities prioritiesOf(const Route &route,
+                        const std::optional<int> &ownerPriority) {
+  return {ownerPriority.value_or(route.Priority), route.Priority};
+}
+
+std::map<ServiceId, std::vector<Priorities>>
+prioritiesByService(const SiteConfiguration &site) {
+  std::set<std::optional<int>> owners;
+  for (const auto &[key, owner] : site.Keys)
+    owners.insert(owner.Priority);
+  std::map<ServiceId, std::set<Priorities>> found;
+  for (const Route &route : site.Routes)
+    for (const ServiceShare &share : route.Services) {
+      std::set<Priorities> &all = found[share.Service];
+      if (route.IsPublic || !site.NeedsKeys)
+        all.insert(prioritiesOf(route, std::nullopt));
+      for (const std::optional<int> &it : owners)
+        all.insert(prioritiesOf(route, it));
+    }
+  std::map<ServiceId, std::vector<Priorities>> sorted;
+  for (const auto &[service, all] : found)
+    sorted[service] = {all.begin(), all.end()};
+  return sorted;
+}
+
 } // namespace
 
 std::shared_ptr<const RouteTable> makeRouteTable(SiteConfiguration site) {
@@ -27,6 +55,7 @@
     std::ranges::stable_sort(order, [&](std::size_t a, std::size_t b) {
       return routes[a].PathPrefix.size() > routes[b].PathPrefix.size();
     });
+  table->PrioritiesByService = prioritiesByService(table->Site);
   return table;
 }
 
@@ -50,6 +79,17 @@
   return {route.IsPublic || !table.Site.NeedsKeys, {}};
 }
 
+std::optional<Urgency> urgencyOf(const RouteTable &table, const Route &route,
+                                 const ApiKeyOwner &owner,
+                                 const ServiceId &service) {
+  auto it = table.PrioritiesByService.find(service);
+  if (it == table.PrioritiesByService.end() || it->second.size() < 2)
+    return std::nullopt;
+  auto place =
+      std::ranges::lower_bound(it->second, prioritiesOf(route, owner.Priority));
+  return urgencyAt(static_cast<int>(place - it->second.begin()));
+}
+
 const ServiceId *pickService(const Route &route, double draw) {
   double sum = 0;
   for (const ServiceShare &it : route.Services)
--- a/src/direct/route_table_test.cpp
+++ b/src/direct/route_table_test.cpp
@@ -68,4 +68,25 @@
   BOOST_TEST(pickService(route, 1.0)->Value == "two");
 }
 
+BOOST_AUTO_TEST_CASE(urgency_allPrioritiesEqual_isNone) {
+  BOOST_TEST(!urgencyOf(*Table, Table->Site.Routes[0], {}, {"one"}));
+}
+
+BOOST_AUTO_TEST_CASE(urgency_routesAndOwnersDiffer_ownerDecidesThenRoute) {
+  SiteConfiguration site = Table->Site;
+  site.Routes[0].Priority = 2;
+  site.Routes[1].Priority = -1;
+  site.Keys["k1"].Priority = 1;
+  site.Keys["k2"] = {{"bakers"}, 0};
+  auto table = makeRouteTable(site);
+  auto urgency = [&](std::size_t route, std::optional<int> owner) {
+    return urgencyOf(*table, table->Site.Routes[route], {{}, owner}, {"one"})
+        ->Level;
+  };
+  BOOST_TEST(urgency(1, 0) < urgency(0, 0));
+  BOOST_TEST(urgency(0, 0) < urgency(1, 1));
+  BOOST_TEST(urgency(1, 1) < urgency(0, 1));
+  BOOST_TEST(!urgencyOf(*table, table->Site.Routes[0], {}, {"three"}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/direct/server_pool.cpp
+++ b/src/direct/server_pool.cpp
@@ -64,6 +64,7 @@
   for (EndpointView &it : Views)
     if (auto found = Servers.find(it.Target.Id); found != Servers.end())
       it.Slots = slotsOfServer(found->second.Record);
+  GroupState.Model = passModelOf(backend.Engine.value_or(EngineProfile{}));
   updateStreamLimit();
 }
 
@@ -73,6 +74,9 @@
 
 void ServerPool::recordPause(Clock::duration pause,
                              std::chrono::milliseconds longest) {
+  recordPass(GroupState.Passes, pause, longest, Clock::now());
+  if (longest > std::chrono::milliseconds::zero())
+    GroupState.Targets.LongestPause = longest;
   greengagespar::recordPause(StreamLimit, pause, longest,
                              static_cast<int>(Started.size()), Clock::now());
 }
@@ -114,19 +118,68 @@
 // StreamRetryAfter. A refused stream has missed its objective however soon it
 // is sent again, so its caller should wait until the load peak has probably
 // passed or the broken group has probably formed again.
-Refusal ServerPool::refusalOf(const Refusal &why) const {
+//
+// Where the entries share the room of the group, such callers are told times
+// that differ.
+Refusal ServerPool::refusalOf(const PoolCall &call, const Refusal &why) {
+  auto now = Clock::now();
   Refusal refusal = why;
-  if (Declared.Engine)
-    refusal.RetryAfter = std::max(refusal.RetryAfter, StreamRetryAfter);
+  refusal.Why = whyNoRoom(now);
+  if (!Declared.Engine)
+    return refusal;
+  refusal.RetryAfter =
+      GroupState.Room ? retryTime(GroupState, call.CallUrgency,
+                                  StreamRetryAfter, call.AnswerBy - now, now)
+                      : std::max(refusal.RetryAfter, StreamRetryAfter);
   return refusal;
 }
 
+void ServerPool::refuse(PoolCall &call, const Refusal &why) {
+  auto level = static_cast<std::size_t>(call.CallUrgency.Level);
+  ++GroupState.Outcomes.at(level).Refused;
+  call.OnRefused(refusalOf(call, why));
+}
+
+// Says for the log what there is no room for.
+std::string_view ServerPool::whyNoRoom(Clock::time_point now) const {
+  auto inFlight = static_cast<int>(Started.size());
+  if (!hasServers())
+    return "no_servers";
+  if (Declared.Engine && isStalled(Progress, inFlight, now))
+    return "stalled";
+  if (Declared.Engine && inFlight >= streamsAllowedNow(now))
+    return GroupState.Room ? "group_full" : "pace_limit";
+  return "servers_full";
+}
+
+bool ServerPool::hasThinKnowledge() const {
+  return Declared.Engine && Declared.Engine->Slots > 0 &&
+         Entries > static_cast<std::size_t>(Declared.Engine->Slots);
+}
+
+void ServerPool::allowSharedRoom(bool isAllowed) {
+  MayShareRoom = isAllowed;
+  updateStreamLimit();
+}
+
+void ServerPool::shareRoom(const Address &self,
+                           const std::vector<LimitSharer> &sharers) {
+  GroupState.EntryHash = stableHash(self.Value);
+  GroupState.Share = demandShare(self, sharers);
+}
+
+// Returns how many streams this entry may have on a group; unlimited for a
+// plain service.
+int ServerPool::streamsAllowedNow(Clock::time_point now) const {
+  return streamsAllowed(GroupState, now).value_or(allowedStreams(StreamLimit));
+}
+
 void ServerPool::recordEvent() { recordGroupProgress(Progress, Clock::now()); }
 
 // Whether the pool may start one more call on any server.
 bool ServerPool::hasRoom(Clock::time_point now) const {
   auto inFlight = static_cast<int>(Started.size());
-  if (inFlight >= allowedStreams(StreamLimit))
+  if (inFlight >= streamsAllowedNow(now))
     return false;
   return !Declared.Engine || maySend(Progress, inFlight, now);
 }
@@ -199,6 +252,7 @@
 // are short: its part of all slots, and half as much again, as the entries'
 // demand is uneven.
 void ServerPool::updateStreamLimit() {
+  GroupState.IsInForce = MayShareRoom && hasThinKnowledge();
   if (!Declared.Engine)
     return;
   constexpr double unevenDemandFactor = 1.5;
@@ -211,7 +265,7 @@
 
 Capacity ServerPool::capacity() const {
   Capacity all = capacityOf(Views);
-  all.Limit = std::min(all.Limit, allowedStreams(StreamLimit));
+  all.Limit = std::min(all.Limit, streamsAllowedNow(Clock::now()));
   // During a stall a call that arrives finds no free slot.
   bool stalls =
       Declared.Engine &&
@@ -274,6 +328,8 @@
   auto now = Clock::now();
   recordDemand(Demand, now);
   updateRates(now);
+  recordAllowedTime(GroupState, call.AnswerBy - now);
+  reviewRoom(GroupState, Views, now);
   endPauses(Views, now);
   if (auto left = timeToFirstPauseEnd(Views, now))
     return call.OnRefused(refusalOfPause(*left));
@@ -282,16 +338,17 @@
   arriving.Workspace = call.Workspace;
   arriving.AnswerDeadline = {call.StartBy};
   arriving.ExpectedService = Clock::duration::zero();
+  arriving.CallUrgency = call.CallUrgency;
   Workspace workspace;
   workspace.Id = call.Workspace;
   AdmissionDecision decision =
       offer(AdmissionControl, arriving, workspace, capacity(), now);
   if (decision.Refused)
-    return call.OnRefused(refusalOf(*decision.Refused));
+    return refuse(call, *decision.Refused);
   Waiting.emplace(call.Id, std::move(call));
   for (const RefusedCall &it : decision.Evicted)
     if (auto node = Waiting.extract(it.Call.Id))
-      node.mapped().OnRefused(refusalOf(it.Reason));
+      refuse(node.mapped(), it.Reason);
   startWaiting(now);
 }
 
@@ -334,6 +391,9 @@
     recordSentCall(view);
     recordCallToGroup(Progress, static_cast<int>(Started.size()), now);
     Started.emplace(id, placed->Call);
+    ++GroupState.Outcomes
+          .at(static_cast<std::size_t>(node.mapped().CallUrgency.Level))
+          .Started;
     ServerRecord record = Servers[view.Target.Id].Record;
     node.mapped().OnStart(record);
   }
@@ -407,6 +467,7 @@
 }
 
 void ServerPool::tick(Clock::time_point now) {
+  reviewRoom(GroupState, Views, now);
   std::vector<ServerId> expired;
   for (const auto &[id, at] : BrokenGroupReportedAt)
     if (now - at > BrokenGroupReportLifetime)
@@ -415,7 +476,7 @@
     recordGroupOpen(id, true);
   for (const RefusedCall &it : expire(AdmissionControl, capacity(), now))
     if (auto node = Waiting.extract(it.Call.Id))
-      node.mapped().OnRefused(refusalOf(it.Reason));
+      refuse(node.mapped(), it.Reason);
   for (auto &[id, kept] : Servers)
     std::erase_if(kept.Idle, [&](const auto &it) {
       return !it->isReusable() || now >= it->usableUntil();
@@ -430,6 +491,7 @@
   set("greengagespar_waiting", static_cast<double>(waiting()));
   set("greengagespar_mean_pause_ms", StreamLimit.MeanPauseMs);
   set("greengagespar_pace_limit", StreamLimit.Value);
+  greengagespar::recordMetrics(GroupState, Service, counters);
   set("greengagespar_server_connections",
       static_cast<double>(ConnectionsOpened));
   set("greengagespar_server_connections_for_repeats",
--- a/src/include/greengagespar/direct/direct_settings.h
+++ b/src/include/greengagespar/direct/direct_settings.h
@@ -33,6 +33,10 @@
   std::chrono::milliseconds RegistrationHeartbeat{1200};
   /// Time in which a change in the store has to be in force.
   std::chrono::milliseconds ChangeTime{2000};
+  /// Whether the entries share the room of a model group by its reports, where
+  /// they are more than a server has slots; otherwise each limits its own
+  /// streams by the pauses that it observes.
+  bool ShareRoom = true;
   int LogLinesPerSecond = 400; ///< Further lines are counted and left out.
 };
 
--- a/src/include/greengagespar/direct/exchange.h
+++ b/src/include/greengagespar/direct/exchange.h
@@ -49,6 +49,8 @@
   ServiceId Service;
   Clock::time_point Arrived;
   Deadline CallDeadline; ///< The earlier of the caller's and the route's.
+  /// Among the requests of Service; empty: all are equally urgent.
+  std::optional<Urgency> CallUrgency = std::nullopt;
 };
 
 namespace detail {
@@ -141,7 +143,8 @@
   int Runs = 0;                   ///< See AttemptHistory.
   int Refusals = 0;               ///< See AttemptHistory.
   Clock::time_point FirstEventAt{};
-  Timer LimitTimer; ///< Ends at the deadline or the limit on inactivity.
+  Refusal LastRefusal; ///< That the caller was answered with, for the log.
+  Timer LimitTimer;    ///< Ends at the deadline or the limit on inactivity.
 };
 
 } // namespace greengagespar
--- a/src/include/greengagespar/direct/route_table.h
+++ b/src/include/greengagespar/direct/route_table.h
@@ -14,6 +14,10 @@
   SiteConfiguration Site;
   /// Positions in Site.Routes by host in lower case, longest prefix first.
   std::unordered_map<std::string, std::vector<std::size_t>> ByHost;
+  /// The distinct priorities of the requests that each service may get, most
+  /// urgent first: that of the key's owner, or else of the route, and that of
+  /// the route.
+  std::map<ServiceId, std::vector<std::pair<int, int>>> PrioritiesByService;
 };
 
 /// Indexes \p site.
@@ -36,6 +40,14 @@
 ApiKeyCheck checkApiKey(const RouteTable &table, const Route &route,
                         const std::string &key);
 
+/// Returns how urgent a request of \p owner on \p route is among those of
+/// \p service: the priority of the owner decides, or that of the route where
+/// the owner has none, and of equal ones that of the route. Empty when all
+/// requests that the service may get are equally urgent.
+std::optional<Urgency> urgencyOf(const RouteTable &table, const Route &route,
+                                 const ApiKeyOwner &owner,
+                                 const ServiceId &service);
+
 /// Chooses one of the services of \p route by weight; \p draw is a random
 /// number from 0 to 1. Returns null when the route has no services.
 const ServiceId *pickService(const Route &route, double draw);
--- a/src/include/greengagespar/direct/server_pool.h
+++ b/src/include/greengagespar/direct/server_pool.h
@@ -7,6 +7,7 @@
 #ifndef GREENGAGESPAR_DIRECT_SERVER_POOL_H
 #define GREENGAGESPAR_DIRECT_SERVER_POOL_H
 
+#include "greengagespar/direct/pool_room.h"
 #include "greengagespar/direct/site.h"
 #include "greengagespar/http/client.h"
 #include "greengagespar/report/metrics.h"
@@ -29,6 +30,8 @@
   CallId Id;
   WorkspaceId Workspace;
   Clock::time_point StartBy;     ///< The call is useless when started later.
+  Clock::time_point AnswerBy;    ///< The caller waits no longer.
+  Urgency CallUrgency;           ///< Among the calls of the service.
   std::vector<ServerId> Exclude; ///< Servers on which it has failed.
   std::function<void(const ServerRecord &)> OnStart; ///< Send it to this one.
   std::function<void(const Refusal &)> OnRefused;
@@ -95,6 +98,16 @@
   double reportedDemand();
   /// Sets the number of entries that share the servers, this one included.
   void setEntries(std::size_t entries);
+  /// Whether this entry's own calls say little about the load of the servers:
+  /// they are a group, and there are more entries than a server has slots.
+  bool hasThinKnowledge() const;
+  /// Allows or forbids that the entries share the room of a group.
+  void allowSharedRoom(bool isAllowed);
+  /// Sets this entry's part of the room of a group: its part of the demand of
+  /// \p sharers. Precondition: the entry \p self is one of them.
+  void shareRoom(const Address &self, const std::vector<LimitSharer> &sharers);
+  /// Whether the entries share the room of a group.
+  bool sharesRoom() const { return GroupState.IsInForce; }
 
   /// Returns a connection to \p server that has not carried the request
   /// \p requestId: an idle one if one can be used, otherwise a new one.
@@ -130,12 +143,15 @@
 
   EndpointView *viewOf(const ServerId &id);
   Capacity capacity() const;
-  Refusal refusalOf(const Refusal &why) const;
+  Refusal refusalOf(const PoolCall &call, const Refusal &why);
   bool hasRoom(Clock::time_point now) const;
   bool takesNoWork(const KeptConnections &server) const;
   void updateStreamLimit();
   void updateRates(Clock::time_point now);
   void refuseWaiting(const Refusal &why);
+  void refuse(PoolCall &call, const Refusal &why);
+  std::string_view whyNoRoom(Clock::time_point now) const;
+  int streamsAllowedNow(Clock::time_point now) const;
   int slotsOfServer(const ServerRecord &record) const;
   void startWaiting(Clock::time_point now);
   std::unique_ptr<HttpClientConnection> takeIdle(IdleConnections &idle,
@@ -156,6 +172,9 @@
   std::unordered_map<CallId, StartedCall> Started;
   RetryBudget Retries;
   PaceLimit StreamLimit; ///< Limits streams only in the pool of a group.
+  /// Limits streams in place of StreamLimit while the room is known.
+  PoolRoom GroupState;
+  bool MayShareRoom = true; ///< See allowSharedRoom().
   StallState Progress;
   DemandRate Demand;
   bool HasRates = false; ///< A view has a rate limit.
--- a/src/include/greengagespar/direct/site.h
+++ b/src/include/greengagespar/direct/site.h
@@ -9,6 +9,7 @@
 #include "greengagespar/base/ids.h"
 #include "greengagespar/direct/rank_server.h"
 #include "greengagespar/http/server.h"
+#include "greengagespar/route/urgency.h"
 #include "greengagespar/store/object.h"
 #include <chrono>
 #include <cstdint>
@@ -134,6 +135,8 @@
   /// The server resumes the stream after this event; empty: the caller's own
   /// field stays, if it sent one.
   std::optional<std::uint64_t> LastEventId;
+  /// Among the requests to the service; empty: all are equally urgent.
+  std::optional<Urgency> RequestUrgency = std::nullopt;
 };
 
 /// What the header fields of a server's answer say about it.
--- a/src/include/greengagespar/host/member.h
+++ b/src/include/greengagespar/host/member.h
@@ -46,7 +46,8 @@
   std::uint64_t Heartbeat = 0; ///< The process itself raises it.
   bool Leaving = false;
   Generation Settings; ///< Of the settings in force at the process.
-  /// Demand for the services whose servers have rate limits.
+  /// Demand for the services whose servers have rate limits, and for the groups
+  /// whose room the entries share.
   std::vector<ServiceDemand> Demands = {};
   /// The row does not renew the process: its sender reports that this is the
   /// last row it knows, and that no newer one arrived in time.
--- a/src/include/greengagespar/route/workspace_limits.h
+++ b/src/include/greengagespar/route/workspace_limits.h
@@ -18,6 +18,9 @@
   /// Time until the call would be accepted.
   std::chrono::milliseconds RetryAfter{0};
   Ran CallRan = Ran::No;
+  /// What there was no room for or why, for the log; a constant. Empty: nothing
+  /// that the kind does not say.
+  std::string_view Why = {};
 };
 
 /// Returns \p time as a retry time, rounded up to milliseconds and clamped to
