--- a/src/direct/pool_room.cpp
+++ b/src/direct/pool_room.cpp
@@ -21,7 +21,14 @@
 constexpr double HonouredShare = 1.0 / 3;
 
 // Returns by how much the slowest server of \p views is slower than declared.
-double slowestPace(const std::vector<EndpointView> & /*views*/) { return 1; }
+double slowestPace(const std::vector<EndpointView> &views,
+                   Clock::time_point now) {
+  double pace = 1;
+  for (const EndpointView &it : views)
+    if (takesCalls(it) && it.Report && now - it.Report->AsOf <= MaxReportAge)
+      pace = std::max(pace, it.Report->Pace);
+  return pace;
+}
 
 } // namespace
 
@@ -54,8 +61,8 @@
     return;
   room.ReviewedAt = now;
   room.Load = groupLoadOf(views, now);
-  room.Room = roomOf(room.Model, room.Load, room.Passes, slowestPace(views),
-                     room.Targets, now);
+  room.Room = roomOf(room.Model, room.Load, room.Passes,
+                     slowestPace(views, now), room.Targets, now);
 }
 
 std::optional<int> streamsAllowed(const PoolRoom &room, Clock::time_point now) {
--- a/src/direct/server_pool.cpp
+++ b/src/direct/server_pool.cpp
@@ -167,11 +167,6 @@
   return "servers_full";
 }
 
-bool ServerPool::hasThinKnowledge() const {
-  return Declared.Engine && Declared.Engine->Slots > 0 &&
-         Entries > static_cast<std::size_t>(Declared.Engine->Slots);
-}
-
 void ServerPool::allowSharedRoom(bool isAllowed) {
   MayShareRoom = isAllowed;
   updateStreamLimit();
--- a/src/include/greengagespar/direct/server_pool.h
+++ b/src/include/greengagespar/direct/server_pool.h
@@ -104,9 +104,6 @@
   double reportedDemand();
   /// Sets the number of entries that share the servers, this one included.
   void setEntries(std::size_t entries);
-  /// Whether this entry's own calls say little about the load of the servers:
-  /// they are a group, and there are more entries than a server has slots.
-  bool hasThinKnowledge() const;
   /// Allows or forbids that the entries share the room of a group.
   void allowSharedRoom(bool isAllowed);
   /// Sets this entry's part of the room of a group: its part of the demand of
--- a/src/include/greengagespar/route/group_room.h
+++ b/src/include/greengagespar/route/group_room.h
@@ -67,8 +67,9 @@
   Clock::duration Age{}; ///< Mean age of the fresh reports.
 };
 
-/// Reports that are older than this say nothing about the present load.
-inline constexpr std::chrono::milliseconds MaxReportAge{4000};
+/// Reports that are older than this say nothing about the present load. With
+/// hundreds of entries, each asks a server only every few seconds.
+inline constexpr std::chrono::milliseconds MaxReportAge{6000};
 
 /// Sums the fresh reports about the servers of \p views that take calls, and
 /// scales them to all of these servers.
--- a/src/route/group_room.cpp
+++ b/src/route/group_room.cpp
@@ -47,6 +47,7 @@
 // By how much limits grow with the free share of the room, and shrink with what
 // is above the room.
 constexpr double FreeGain = 1.5;
+constexpr double OverGain = 1.0;
 // Age at which a report has lost half of its weight.
 constexpr Seconds LoadHalfLife{1.0};
 // The least that limits are reduced to, relative to the room, when reports show
@@ -185,13 +186,9 @@
 
 double streamLimit(const GroupRoom &room, const GroupLoad &load, double share) {
   double free = 1 - load.Streams / room.Streams;
-  double fill = 1;
-  if (free < 0)
-    fill = std::max(MinFill, 1 + free);
-  else
-    fill = std::min(MaxOvercommit,
-                    1 + FreeGain * free *
-                            std::exp2(-Seconds(load.Age) / LoadHalfLife));
+  double known = std::exp2(-Seconds(load.Age) / LoadHalfLife);
+  double gain = free < 0 ? OverGain : FreeGain;
+  double fill = std::clamp(1 + gain * free * known, MinFill, MaxOvercommit);
   return share * room.Streams * fill;
 }
 
