--- a/src/include/greengagespar/route/group_room.h
+++ b/src/include/greengagespar/route/group_room.h
@@ -54,7 +54,8 @@
 
 /// Records a pause of a stream whose route wants none over \p longest. Pauses
 /// count by the time that they cover and not by the number of streams, as all
-/// streams of an entry observe the same passes.
+/// streams of an entry observe the same passes. One long pause, as in a stall or
+/// when this process stood still, counts little.
 void recordPass(ObservedPasses &passes, Clock::duration pause,
                 std::chrono::milliseconds longest, Clock::time_point now);
 
--- a/src/route/group_room.cpp
+++ b/src/route/group_room.cpp
@@ -16,12 +16,18 @@
 constexpr Seconds PassWindow{1.0};
 // A pause counts as at most this many of the longest ones wanted: a stall of
 // the group says nothing about the room.
-constexpr double MaxCountedPauses = 4;
+constexpr double MaxCountedPauses = 2;
+// A pause has at most the weight of this time, for the same reason.
+constexpr Seconds MaxCountedTime{0.3};
 // Without a pause for this long, only declared figures and reports count.
 constexpr std::chrono::milliseconds MaxPassAge{3000};
 // A stream is late if one of its passes is. Few passes are longer than the mean
 // and this many mean deviations.
 constexpr double DeviationFactor = 3;
+// The margin that this leaves below the longest pause is at most this share of
+// it. Pauses that vary more, as on a lossy link of this entry, don't show that
+// the passes can't be in time.
+constexpr double MaxMarginShare = 0.35;
 // Deviation assumed until pauses were observed, relative to the pass.
 constexpr double AssumedDeviation = 0.1;
 
@@ -68,9 +74,6 @@
   double meanMs(double streams) const {
     return Correction * passMs(Model, streams);
   }
-  double longMs(double streams) const {
-    return meanMs(streams) + DeviationFactor * DeviationMs;
-  }
 };
 
 Passes correctedPasses(const PassModel &model, const GroupLoad &load,
@@ -91,9 +94,10 @@
 // from 0 to 1.
 double valueAt(const Passes &passes, const RoomTargets &targets,
                double streams) {
-  bool hasPause = targets.LongestPause.count() > 0;
-  if (!hasPause || passes.longMs(streams) <=
-                       static_cast<double>(targets.LongestPause.count()))
+  auto longest = static_cast<double>(targets.LongestPause.count());
+  double margin =
+      std::min(DeviationFactor * passes.DeviationMs, MaxMarginShare * longest);
+  if (longest <= 0 || passes.meanMs(streams) + margin <= longest)
     return 1;
   double allowed = targets.AnswerTime.count() > 0
                        ? static_cast<double>(targets.AnswerTime.count())
@@ -129,7 +133,8 @@
     passes = {ms, 0, now};
     return;
   }
-  double weight = -std::expm1(-Seconds(now - passes.At) / PassWindow);
+  Seconds covered = std::min<Seconds>(now - passes.At, MaxCountedTime);
+  double weight = -std::expm1(-covered / PassWindow);
   double distance = ms - passes.MeanMs;
   passes.MeanMs += weight * distance;
   passes.DeviationMs += weight * (std::abs(distance) - passes.DeviationMs);
--- a/src/route/rate_limit_test.cpp
+++ b/src/route/rate_limit_test.cpp
@@ -279,4 +279,15 @@
   BOOST_TEST(std::isinf(capacityOf(it.Views).StartsPerSecond));
 }
 
+BOOST_AUTO_TEST_CASE(demandShare_ofAllEntries_addsUpToOne) {
+  std::vector<LimitSharer> sharers{
+      {{"a"}, 8}, {{"b"}, 2}, {{"c"}, std::nullopt}, {{"d"}, 5}};
+  double sum = 0;
+  for (const LimitSharer &it : sharers)
+    sum += demandShare(it.Entry, sharers);
+  BOOST_TEST(sum == 1, boost::test_tools::tolerance(1e-9));
+  BOOST_TEST(demandShare({"a"}, sharers) == 0.4);
+  BOOST_TEST(demandShare({"c"}, sharers) == 0.25);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
