--- a/src/direct/pool_room.cpp
+++ b/src/direct/pool_room.cpp
@@ -1,5 +1,7 @@
 #include "greengagespar/direct/pool_room.h"
 
+#include "greengagespar/base/log.h"
+#include "greengagespar/base/log_output.h"
 #include <algorithm>
 #include <string>
 
@@ -13,6 +15,11 @@
 // neither reports nor pauses change much.
 constexpr milliseconds ReviewInterval{50};
 
+// Interval of the log lines about a room, and the share of the streams allowed
+// from which they are written.
+constexpr milliseconds LogInterval{1000};
+constexpr double LoggedFill = 0.7;
+
 // Weight of a new call in the mean time that callers allow.
 constexpr double AllowedTimeWeight = 0.02;
 
@@ -65,6 +72,30 @@
                      slowestPace(views, now), room.Targets, now);
 }
 
+void logRoom(PoolRoom &room, const ServiceId &service, int inFlight,
+             Clock::time_point now) {
+  if (!room.IsInForce || !room.Room || now - room.LoggedAt < LogInterval)
+    return;
+  double limit = streamLimit(*room.Room, room.Load, room.Share);
+  if (inFlight < LoggedFill * limit)
+    return;
+  room.LoggedAt = now;
+  auto whole = [](double value) { return static_cast<std::int64_t>(value); };
+  logInfo(Part::Route,
+          LogLine("room")
+              .add("service", service.Value)
+              .add("streams", whole(room.Room->Streams))
+              .add("in_time", room.Room->IsInTime ? "yes" : "no")
+              .add("reported", whole(room.Load.Streams))
+              .addMs("age_ms", room.Load.Age)
+              .add("part_x100", whole(100 * limit))
+              .add("own", inFlight)
+              .add("pass_ms", whole(room.Passes.MeanMs))
+              .add("varies_ms", whole(room.Passes.DeviationMs))
+              .add("correction_x100", whole(100 * room.Room->Correction))
+              .text());
+}
+
 std::optional<int> streamsAllowed(const PoolRoom &room, Clock::time_point now) {
   if (!room.IsInForce || !room.Room)
     return std::nullopt;
--- a/src/direct/server_pool.cpp
+++ b/src/direct/server_pool.cpp
@@ -478,6 +478,7 @@
 
 void ServerPool::tick(Clock::time_point now) {
   reviewRoom(GroupState, Views, now);
+  logRoom(GroupState, Service, static_cast<int>(Started.size()), now);
   std::vector<ServerId> expired;
   for (const auto &[id, at] : BrokenGroupReportedAt)
     if (now - at > BrokenGroupReportLifetime)
--- a/src/include/greengagespar/direct/pool_room.h
+++ b/src/include/greengagespar/direct/pool_room.h
@@ -36,6 +36,7 @@
   Clock::time_point ReviewedAt{};
   RetrySpread Retries;
   std::array<UrgencyOutcomes, UrgencyLevels> Outcomes{};
+  Clock::time_point LoggedAt{}; ///< See logRoom().
 };
 
 /// Returns the speed of the servers of \p engine.
@@ -49,6 +50,12 @@
 void reviewRoom(PoolRoom &room, const std::vector<EndpointView> &views,
                 Clock::time_point now);
 
+/// Logs the room of the group \p service and what it was estimated from, at most
+/// once a second, while this entry has \p inFlight streams and these are most of
+/// those that it may have.
+void logRoom(PoolRoom &room, const ServiceId &service, int inFlight,
+             Clock::time_point now);
+
 /// Returns how many streams this entry may have now; empty when the room is not
 /// in force or not known, and the entry's own limit applies.
 std::optional<int> streamsAllowed(const PoolRoom &room, Clock::time_point now);
