Weigh how many answers are in time against how many there are

Change: the room is the number of streams with the greatest rate of answers, each weighted by the chance that none of its passes is too long, with the observed variation. Loads are averaged over the same time as passes.

--- a/src/direct/pool_room.cpp
+++ b/src/direct/pool_room.cpp
@@ -66,8 +66,10 @@
   }
   if (now - room.ReviewedAt < ReviewInterval)
     return;
-  room.ReviewedAt = now;
+  GroupLoad before = room.Load;
   room.Load = groupLoadOf(views, now);
+  smoothLoad(room.Load, before, now - room.ReviewedAt);
+  room.ReviewedAt = now;
   room.Room = roomOf(room.Model, room.Load, room.Passes,
                      slowestPace(views, now), room.Targets, now);
 }
--- a/src/include/greengagespar/route/group_room.h
+++ b/src/include/greengagespar/route/group_room.h
@@ -5,9 +5,9 @@
 /// passes of all longer. The length of a pass follows from the engine's
 /// declared figures and the number of streams on a server. The pauses that the
 /// entry observes and the pace that servers report correct it. The room of a
-/// group is the number of streams with which it does the most work that is
-/// still of use: as many as keep the pauses in time, or, when none can be in
-/// time, as many as end before their callers leave.
+/// group is the number of streams with which it does the most work that is of
+/// use. An answer with a pause over the longest one wanted is of less use, and
+/// one that does not end before its caller leaves of none.
 ///
 /// The entries divide the room by the demand that each reports (as rate_limit.h
 /// does with the limits of servers). While the group has free places, each may
@@ -54,8 +54,8 @@
 
 /// Records a pause of a stream whose route wants none over \p longest. Pauses
 /// count by the time that they cover and not by the number of streams, as all
-/// streams of an entry observe the same passes. One long pause, as in a stall or
-/// when this process stood still, counts little.
+/// streams of an entry observe the same passes. One long pause, as in a stall
+/// or when this process stood still, counts little.
 void recordPass(ObservedPasses &passes, Clock::duration pause,
                 std::chrono::milliseconds longest, Clock::time_point now);
 
@@ -66,6 +66,8 @@
   double Streams = 0;    ///< Of all entries, on these servers.
   double KnownShare = 0; ///< Share of the servers with a fresh report.
   Clock::duration Age{}; ///< Mean age of the fresh reports.
+  /// Decayed mean of Streams, over the same time as that of ObservedPasses.
+  double MeanStreams = 0;
 };
 
 /// Reports that are older than this say nothing about the present load. With
@@ -77,6 +79,11 @@
 GroupLoad groupLoadOf(const std::vector<EndpointView> &views,
                       Clock::time_point now);
 
+/// Sets \p load.MeanStreams from that of \p before, the load \p elapsed
+/// earlier.
+void smoothLoad(GroupLoad &load, const GroupLoad &before,
+                Clock::duration elapsed);
+
 /// What the callers of a group want.
 struct RoomTargets {
   /// Longest pause between two events that is in time; zero: none is declared.
@@ -91,7 +98,8 @@
   double StartsPerSecond = 0; ///< Of all entries, while the room is full.
   double PassMs = 0;          ///< Expected pass when the room is full.
   double Correction = 1; ///< Observed length of a pass to the declared one.
-  bool IsInTime = true;  ///< Pauses are in time when the room is full.
+  /// Most streams have no pause over the longest one when the room is full.
+  bool IsInTime = true;
 };
 
 /// Returns the room of the group. \p pace is by how much the slowest server is
--- a/src/route/group_room.cpp
+++ b/src/route/group_room.cpp
@@ -3,6 +3,7 @@
 #include "greengagespar/base/hash.h"
 #include <algorithm>
 #include <cmath>
+#include <numbers>
 
 namespace greengagespar {
 
@@ -13,7 +14,7 @@
 
 // Window of the decayed means of pauses: several passes of the longest duration
 // that is in time.
-constexpr Seconds PassWindow{1.0};
+constexpr Seconds PassWindow{2.0};
 // A pause counts as at most this many of the longest ones wanted: a stall of
 // the group says nothing about the room.
 constexpr double MaxCountedPauses = 2;
@@ -21,15 +22,15 @@
 constexpr Seconds MaxCountedTime{0.3};
 // Without a pause for this long, only declared figures and reports count.
 constexpr std::chrono::milliseconds MaxPassAge{3000};
-// A stream is late if one of its passes is. Few passes are longer than the mean
-// and this many mean deviations.
-constexpr double DeviationFactor = 3;
-// The margin that this leaves below the longest pause is at most this share of
-// it. Pauses that vary more, as on a lossy link of this entry, don't show that
-// the passes can't be in time.
-constexpr double MaxMarginShare = 0.35;
-// Deviation assumed until pauses were observed, relative to the pass.
-constexpr double AssumedDeviation = 0.1;
+// The ratio of the standard deviation to the mean distance from the mean, of a
+// normal distribution.
+constexpr double StandardDeviations = 1.2533;
+// The greatest standard deviation that passes are taken to have, relative to
+// their mean. Pauses that vary more, as on a lossy link of this entry, are not
+// the group's.
+constexpr double MaxVariation = 0.4;
+// Variation assumed until pauses were observed.
+constexpr double AssumedVariation = 0.1;
 
 // The least share of servers with a fresh report with which the load of the
 // others is inferred.
@@ -47,6 +48,9 @@
 // Share of the time allowed by a caller who allows none explicitly.
 constexpr Milliseconds DefaultAnswerTime{8000};
 
+// Chance to be in time from which the room counts as one that is in time.
+constexpr double MostInTime = 0.5;
+
 // Step in which the number of streams on a server is searched.
 constexpr double StreamStep = 0.25;
 
@@ -69,7 +73,7 @@
 struct Passes {
   const PassModel &Model;
   double Correction;
-  double DeviationMs;
+  double Variation; // Standard deviation to mean.
 
   double meanMs(double streams) const {
     return Correction * passMs(Model, streams);
@@ -79,33 +83,36 @@
 Passes correctedPasses(const PassModel &model, const GroupLoad &load,
                        const ObservedPasses &seen, double pace,
                        Clock::time_point now) {
-  double perServer = load.Streams / load.Servers;
-  double declared = passMs(model, perServer);
+  double declared = passMs(model, load.MeanStreams / load.Servers);
   bool isFresh = seen.MeanMs > 0 && now - seen.At <= MaxPassAge;
   double observed = isFresh ? seen.MeanMs / declared : 1;
   double correction =
       std::clamp(std::max(observed, pace), MinCorrection, MaxCorrection);
-  double deviation =
-      isFresh ? seen.DeviationMs : AssumedDeviation * correction * declared;
-  return {model, correction, deviation};
+  double variation = isFresh
+                         ? StandardDeviations * seen.DeviationMs / seen.MeanMs
+                         : AssumedVariation;
+  return {model, correction, std::min(variation, MaxVariation)};
+}
+
+// Returns the probability that no pass of an answer is longer than `longestMs`
+// when each server has `streams`, with passes of a normal distribution.
+double chanceInTime(const Passes &passes, double longestMs, double streams) {
+  double mean = passes.meanMs(streams);
+  double deviation = std::max(passes.Variation * mean, 1e-6);
+  double onePass =
+      std::erfc((mean - longestMs) / (std::numbers::sqrt2 * deviation)) / 2;
+  return std::pow(onePass, passesOfAnswer(passes.Model));
 }
 
-// Returns what an answer is worth that begins when each server has \p streams,
-// from 0 to 1.
-double valueAt(const Passes &passes, const RoomTargets &targets,
-               double streams) {
-  auto longest = static_cast<double>(targets.LongestPause.count());
-  double margin =
-      std::min(DeviationFactor * passes.DeviationMs, MaxMarginShare * longest);
-  if (longest <= 0 || passes.meanMs(streams) + margin <= longest)
-    return 1;
+// Returns the share of late answers that end before their callers leave.
+double chanceToEnd(const Passes &passes, const RoomTargets &targets,
+                   double streams) {
   double allowed = targets.AnswerTime.count() > 0
                        ? static_cast<double>(targets.AnswerTime.count())
                        : DefaultAnswerTime.count();
   double answer = passesOfAnswer(passes.Model) * passes.meanMs(streams);
-  // Lengths of answers vary; the share of those that end in time is that of an
-  // exponential distribution.
-  return LateValue * -std::expm1(-AnswerTimeShare * allowed / answer);
+  // Lengths of answers vary; the share is that of an exponential distribution.
+  return -std::expm1(-AnswerTimeShare * allowed / answer);
 }
 
 } // namespace
@@ -161,9 +168,20 @@
   load.Age /= known;
   load.KnownShare = static_cast<double>(known) / load.Servers;
   load.Streams /= load.KnownShare;
+  load.MeanStreams = load.Streams;
   return load;
 }
 
+void smoothLoad(GroupLoad &load, const GroupLoad &before,
+                Clock::duration elapsed) {
+  bool isKnown = load.KnownShare > 0 && before.KnownShare > 0;
+  if (!isKnown)
+    return;
+  double weight = -std::expm1(-Seconds(elapsed) / PassWindow);
+  load.MeanStreams =
+      before.MeanStreams + weight * (load.Streams - before.MeanStreams);
+}
+
 std::optional<GroupRoom> roomOf(const PassModel &model, const GroupLoad &load,
                                 const ObservedPasses &passes, double pace,
                                 const RoomTargets &targets,
@@ -179,12 +197,15 @@
   for (double n = std::min(1.0, slots); n <= slots; n += StreamStep) {
     double answerMs = passesOfAnswer(model) * corrected.meanMs(n);
     double starts = load.Servers * n * 1000 / answerMs;
-    double value = valueAt(corrected, targets, n);
+    auto longestMs = static_cast<double>(targets.LongestPause.count());
+    double inTime = longestMs > 0 ? chanceInTime(corrected, longestMs, n) : 1;
+    double value =
+        inTime + (1 - inTime) * LateValue * chanceToEnd(corrected, targets, n);
     if (starts * value <= best)
       continue;
     best = starts * value;
     room = {load.Servers * n, starts, corrected.meanMs(n), corrected.Correction,
-            value >= 1};
+            inTime >= MostInTime};
   }
   return room;
 }
--- a/src/route/group_room_test.cpp
+++ b/src/route/group_room_test.cpp
@@ -17,12 +17,12 @@
 /// What an entry knows of one group.
 struct RoomFixture {
   Clock::time_point Now = Clock::time_point{} + 1h;
-  GroupLoad Load{64, 640, 320, 1, 300ms};
+  GroupLoad Load{64, 640, 320, 1, 300ms, 320};
   ObservedPasses Passes;
 
   // Records two seconds of passes of `pass`.
   void observe(Clock::duration pass) {
-    for (Clock::duration t{0}; t < 2s; t += pass) {
+    for (Clock::duration t{0}; t < 4s; t += pass) {
       Now += pass;
       recordPass(Passes, pass, Targets.LongestPause, Now);
     }
@@ -105,7 +105,7 @@
 
   GroupLoad loadKnown() const {
     auto steps = static_cast<std::size_t>(Delay / Step);
-    GroupLoad load{64, 640, 0, 1, Delay};
+    GroupLoad load{64, 640, 0, 1, Delay, 0};
     if (!Reported.empty())
       load.Streams = Reported[std::min(steps, Reported.size() - 1)];
     return load;
@@ -236,6 +236,19 @@
   BOOST_TEST(room()->Streams > 0.8 * before);
 }
 
+// The load: prompts of uneven length, so that some passes are much longer.
+BOOST_AUTO_TEST_CASE(room_unevenPasses_isLessThanWithEvenOnes) {
+  observe(90ms);
+  double even = room()->Streams;
+  for (int i = 0; i < 60; ++i) {
+    Clock::duration pass = i % 2 == 0 ? 60ms : 120ms;
+    Now += pass;
+    recordPass(Passes, pass, Targets.LongestPause, Now);
+  }
+  BOOST_TEST(room()->IsInTime);
+  BOOST_TEST(room()->Streams < 0.8 * even);
+}
+
 BOOST_AUTO_TEST_CASE(limit_fraction_isHeldForThatPartOfTheTime) {
   int sum = 0;
   for (int i = 0; i < 400; ++i) {
