--- a/src/direct/server_pool.cpp
+++ b/src/direct/server_pool.cpp
@@ -263,6 +263,7 @@
 // demand is uneven.
 void ServerPool::updateStreamLimit() {
   GroupState.IsInForce = MayShareRoom && hasThinKnowledge();
+  AdmissionControl.Options.OnlyWaitingShare = GroupState.IsInForce;
   if (!Declared.Engine)
     return;
   constexpr double unevenDemandFactor = 1.5;
--- a/src/include/greengagespar/route/admission.h
+++ b/src/include/greengagespar/route/admission.h
@@ -34,6 +34,10 @@
   /// fill the queue and calls with short deadlines could not enter it.
   double MaxQueueShare = 0.25;
   std::chrono::milliseconds MaxWait{0}; ///< Longest wait; zero means no bound.
+  /// The estimated wait counts only the workspaces with waiting calls as those
+  /// that share the starts. Otherwise those with running calls count too, which
+  /// would be most of them where an entry has few slots for many workspaces.
+  bool OnlyWaitingShare = false;
 };
 
 /// A call that arrives at the entry.
--- a/src/route/admission.cpp
+++ b/src/route/admission.cpp
@@ -56,13 +56,16 @@
   return lane.Running > 0 || waitingOf(lane) > 0;
 }
 
-// Returns the sum of the weights of all workspaces with calls and of
+// Returns the sum of the weights of all workspaces that share the starts and of
 // `workspace`.
-double activeWeight(const CallQueue &queue, const Workspace &workspace) {
+double activeWeight(const Admission &admission, const Workspace &workspace) {
   double sum = workspace.Weight;
-  for (const auto &[id, lane] : queue.Lanes)
-    if (id != workspace.Id && isActive(lane))
+  for (const auto &[id, lane] : admission.Queue.Lanes) {
+    bool isCounted = admission.Options.OnlyWaitingShare ? waitingOf(lane) > 0
+                                                        : isActive(lane);
+    if (id != workspace.Id && isCounted)
       sum += lane.Weight;
+  }
   return sum;
 }
 
@@ -75,8 +78,8 @@
   return it->second.StartsPerSecond * std::exp(-since / StartRateWindow);
 }
 
-double fairShare(const CallQueue &queue, const Workspace &workspace) {
-  return workspace.Weight / activeWeight(queue, workspace);
+double fairShare(const Admission &admission, const Workspace &workspace) {
+  return workspace.Weight / activeWeight(admission, workspace);
 }
 
 // Returns how many calls of all workspaces start per second while calls wait.
@@ -92,7 +95,7 @@
                 const Capacity &capacity, Clock::time_point now) {
   double costMs =
       chargeOf(admission.Queue, workspace.Id, meanServiceMs(admission));
-  double fair = fairShare(admission.Queue, workspace) *
+  double fair = fairShare(admission, workspace) *
                 std::min(capacity.StartsPerSecond,
                          std::max(1, capacity.Limit) * 1000.0 / costMs);
   return std::max(fair, startsPerSecond(admission, workspace.Id, now));
@@ -301,7 +304,7 @@
   double left = std::max(MinShareLeft, shareLeftFor(queue.Urgencies, urgency));
   auto calls =
       static_cast<double>(waitingBefore(queue, workspace.Id, urgency) + 1);
-  double fairSlots = fairShare(queue, workspace) * capacity.Limit;
+  double fairSlots = fairShare(admission, workspace) * capacity.Limit;
   double under = std::max(0.0, fairSlots - runningOf(queue, workspace.Id));
   double first = std::min(calls, under);
   double rest = calls - first;
--- a/src/route/admission_test.cpp
+++ b/src/route/admission_test.cpp
@@ -269,4 +269,20 @@
   BOOST_TEST(!arriveAt(0).Refused.has_value());
 }
 
+// The load: many workspaces with one running call each, and few slots. A call
+// waits for the next slot that becomes free, as no other call does.
+BOOST_AUTO_TEST_CASE(
+    estimatedWait_allSlotsTakenNoneWaits_isThatForTheNextSlot) {
+  recordTypicalServiceTimes();
+  for (const char *name : {"a", "b", "c", "d", "e", "f", "g", "h"}) {
+    arrive(name, 1s);
+    start(State, nextCall(State, Now, true)->Id, Now);
+  }
+  Slots.InFlight = 8;
+  auto wait = [&] { return estimateWait(State, workspace("a"), Slots, Now); };
+  BOOST_TEST((wait() > 90ms));
+  State.Options.OnlyWaitingShare = true;
+  BOOST_TEST((wait() < 30ms));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
