Attribute longer passes to the streams before the pace

Change: the correction applies to the part of a pass that grows with the streams, and only what it can't explain to all. Late answers count by a steeper law of ending in time, so that the admitted do not make each other time out.

--- a/src/route/group_room.cpp
+++ b/src/route/group_room.cpp
@@ -17,7 +17,7 @@
 constexpr Seconds PassWindow{2.0};
 // A pause counts as at most this many of the longest ones wanted: a stall of
 // the group says nothing about the room.
-constexpr double MaxCountedPauses = 2;
+constexpr double MaxCountedPauses = 4;
 // A pause has at most the weight of this time, for the same reason.
 constexpr Seconds MaxCountedTime{0.3};
 // Without a pause for this long, only declared figures and reports count.
@@ -29,16 +29,20 @@
 // their mean. Pauses that vary more, as on a lossy link of this entry, are not
 // the group's.
 constexpr double MaxVariation = 0.4;
-// Variation assumed until pauses were observed.
+// Variation of the growing part that is assumed until pauses were observed.
 constexpr double AssumedVariation = 0.1;
 
 // The least share of servers with a fresh report with which the load of the
 // others is inferred.
 constexpr double MinKnownShare = 0.5;
 
-// Bounds of the correction of the declared pass.
-constexpr double MinCorrection = 0.5;
-constexpr double MaxCorrection = 50;
+// Bounds of the correction of the growing part of a declared pass: experts that
+// are out of step and prompts of uneven length make it longer.
+constexpr double MinPerStream = 0.5;
+constexpr double MaxPerStream = 5;
+// Streams on a server that are assumed at least: with fewer, pauses say nothing
+// of the growing part.
+constexpr double MinStreams = 1;
 
 // What an answer that is late but complete is worth, compared with one in time.
 constexpr double LateValue = 0.4;
@@ -69,36 +73,54 @@
 
 double toMs(Clock::duration time) { return Milliseconds(time).count(); }
 
-// The corrected passes of a group.
+// The corrected passes of a group: a part that does not depend on the streams,
+// and one that grows with them.
 struct Passes {
   const PassModel &Model;
-  double Correction;
-  double Variation; // Standard deviation to mean.
+  double Pace;      // Factor of both parts.
+  double PerStream; // Factor of the growing part.
+  // Standard deviation of a pass, relative to its growing part.
+  double Variation;
 
+  double growingMs(double streams) const {
+    return Pace * PerStream * (passMs(Model, streams) - passMs(Model, 0));
+  }
   double meanMs(double streams) const {
-    return Correction * passMs(Model, streams);
+    return Pace * passMs(Model, 0) + growingMs(streams);
+  }
+  double deviationMs(double streams) const {
+    return std::min(Variation * growingMs(streams),
+                    MaxVariation * meanMs(streams));
   }
 };
 
 Passes correctedPasses(const PassModel &model, const GroupLoad &load,
                        const ObservedPasses &seen, double pace,
                        Clock::time_point now) {
-  double declared = passMs(model, load.MeanStreams / load.Servers);
+  double perServer = std::max(MinStreams, load.MeanStreams / load.Servers);
+  double fixed = passMs(model, 0);
+  double growing = passMs(model, perServer) - fixed;
+  Passes passes{model, std::max(1.0, pace), 1, AssumedVariation};
   bool isFresh = seen.MeanMs > 0 && now - seen.At <= MaxPassAge;
-  double observed = isFresh ? seen.MeanMs / declared : 1;
-  double correction =
-      std::clamp(std::max(observed, pace), MinCorrection, MaxCorrection);
-  double variation = isFresh
-                         ? StandardDeviations * seen.DeviationMs / seen.MeanMs
-                         : AssumedVariation;
-  return {model, correction, std::min(variation, MaxVariation)};
+  if (!isFresh || growing <= 0)
+    return passes;
+  // Pauses that are shorter than any at the reported pace are from before.
+  double shown = seen.MeanMs < passes.Pace * fixed ? 1 : passes.Pace;
+  passes.PerStream = std::clamp((seen.MeanMs / shown - fixed) / growing,
+                                MinPerStream, MaxPerStream);
+  // What is longer still is the pace of a server that no report has shown.
+  passes.Pace =
+      std::max(passes.Pace, seen.MeanMs / (fixed + passes.PerStream * growing));
+  passes.Variation =
+      StandardDeviations * seen.DeviationMs / passes.growingMs(perServer);
+  return passes;
 }
 
 // Returns the probability that no pass of an answer is longer than `longestMs`
 // when each server has `streams`, with passes of a normal distribution.
 double chanceInTime(const Passes &passes, double longestMs, double streams) {
   double mean = passes.meanMs(streams);
-  double deviation = std::max(passes.Variation * mean, 1e-6);
+  double deviation = std::max(passes.deviationMs(streams), 1e-6);
   double onePass =
       std::erfc((mean - longestMs) / (std::numbers::sqrt2 * deviation)) / 2;
   return std::pow(onePass, passesOfAnswer(passes.Model));
@@ -111,8 +133,10 @@
                        ? static_cast<double>(targets.AnswerTime.count())
                        : DefaultAnswerTime.count();
   double answer = passesOfAnswer(passes.Model) * passes.meanMs(streams);
-  // Lengths of answers vary; the share is that of an exponential distribution.
-  return -std::expm1(-AnswerTimeShare * allowed / answer);
+  // Lengths of answers vary; the share is that of an Erlang distribution of the
+  // second order.
+  double x = 2 * AnswerTimeShare * allowed / answer;
+  return 1 - std::exp(-x) * (1 + x);
 }
 
 } // namespace
@@ -193,6 +217,8 @@
   Passes corrected = correctedPasses(model, load, passes, pace, now);
   double slots = load.Slots / load.Servers;
   GroupRoom room;
+  double mean = load.MeanStreams / load.Servers;
+  double correction = corrected.meanMs(mean) / passMs(model, mean);
   double best = -1;
   for (double n = std::min(1.0, slots); n <= slots; n += StreamStep) {
     double answerMs = passesOfAnswer(model) * corrected.meanMs(n);
@@ -204,7 +230,7 @@
     if (starts * value <= best)
       continue;
     best = starts * value;
-    room = {load.Servers * n, starts, corrected.meanMs(n), corrected.Correction,
+    room = {load.Servers * n, starts, corrected.meanMs(n), correction,
             inTime >= MostInTime};
   }
   return room;
