Leave time for the first event, and trust pauses over the pace

Cause: in trials calls that had waited their whole time at the entry had their first event late, and one slow rank with little work counted as if each pass were as slow. Change: a call starts as much before its objective as first events usually take; a reported pace counts by itself for a second.

--- a/src/direct/exchange.cpp
+++ b/src/direct/exchange.cpp
@@ -108,6 +108,7 @@
   call.Workspace = Call.Workspace;
   call.StartBy = std::min(Call.CallDeadline.At, now + wait);
   call.AnswerBy = Call.CallDeadline.At;
+  call.FirstEventBy = now + Call.MatchedRoute->Objective;
   call.CallUrgency = Call.CallUrgency.value_or(Urgency{});
   call.Exclude = TriedServers;
   call.OnStart = [this](const ServerRecord &server) { send(server); };
--- a/src/direct/pool_room.cpp
+++ b/src/direct/pool_room.cpp
@@ -3,6 +3,7 @@
 #include "greengagespar/base/log.h"
 #include "greengagespar/base/log_output.h"
 #include <algorithm>
+#include <cmath>
 #include <string>
 
 namespace greengagespar {
@@ -27,6 +28,19 @@
 // have left.
 constexpr double HonouredShare = 1.0 / 3;
 
+// Weight of a new call in the mean time to the first event.
+constexpr double FirstEventWeight = 0.05;
+
+// The part of the time until its latest start that a call may wait in any case.
+// A first event that comes late is of use, and with no wait at all no call
+// could go before another.
+constexpr double MinWaitShare = 0.25;
+
+// A server that is reported as slow counts at once. After this time the pauses
+// show how long passes are with it: it may have little work.
+constexpr milliseconds PaceHintTime{1000};
+constexpr double SlowPace = 1.5;
+
 // Returns by how much the slowest server of \p views is slower than declared.
 double slowestPace(const std::vector<EndpointView> &views,
                    Clock::time_point now) {
@@ -58,6 +72,32 @@
                           : ms;
 }
 
+void recordFirstEvent(PoolRoom &room, std::chrono::microseconds took) {
+  double ms = std::chrono::duration<double, std::milli>(took).count();
+  if (room.FirstEventMs <= 0) {
+    room.FirstEventMs = ms;
+    return;
+  }
+  double distance = ms - room.FirstEventMs;
+  room.FirstEventMs += FirstEventWeight * distance;
+  room.FirstEventVariesMs +=
+      FirstEventWeight * (std::abs(distance) - room.FirstEventVariesMs);
+}
+
+Clock::time_point latestStart(const PoolRoom &room,
+                              Clock::time_point firstEventBy,
+                              Clock::time_point startBy,
+                              Clock::time_point now) {
+  if (!room.IsInForce || room.FirstEventMs <= 0 || startBy <= now)
+    return startBy;
+  auto usual = std::chrono::duration_cast<Clock::duration>(
+      std::chrono::duration<double, std::milli>(room.FirstEventMs +
+                                                room.FirstEventVariesMs));
+  auto least = std::chrono::duration_cast<Clock::duration>(
+      MinWaitShare * std::chrono::duration<double>(startBy - now));
+  return std::min(startBy, std::max(now + least, firstEventBy - usual));
+}
+
 void reviewRoom(PoolRoom &room, const std::vector<EndpointView> &views,
                 Clock::time_point now) {
   if (!room.IsInForce) {
@@ -70,8 +110,15 @@
   room.Load = groupLoadOf(views, now);
   smoothLoad(room.Load, before, now - room.ReviewedAt);
   room.ReviewedAt = now;
-  room.Room = roomOf(room.Model, room.Load, room.Passes,
-                     slowestPace(views, now), room.Targets, now);
+  double pace = slowestPace(views, now);
+  if (pace < SlowPace)
+    room.SlowSince.reset();
+  else if (!room.SlowSince)
+    room.SlowSince = now;
+  bool isShown = room.SlowSince && now - *room.SlowSince > PaceHintTime &&
+                 now - room.Passes.At <= PaceHintTime;
+  room.Room = roomOf(room.Model, room.Load, room.Passes, isShown ? 1 : pace,
+                     room.Targets, now);
 }
 
 void logRoom(PoolRoom &room, const ServiceId &service, int inFlight,
--- a/src/direct/pool_room_test.cpp
+++ b/src/direct/pool_room_test.cpp
@@ -99,6 +99,36 @@
   BOOST_TEST(Room.Room->StartsPerSecond < starts / 5);
 }
 
+// The load: a slow rank that has little work, so that passes are short with it.
+BOOST_AUTO_TEST_CASE(room_rankSlowButPassesShort_isInTimeAgain) {
+  report(3, 12);
+  allowed();
+  BOOST_TEST(!Room.Room->IsInTime);
+  for (int i = 0; i < 40; ++i) {
+    Now += 50ms;
+    recordPass(Room.Passes, 50ms, 150ms, Now);
+    report(3, 12);
+    reviewRoom(Room, Views, Now);
+  }
+  BOOST_TEST(Room.Room->IsInTime);
+}
+
+// The load: first events take most of the objective, as in a crest.
+BOOST_AUTO_TEST_CASE(latestStart_slowFirstEvents_leavesTimeForThem) {
+  auto start = [&] {
+    return latestStart(Room, Now + 500ms, Now + 300ms, Now) - Now;
+  };
+  BOOST_TEST((start() == 300ms));
+  for (int i = 0; i < 200; ++i)
+    recordFirstEvent(Room, 350ms);
+  BOOST_TEST((start() > 140ms && start() <= 150ms));
+  for (int i = 0; i < 200; ++i)
+    recordFirstEvent(Room, 900ms);
+  BOOST_TEST((start() == 75ms));
+  Room.IsInForce = false;
+  BOOST_TEST((start() == 300ms));
+}
+
 BOOST_AUTO_TEST_CASE(retry_refusedOfBurst_isSpreadWithinHonouredTime) {
   report(10);
   allowed();
--- a/src/direct/server_pool.cpp
+++ b/src/direct/server_pool.cpp
@@ -347,7 +347,8 @@
   ArrivingCall arriving;
   arriving.Id = call.Id;
   arriving.Workspace = call.Workspace;
-  arriving.AnswerDeadline = {call.StartBy};
+  arriving.AnswerDeadline = {
+      latestStart(GroupState, call.FirstEventBy, call.StartBy, now)};
   arriving.ExpectedService = Clock::duration::zero();
   arriving.CallUrgency = call.CallUrgency;
   Workspace workspace;
@@ -442,6 +443,7 @@
       recordFailedCall(*view, *outcome.Failure, now);
     else {
       recordAnsweredCall(*view, outcome.Latency, now);
+      recordFirstEvent(GroupState, outcome.Latency);
       recordGroupProgress(Progress, now);
       // Additive increase, after a refusal has decreased the limit.
       view->Limit.Value = std::min(view->Limit.Initial,
--- a/src/include/greengagespar/direct/pool_room.h
+++ b/src/include/greengagespar/direct/pool_room.h
@@ -37,6 +37,12 @@
   RetrySpread Retries;
   std::array<UrgencyOutcomes, UrgencyLevels> Outcomes{};
   Clock::time_point LoggedAt{}; ///< See logRoom().
+  /// Since when a server has been reported as slow; empty: none is.
+  std::optional<Clock::time_point> SlowSince;
+  /// Decayed mean of the time from a send to the first event, and of its
+  /// distance from that mean; 0: none was observed.
+  double FirstEventMs = 0;
+  double FirstEventVariesMs = 0;
 };
 
 /// Returns the speed of the servers of \p engine.
@@ -45,14 +51,24 @@
 /// Records that a caller allows \p time for a whole answer.
 void recordAllowedTime(PoolRoom &room, Clock::duration time);
 
+/// Records the time from a send to the first event of a stream.
+void recordFirstEvent(PoolRoom &room, std::chrono::microseconds took);
+
+/// Returns when a call should start at the latest whose first event is wanted
+/// at \p firstEventBy and which starts by \p startBy in any case: as much
+/// earlier as first events usually take.
+Clock::time_point latestStart(const PoolRoom &room,
+                              Clock::time_point firstEventBy,
+                              Clock::time_point startBy, Clock::time_point now);
+
 /// Estimates the room anew from the reports in \p views. Does nothing when this
 /// was done a moment ago, or when \p room is not in force.
 void reviewRoom(PoolRoom &room, const std::vector<EndpointView> &views,
                 Clock::time_point now);
 
-/// Logs the room of the group \p service and what it was estimated from, at most
-/// once a second, while this entry has \p inFlight streams and these are most of
-/// those that it may have.
+/// Logs the room of the group \p service and what it was estimated from, at
+/// most once a second, while this entry has \p inFlight streams and these are
+/// most of those that it may have.
 void logRoom(PoolRoom &room, const ServiceId &service, int inFlight,
              Clock::time_point now);
 
--- a/src/include/greengagespar/direct/server_pool.h
+++ b/src/include/greengagespar/direct/server_pool.h
@@ -29,8 +29,10 @@
 struct PoolCall {
   CallId Id;
   WorkspaceId Workspace;
-  Clock::time_point StartBy;     ///< The call is useless when started later.
-  Clock::time_point AnswerBy;    ///< The caller waits no longer.
+  Clock::time_point StartBy;  ///< The call is useless when started later.
+  Clock::time_point AnswerBy; ///< The caller waits no longer.
+  /// When the first event is wanted, or the whole answer.
+  Clock::time_point FirstEventBy;
   Urgency CallUrgency;           ///< Among the calls of the service.
   std::vector<ServerId> Exclude; ///< Servers on which it has failed.
   std::function<void(const ServerRecord &)> OnStart; ///< Send it to this one.
