Judge passes by the entry's own streams while reports are behind

Change: the load that explains the pauses is at least this entry's own streams over its part; streams explain less of a long pass.

--- a/src/direct/pool_room.cpp
+++ b/src/direct/pool_room.cpp
@@ -99,7 +99,7 @@
 }
 
 void reviewRoom(PoolRoom &room, const std::vector<EndpointView> &views,
-                Clock::time_point now) {
+                int inFlight, Clock::time_point now) {
   if (!room.IsInForce) {
     room.Room.reset();
     return;
@@ -109,6 +109,8 @@
   GroupLoad before = room.Load;
   room.Load = groupLoadOf(views, now);
   smoothLoad(room.Load, before, now - room.ReviewedAt);
+  room.OwnStreams =
+      decayedStreams(room.OwnStreams, inFlight, now - room.ReviewedAt);
   room.ReviewedAt = now;
   double pace = slowestPace(views, now);
   if (pace < SlowPace)
@@ -117,7 +119,14 @@
     room.SlowSince = now;
   bool isShown = room.SlowSince && now - *room.SlowSince > PaceHintTime &&
                  now - room.Passes.At <= PaceHintTime;
-  room.Room = roomOf(room.Model, room.Load, room.Passes, isShown ? 1 : pace,
+  // While load rises, reports are behind the pauses that it causes; this
+  // entry's own streams are not.
+  GroupLoad load = room.Load;
+  if (room.Share > 0)
+    load.MeanStreams =
+        std::clamp(room.OwnStreams / room.Share, load.MeanStreams,
+                   std::max(load.MeanStreams, load.Slots));
+  room.Room = roomOf(room.Model, load, room.Passes, isShown ? 1 : pace,
                      room.Targets, now);
 }
 
--- a/src/direct/pool_room_test.cpp
+++ b/src/direct/pool_room_test.cpp
@@ -12,6 +12,7 @@
   Clock::time_point Now = Clock::time_point{} + 1h;
   PoolRoom Room;
   std::vector<EndpointView> Views{64};
+  int Own = 0;
 
   PoolRoomFixture() {
     EngineProfile engine;
@@ -40,7 +41,7 @@
 
   std::optional<int> allowed() {
     Now += 100ms;
-    reviewRoom(Room, Views, Now);
+    reviewRoom(Room, Views, Own, Now);
     return streamsAllowed(Room, Now);
   }
 };
@@ -108,11 +109,27 @@
     Now += 50ms;
     recordPass(Room.Passes, 50ms, 150ms, Now);
     report(3, 12);
-    reviewRoom(Room, Views, Now);
+    reviewRoom(Room, Views, Own, Now);
   }
   BOOST_TEST(Room.Room->IsInTime);
 }
 
+// The load: a burst begins, and pauses show it before the reports do.
+BOOST_AUTO_TEST_CASE(room_reportsBehindPauses_isThatOfTheOwnStreams) {
+  auto roomWith = [&](int own) {
+    Own = own;
+    for (int i = 0; i < 60; ++i) {
+      Now += 60ms;
+      recordPass(Room.Passes, 70ms, 150ms, Now);
+      report(0);
+      reviewRoom(Room, Views, Own, Now);
+    }
+    return Room.Room->Streams;
+  };
+  double behind = roomWith(0);
+  BOOST_TEST(roomWith(12) > 1.2 * behind);
+}
+
 // The load: first events take most of the objective, as in a crest.
 BOOST_AUTO_TEST_CASE(latestStart_slowFirstEvents_leavesTimeForThem) {
   auto start = [&] {
--- a/src/direct/server_pool.cpp
+++ b/src/direct/server_pool.cpp
@@ -340,7 +340,7 @@
   recordDemand(Demand, now);
   updateRates(now);
   recordAllowedTime(GroupState, call.AnswerBy - now);
-  reviewRoom(GroupState, Views, now);
+  reviewRoom(GroupState, Views, static_cast<int>(Started.size()), now);
   endPauses(Views, now);
   if (auto left = timeToFirstPauseEnd(Views, now))
     return call.OnRefused(refusalOfPause(*left));
@@ -498,7 +498,7 @@
 }
 
 void ServerPool::tick(Clock::time_point now) {
-  reviewRoom(GroupState, Views, now);
+  reviewRoom(GroupState, Views, static_cast<int>(Started.size()), now);
   logRoom(GroupState, Service, static_cast<int>(Started.size()), now);
   std::vector<ServerId> expired;
   for (const auto &[id, at] : BrokenGroupReportedAt)
--- a/src/include/greengagespar/direct/pool_room.h
+++ b/src/include/greengagespar/direct/pool_room.h
@@ -37,6 +37,9 @@
   RetrySpread Retries;
   std::array<UrgencyOutcomes, UrgencyLevels> Outcomes{};
   Clock::time_point LoggedAt{}; ///< See logRoom().
+  /// Decayed mean of this entry's streams, over the same time as that of
+  /// Passes.
+  double OwnStreams = 0;
   /// Since when a server has been reported as slow; empty: none is.
   std::optional<Clock::time_point> SlowSince;
   /// Decayed mean of the time from a send to the first event, and of its
@@ -61,10 +64,11 @@
                               Clock::time_point firstEventBy,
                               Clock::time_point startBy, Clock::time_point now);
 
-/// Estimates the room anew from the reports in \p views. Does nothing when this
-/// was done a moment ago, or when \p room is not in force.
+/// Estimates the room anew from the reports in \p views and the \p inFlight
+/// streams of this entry. Does nothing when this was done a moment ago, or when
+/// \p room is not in force.
 void reviewRoom(PoolRoom &room, const std::vector<EndpointView> &views,
-                Clock::time_point now);
+                int inFlight, Clock::time_point now);
 
 /// Logs the room of the group \p service and what it was estimated from, at
 /// most once a second, while this entry has \p inFlight streams and these are
--- a/src/include/greengagespar/route/group_room.h
+++ b/src/include/greengagespar/route/group_room.h
@@ -84,6 +84,10 @@
 void smoothLoad(GroupLoad &load, const GroupLoad &before,
                 Clock::duration elapsed);
 
+/// Returns \p mean, a decayed mean number of streams, \p elapsed later and with
+/// \p streams in that time.
+double decayedStreams(double mean, double streams, Clock::duration elapsed);
+
 /// What the callers of a group want.
 struct RoomTargets {
   /// Longest pause between two events that is in time; zero: none is declared.
--- a/src/route/group_room.cpp
+++ b/src/route/group_room.cpp
@@ -39,7 +39,7 @@
 // Bounds of the correction of the growing part of a declared pass: experts that
 // are out of step and prompts of uneven length make it longer.
 constexpr double MinPerStream = 0.5;
-constexpr double MaxPerStream = 5;
+constexpr double MaxPerStream = 3;
 // Streams on a server that are assumed at least: with fewer, pauses say nothing
 // of the growing part.
 constexpr double MinStreams = 1;
@@ -201,9 +201,11 @@
   bool isKnown = load.KnownShare > 0 && before.KnownShare > 0;
   if (!isKnown)
     return;
-  double weight = -std::expm1(-Seconds(elapsed) / PassWindow);
-  load.MeanStreams =
-      before.MeanStreams + weight * (load.Streams - before.MeanStreams);
+  load.MeanStreams = decayedStreams(before.MeanStreams, load.Streams, elapsed);
+}
+
+double decayedStreams(double mean, double streams, Clock::duration elapsed) {
+  return mean - std::expm1(-Seconds(elapsed) / PassWindow) * (streams - mean);
 }
 
 std::optional<GroupRoom> roomOf(const PassModel &model, const GroupLoad &load,
