Keep rare long passes from taking the room away

Change: a pause counts at most four deviations; while no server is slow, pauses take no more than 0.6 of the room by the declared figures.

--- a/src/route/group_room.cpp
+++ b/src/route/group_room.cpp
@@ -20,6 +20,11 @@
 constexpr double MaxCountedPauses = 4;
 // A pause has at most the weight of this time, for the same reason.
 constexpr Seconds MaxCountedTime{0.3};
+// A pause counts as at most this many deviations from the mean, and a deviation
+// as at least this share of the mean for that: a rare long pass, as for a
+// switch of maps, would otherwise hide for seconds what streams do.
+constexpr double MaxCountedDistance = 4;
+constexpr double MinVariation = 0.15;
 // Without a pause for this long, only declared figures and reports count.
 constexpr std::chrono::milliseconds MaxPassAge{3000};
 // The ratio of the standard deviation to the mean distance from the mean, of a
@@ -55,6 +60,12 @@
 // Chance to be in time from which the room counts as one that is in time.
 constexpr double MostInTime = 0.5;
 
+// While no server is slow, pauses reduce the room to no less than this share of
+// that by the declared figures: what makes passes long then is not the streams.
+constexpr double MinDeclaredShare = 0.4;
+// Pace from which a server is slow.
+constexpr double SlowPace = 1.5;
+
 // Step in which the number of streams on a server is searched.
 constexpr double StreamStep = 0.25;
 
@@ -139,6 +150,30 @@
   return 1 - std::exp(-x) * (1 + x);
 }
 
+// Returns the room for passes as \p corrected.
+GroupRoom bestRoom(const Passes &corrected, const GroupLoad &load,
+                   const RoomTargets &targets) {
+  double slots = load.Slots / load.Servers;
+  double mean = load.MeanStreams / load.Servers;
+  double correction = corrected.meanMs(mean) / passMs(corrected.Model, mean);
+  auto longestMs = static_cast<double>(targets.LongestPause.count());
+  GroupRoom room;
+  double best = -1;
+  for (double n = std::min(1.0, slots); n <= slots; n += StreamStep) {
+    double answerMs = passesOfAnswer(corrected.Model) * corrected.meanMs(n);
+    double starts = load.Servers * n * 1000 / answerMs;
+    double inTime = longestMs > 0 ? chanceInTime(corrected, longestMs, n) : 1;
+    double value =
+        inTime + (1 - inTime) * LateValue * chanceToEnd(corrected, targets, n);
+    if (starts * value <= best)
+      continue;
+    best = starts * value;
+    room = {load.Servers * n, starts, corrected.meanMs(n), correction,
+            inTime >= MostInTime};
+  }
+  return room;
+}
+
 } // namespace
 
 double passesOfAnswer(const PassModel &model) {
@@ -166,7 +201,9 @@
   }
   Seconds covered = std::min<Seconds>(now - passes.At, MaxCountedTime);
   double weight = -std::expm1(-covered / PassWindow);
-  double distance = ms - passes.MeanMs;
+  double clip = MaxCountedDistance *
+                std::max(passes.DeviationMs, MinVariation * passes.MeanMs);
+  double distance = std::clamp(ms - passes.MeanMs, -clip, clip);
   passes.MeanMs += weight * distance;
   passes.DeviationMs += weight * (std::abs(distance) - passes.DeviationMs);
   passes.At = now;
@@ -217,24 +254,17 @@
   if (!isKnown)
     return std::nullopt;
   Passes corrected = correctedPasses(model, load, passes, pace, now);
-  double slots = load.Slots / load.Servers;
-  GroupRoom room;
-  double mean = load.MeanStreams / load.Servers;
-  double correction = corrected.meanMs(mean) / passMs(model, mean);
-  double best = -1;
-  for (double n = std::min(1.0, slots); n <= slots; n += StreamStep) {
-    double answerMs = passesOfAnswer(model) * corrected.meanMs(n);
-    double starts = load.Servers * n * 1000 / answerMs;
-    auto longestMs = static_cast<double>(targets.LongestPause.count());
-    double inTime = longestMs > 0 ? chanceInTime(corrected, longestMs, n) : 1;
-    double value =
-        inTime + (1 - inTime) * LateValue * chanceToEnd(corrected, targets, n);
-    if (starts * value <= best)
-      continue;
-    best = starts * value;
-    room = {load.Servers * n, starts, corrected.meanMs(n), correction,
-            inTime >= MostInTime};
-  }
+  GroupRoom room = bestRoom(corrected, load, targets);
+  if (corrected.Pace >= SlowPace)
+    return room;
+  Passes declared{model, 1, 1, AssumedVariation};
+  double least = MinDeclaredShare * bestRoom(declared, load, targets).Streams;
+  if (room.Streams >= least)
+    return room;
+  double perServer = least / load.Servers;
+  room.Streams = least;
+  room.PassMs = corrected.meanMs(perServer);
+  room.StartsPerSecond = least * 1000 / (passesOfAnswer(model) * room.PassMs);
   return room;
 }
 
