--- a/src/direct/direct_settings.cpp
+++ b/src/direct/direct_settings.cpp
@@ -62,6 +62,8 @@
             "second, from all entries; 0: no bound."),
       field("cold_slack", &S::ColdSlack, numberIn({0, 1000000}), optional,
             "Requests beyond that in any second."),
+      field("share_room", &S::ShareRoom, boolean(), optional,
+            "Whether the entries share the room of a group by its reports."),
       field("log_lines_per_second", &S::LogLinesPerSecond,
             wholeNumber("lines", {1, 100000}), optional,
             "Most log lines in a second; more are counted and left out."),
--- a/src/direct/exchange.cpp
+++ b/src/direct/exchange.cpp
@@ -108,6 +108,9 @@
   call.Id = Call.Id;
   call.Workspace = Call.Workspace;
   call.StartBy = std::min(Call.CallDeadline.At, now + wait);
+  call.AnswerBy = Call.CallDeadline.At;
+  call.FirstEventBy = now + Call.MatchedRoute->Objective;
+  call.CallUrgency = Call.CallUrgency.value_or(Urgency{});
   call.Exclude = TriedServers;
   call.Tokens = tokensOf(Call.Facts.PromptTokens, Call.Facts.MaxAnswerTokens);
   call.OnStart = [this](const ServerRecord &server) { send(server); };
@@ -129,6 +132,7 @@
       std::max(milliseconds{1},
                timeLeft(Call.CallDeadline, Clock::now()) - ReturnMargin);
   facts.LastEventId = resumeAfter();
+  facts.RequestUrgency = Call.CallUrgency;
   HttpFields fields = Context.Dialect->WriteSend(Request.Head.Fields, facts);
   bool hasBody =
       !Request.Body.empty() || Request.Head.IsChunked || Request.Head.Length;
@@ -438,6 +442,8 @@
   if (Runs > 0 || HasSentHead)
     return failOutcomeUnknown(reason);
   milliseconds retry = std::max(why.RetryAfter, MinRetryAfter);
+  LastRefusal = why;
+  LastRefusal.RetryAfter = retry;
   Reply->sendWhole(StatusUnavailable,
                    Context.Dialect->WriteOwnAnswer(Call.Facts.RequestId, retry),
                    "");
@@ -542,6 +548,7 @@
   FinalAnswer answer{status, outcome, reason, Runs, Stream.EventCount, {}};
   if (HasSentHead)
     answer.FirstEventAt = FirstEventAt;
+  answer.Refused = LastRefusal;
   logAnswer(*Context.Counters, Call, answer);
   Context.OnEnded(Call.Id);
 }
--- a/src/include/greengagespar/direct/direct_settings.h
+++ b/src/include/greengagespar/direct/direct_settings.h
@@ -36,7 +36,11 @@
   /// A cold server gets at most its service's rate times this in any second,
   /// from all entries together, and ColdSlack more; 0: no bound.
   double ColdOverage = 0;
-  double ColdSlack = 0;        ///< In requests.
+  double ColdSlack = 0; ///< In requests.
+  /// Whether the entries share the room of a model group by its reports, where
+  /// they are more than a server has slots; otherwise each limits its own
+  /// streams by the pauses that it observes.
+  bool ShareRoom = true;
   int LogLinesPerSecond = 400; ///< Further lines are counted and left out.
   /// Time in which the operator's order to take a data centre out of service
   /// has to be in force; zero: there are no such orders.
--- a/src/include/greengagespar/direct/server_pool.h
+++ b/src/include/greengagespar/direct/server_pool.h
@@ -8,6 +8,7 @@
 #define GREENGAGESPAR_DIRECT_SERVER_POOL_H
 
 #include "greengagespar/direct/out_of_service.h"
+#include "greengagespar/direct/pool_room.h"
 #include "greengagespar/direct/site.h"
 #include "greengagespar/http/client.h"
 #include "greengagespar/report/metrics.h"
@@ -30,7 +31,11 @@
 struct PoolCall {
   CallId Id;
   WorkspaceId Workspace;
-  Clock::time_point StartBy;     ///< The call is useless when started later.
+  Clock::time_point StartBy;  ///< The call is useless when started later.
+  Clock::time_point AnswerBy; ///< The caller waits no longer.
+  /// When the first event is wanted, or the whole answer.
+  Clock::time_point FirstEventBy;
+  Urgency CallUrgency;           ///< Among the calls of the service.
   std::vector<ServerId> Exclude; ///< Servers on which it has failed.
   std::function<void(const ServerRecord &)> OnStart; ///< Send it to this one.
   std::function<void(const Refusal &)> OnRefused;
@@ -128,6 +133,13 @@
   /// Sets the number of entries that share the servers, this one included:
   /// those that are \p live, and all that are \p known, also if they are down.
   void setEntries(std::size_t live, std::size_t known);
+  /// Allows or forbids that the entries share the room of a group.
+  void allowSharedRoom(bool isAllowed);
+  /// Sets this entry's part of the room of a group: its part of the demand of
+  /// \p sharers. Precondition: the entry \p self is one of them.
+  void shareRoom(const Address &self, const std::vector<LimitSharer> &sharers);
+  /// Whether the entries share the room of a group.
+  bool sharesRoom() const { return GroupState.IsInForce; }
 
   /// Returns a connection to \p server that has not carried the request
   /// \p requestId: an idle one if one can be used, otherwise a new one.
@@ -168,7 +180,7 @@
 
   EndpointView *viewOf(const ServerId &id);
   Capacity capacity() const;
-  Refusal refusalOf(const Refusal &why) const;
+  Refusal refusalOf(const PoolCall &call, const Refusal &why);
   bool hasRoom(Clock::time_point now) const;
   ServerMemory memoryOfServer() const;
   void releaseMemory(CallId id, EndpointView *view);
@@ -184,6 +196,9 @@
   void reportCold(KeptConnections &kept, Clock::time_point now) const;
   void recordColdMetrics(Metrics &counters) const;
   void refuseWaiting(const Refusal &why);
+  void refuse(PoolCall &call, const Refusal &why);
+  std::string_view whyNoRoom(Clock::time_point now) const;
+  int streamsAllowedNow(Clock::time_point now) const;
   int slotsOfServer(const ServerRecord &record) const;
   void startWaiting(Clock::time_point now);
   std::unique_ptr<HttpClientConnection> takeIdle(IdleConnections &idle,
@@ -208,6 +223,9 @@
   std::unordered_map<CallId, std::int64_t> TokensOfStarted;
   RetryBudget Retries;
   PaceLimit StreamLimit; ///< Limits streams only in the pool of a group.
+  /// Limits streams in place of StreamLimit while the room is known.
+  PoolRoom GroupState;
+  bool MayShareRoom = true; ///< See allowSharedRoom().
   StallState Progress;
   DemandRate Demand;
   bool HasRates = false; ///< A view has a rate limit.
--- a/src/include/greengagespar/route/rate_limit.h
+++ b/src/include/greengagespar/route/rate_limit.h
@@ -134,6 +134,11 @@
 
 /// A share saves tokens up for this long, but at least one token.
 inline constexpr std::chrono::duration<double> TokenSaveTime{0.2};
+/// Returns the part of the demand of all of \p sharers that is that of the
+/// entry \p self, above 0 and at most 1. Precondition: \p self is one of \p
+/// sharers.
+double demandShare(const Address &self,
+                   const std::vector<LimitSharer> &sharers);
 
 /// This entry's part of one server's limit.
 struct RateShare {
--- a/src/route/rate_limit.cpp
+++ b/src/route/rate_limit.cpp
@@ -201,6 +201,19 @@
                                {1, held, parts.LeastParts}));
 }
 
+double demandShare(const Address &self,
+                   const std::vector<LimitSharer> &sharers) {
+  double mean = meanDemand(sharers);
+  double sum = 0;
+  double own = mean;
+  for (const LimitSharer &it : sharers) {
+    double demand = it.Demand.value_or(mean);
+    sum += demand;
+    own = it.Entry == self ? demand : own;
+  }
+  return sum > 0 ? std::min(1.0, own / sum) : 1;
+}
+
 void updateRateShare(RateShare &rate, Clock::time_point now) {
   double due = rate.PerSecond * Seconds(now - rate.UpdatedAt).count();
   double most = std::max(1.0, rate.PerSecond * TokenSaveTime.count());
