Take no answer whose status is none of HTTP

Cause: the readers of answers took any three digits for a status. A server in trouble that answers 000, 099, 600 or 999 was passed on to the caller as if it had answered. Worse, the fields of such a head counted: with X-Not-Executed a booking was sent to a second server.

Change: a status outside 100 to 599 (RFC 9110, section 15) makes the bytes no answer. The reader of direct mode refuses it at the status line, before anything of the head is used; the store's client and the own interface's client, which read by evhttp, refuse the answer. Nothing is proved by it: an idempotent request and a stream without an event go to another server, a booking ends with 502, a call of the store has an unknown outcome.

--- a/src/endpoint/upstream.cpp
+++ b/src/endpoint/upstream.cpp
@@ -1,6 +1,7 @@
 #include "upstream.h"
 
 #include "greengagespar/base/http_method.h"
+#include "greengagespar/base/http_status.h"
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -148,14 +149,17 @@
 void Upstream::onDone(evhttp_request *request, void *arg) {
   auto &exchange = *static_cast<Exchange *>(arg);
   UpstreamResult result;
+  int status = request ? evhttp_request_get_response_code(request) : 0;
   if (!request) {
     result.Outcome = UpstreamOutcome::Incomplete;
     result.IsServerEnd = exchange.IsClosed;
-  } else if (evhttp_request_get_response_code(request) == 0) {
+  } else if (status == 0) {
     result.Outcome = UpstreamOutcome::NotSent;
+  } else if (!isHttpStatus(status)) {
+    result.Outcome = UpstreamOutcome::Incomplete;
   } else {
     result.Outcome = UpstreamOutcome::Complete;
-    result.Status = evhttp_request_get_response_code(request);
+    result.Status = status;
     result.ContentType = header(request, "Content-Type");
     result.Body = text(evhttp_request_get_input_buffer(request));
   }
--- a/src/endpoint/upstream_test.cpp
+++ b/src/endpoint/upstream_test.cpp
@@ -61,6 +61,14 @@
     {"in its head", "HTTP/1.1 200 OK\r\nX-Mo", false, Incomplete},
     {"in its status line", "HTTP/1.1 2", false, Incomplete},
     {"without any byte", "", false, Incomplete},
+    {"status 000", "HTTP/1.1 000 Odd\r\nContent-Length: 3\r\n\r\nodd", false,
+     Incomplete},
+    {"status 000, no length", "HTTP/1.1 000 Odd\r\n\r\nodd", false, Incomplete},
+    {"status 099", "HTTP/1.1 099 Odd\r\nContent-Length: 3\r\n\r\nodd", false,
+     Incomplete},
+    {"status 600", "HTTP/1.1 600 Odd\r\nContent-Length: 3\r\n\r\nodd", false,
+     Incomplete},
+    {"status 999, no length", "HTTP/1.1 999 Odd\r\n\r\nodd", false, Incomplete},
 };
 
 } // namespace
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -1,5 +1,6 @@
 #include "greengagespar/http/message.h"
 
+#include "greengagespar/base/http_status.h"
 #include <algorithm>
 #include <array>
 #include <boost/asio/buffer.hpp>
@@ -159,7 +160,11 @@
 
 template <bool R>
 void HeadCollector<R>::on_response_impl(int status, View reason, int version,
-                                        ErrorCode &) {
+                                        ErrorCode &ec) {
+  if (!isHttpStatus(status)) {
+    ec = bh::error::bad_status;
+    return;
+  }
   Head.Version = version;
   Head.Status = status;
   Head.Reason.assign(reason.data(), reason.size());
--- a/src/http/message_test.cpp
+++ b/src/http/message_test.cpp
@@ -116,6 +116,28 @@
   BOOST_TEST(Body == "abc");
 }
 
+BOOST_AUTO_TEST_CASE(answer_whoseStatusIsNone_isBroken) {
+  for (const char *status : {"000", "001", "099", "600", "999"})
+    BOOST_TEST_CONTEXT(status) {
+      ResponseFixture it;
+      it.Reader.take(std::string("HTTP/1.1 ") + status +
+                     " Odd\r\nContent-Length: 3\r\n\r\nabc");
+      BOOST_TEST(bool(it.Reader.state() == ReadState::Broken));
+      BOOST_TEST(it.Body == "");
+    }
+}
+
+BOOST_AUTO_TEST_CASE(answer_withFirstAndLastStatus_isComplete) {
+  for (const char *status : {"200", "599"})
+    BOOST_TEST_CONTEXT(status) {
+      ResponseFixture it;
+      it.Reader.take(std::string("HTTP/1.1 ") + status +
+                     " Known\r\nContent-Length: 3\r\n\r\nabc");
+      BOOST_TEST(bool(it.Reader.state() == ReadState::Complete));
+      BOOST_TEST(it.Body == "abc");
+    }
+}
+
 BOOST_AUTO_TEST_CASE(answer_cutBeforeItsLength_isBroken) {
   Reader.take("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc");
   Reader.takeEnd();
--- a/src/store/http_pool.cpp
+++ b/src/store/http_pool.cpp
@@ -1,6 +1,7 @@
 #include "greengagespar/store/http_pool.h"
 
 #include "greengagespar/base/clock.h"
+#include "greengagespar/base/http_status.h"
 #include "greengagespar/base/timer.h"
 
 #include <algorithm>
@@ -60,8 +61,11 @@
 HttpAnswer answerOf(evhttp_request *req, const std::string &header) {
   if (req == nullptr || evhttp_request_get_response_code(req) == 0)
     return failedAnswer("the connection closed before the answer", true);
+  int status = evhttp_request_get_response_code(req);
+  if (!isHttpStatus(status))
+    return failedAnswer("the answer's status is none", true);
   HttpAnswer answer;
-  answer.Status = evhttp_request_get_response_code(req);
+  answer.Status = status;
   evbuffer *buf = evhttp_request_get_input_buffer(req);
   answer.Body.resize(evbuffer_get_length(buf));
   evbuffer_remove(buf, answer.Body.data(), answer.Body.size());
