Let all entries hold parts of cold servers where the bound allows

With six holders among 33 entries, the holders spread their calls as over all servers, so cold ones got too little and the others too much. A bucket of less than one request a second lets at most one through in any second, so all entries can hold a part as long as there are no more of them than the bound, whoever knows of whom; more entries have bound / 2 holders. First requests are spread.

--- a/src/direct/direct_entry.cpp
+++ b/src/direct/direct_entry.cpp
@@ -229,8 +229,8 @@
     pool->addColdRows(rows, Clock::now());
   if (rows.size() <= MaxColdRows)
     return rows;
-  std::ranges::rotate(rows, rows.begin() + static_cast<std::ptrdiff_t>(
-                                               NextColdRow % rows.size()));
+  auto first = static_cast<std::ptrdiff_t>(NextColdRow % rows.size());
+  std::rotate(rows.begin(), rows.begin() + first, rows.end());
   NextColdRow += MaxColdRows;
   return rows;
 }
--- a/src/direct/server_pool.cpp
+++ b/src/direct/server_pool.cpp
@@ -147,11 +147,14 @@
       continue;
     }
     HasRates = true;
-    if (!view.Rate)
-      view.Rate = RateShare{0, 0, now};
     double unlimited = std::numeric_limits<double>::infinity();
     double part = limit ? partOfLimit(*limit, id, self, sharers) : unlimited;
     part = std::min(part, cold.value_or(unlimited));
+    // The holders' first requests to a cold server are spread.
+    if (!view.Rate) {
+      std::uniform_real_distribution<double> draw(0, 1);
+      view.Rate = RateShare{part, limit ? 0 : draw(Random), now};
+    }
     // A part that is taken over is no reason to send at once what the holder
     // before may have sent just now.
     if (view.Rate->PerSecond == 0)
--- a/src/direct/site_follower.cpp
+++ b/src/direct/site_follower.cpp
@@ -207,7 +207,7 @@
 void SiteFollower::logLeftOut(const std::string &path,
                               const std::vector<std::string> &names) {
   for (const std::string &it : names)
-    logUnreadable({it + " of " + path});
+    logUnreadable({std::string(it).append(" of ").append(path)});
 }
 
 std::vector<ServerRecord>
--- a/src/include/greengagespar/route/cold_start.h
+++ b/src/include/greengagespar/route/cold_start.h
@@ -9,22 +9,24 @@
 ///   bound = PerSecond * Overage + Slack.
 ///
 /// The rate is divided into equal token buckets (rate_limit.h) of k holders. In
-/// any second a holder sends at most what its bucket saves up, s, and what
-/// flows in, R / k, where R is the rate of all holders. With s = max(1, 0.2 * R
-/// / k), all holders together send at most k * s + R <= max(k, 0.2 * R) + R.
-/// Entries may disagree on who the holders are: a network that is cut in two
-/// has two sets of holders, and one that changes has the former and the next
-/// one. So the holders get the bound divided by DividedViews = 2:
+/// any second a holder sends a whole number of requests, at most
 ///
-///   max(k, 0.2 * R) + R <= bound / 2.
+///   m = floor(s + r), where r is its rate and s = max(1, 0.2 * r) its savings,
 ///
-/// About a third of that is k. A bound that is too small for this leaves one
-/// holder with the least rate, so that the server still gets work.
+/// so m = 1 as long as r < 1, and r < min(m, (m + 1) / 1.2) in general. All
+/// holders together send at most k * m. Entries may disagree on who the holders
+/// are: a network that is cut in two has two sets of them, and one that changes
+/// has the former and the next one. With n known entries, silent ones too:
 ///
-/// No part is larger than that of k holders, or of all known entries if there
-/// are fewer than k, silent ones too. So each entry that is cut off alone sends
-/// at most as one holder does, and 2 * k of them keep the bound. What an entry
-/// sends before it learns that a server is cold isn't bounded here.
+/// - n <= bound / 2: all hold, with m = floor(bound / 2 / n), so that two sets
+///   keep the bound;
+/// - n <= bound: all hold, with m = 1. Who knows of whom plays no role then, as
+///   no entry sends more than one request a second;
+/// - otherwise k = floor(bound / 2) entries hold, with m = 1.
+///
+/// An entry that knows of no other, although the settings name some, acts as in
+/// the last case. At least one entry holds, so that the server gets work. What
+/// an entry sends before it learns that a server is cold isn't bounded here.
 ///
 /// Afterwards the bound doubles in steps for WarmingTime, so that work does not
 /// return from all entries at once; then it ends.
--- a/src/route/cold_start.cpp
+++ b/src/route/cold_start.cpp
@@ -12,10 +12,6 @@
 // Number of sets of holders among which the bound is divided, see the header.
 constexpr double DividedViews = 2;
 
-// The share of the bound that tokens which are saved up may take; the rest is
-// the rate.
-constexpr double SavedShare = 1.0 / 3;
-
 // The least rate of all holders: a server that gets nothing would never show
 // that it answers.
 constexpr double LeastPerSecond = 0.25;
@@ -35,6 +31,13 @@
   until = std::max(until.value_or(end), end);
 }
 
+// Returns a rate at which a holder sends at most `most` requests in any second.
+double rateOf(double most) {
+  // Below the greatest one, so that no second begins and ends with a request.
+  constexpr double margin = 0.99;
+  return margin * std::min(most, (most + 1) / (1 + TokenSaveTime.count()));
+}
+
 // Returns the factor by which the bound has grown at `now`.
 double growthAt(const ColdState &state, Clock::time_point now) {
   if (isCold(state, now))
@@ -82,14 +85,17 @@
   double growth = growthAt(state, now);
   double bound = (rule.PerSecond * rule.Overage + rule.Slack) * growth;
   double budget = bound / DividedViews;
-  double most = std::clamp(std::floor(budget * SavedShare), 1.0, MaxHolders);
+  auto known = static_cast<double>(
+      std::max<std::size_t>({1, sharers.Known, sharers.Entries.size()}));
+  bool allHold = !sharers.IsAlone && known <= bound;
+  double holders =
+      allHold ? known : std::clamp(std::floor(budget), 1.0, MaxHolders);
+  double most = allHold ? std::max(1.0, std::floor(budget / known)) : 1;
   EqualParts parts;
-  parts.Holders = static_cast<std::size_t>(most);
-  double rate = std::min({rule.PerSecond * growth, budget - most,
-                          budget / (1 + TokenSaveTime.count())});
+  parts.Holders = static_cast<std::size_t>(holders);
+  parts.LeastParts = parts.Holders;
+  double rate = std::min(rule.PerSecond * growth, holders * rateOf(most));
   parts.PerSecond = std::max(LeastPerSecond, rate);
-  parts.LeastParts =
-      sharers.IsAlone ? parts.Holders : std::min(parts.Holders, sharers.Known);
   return parts;
 }
 
