Keep the bound before a pool has its parts of cold servers

Two windows allow that: calls that waited started at a newly registered cold server before its part was set, and an entry that learned of servers before the configuration used them without parts until its next tick. The part is empty until it is set, and parts are set with the configuration. Parts are renewed ten times a second at most while calls wait.

--- a/src/direct/direct_entry.cpp
+++ b/src/direct/direct_entry.cpp
@@ -242,6 +242,7 @@
 
 // Sets each pool's parts of the rate limits of its servers.
 void DirectEntry::shareLimits(Clock::time_point now) {
+  LimitsSharedAt = now;
   for (auto &[service, pool] : Pools) {
     if (Shared.Limits.Servers.empty() && !pool->isRateLimited() &&
         !pool->hasCold(now))
@@ -437,7 +438,9 @@
   expireLimits(Shared.Limits, now);
   if (expireNotices(Shared.Notices, now))
     applyNotices();
-  shareLimits(now);
+  // Each tick would be too often on a large site while calls wait.
+  if (now - LimitsSharedAt >= IdleTick / 2)
+    shareLimits(now);
   shareRetries();
   bool isWaiting = LeavingSince.has_value();
   for (auto &[id, pool] : Pools) {
@@ -501,6 +504,8 @@
   Self.Settings = table->Site.Version;
   for (const auto &[id, backend] : table->Site.Backends)
     poolOf(id).configure(backend);
+  // The servers may have been known before, and some of them be cold.
+  shareLimits(Clock::now());
   RequestListener.setLimits(table->Site.Limits);
   updateRankAgents();
 }
--- a/src/direct/server_pool.cpp
+++ b/src/direct/server_pool.cpp
@@ -151,10 +151,9 @@
     double part = limit ? partOfLimit(*limit, id, self, sharers) : unlimited;
     part = std::min(part, cold.value_or(unlimited));
     // The holders' first requests to a cold server are spread.
-    if (!view.Rate) {
-      std::uniform_real_distribution<double> draw(0, 1);
+    std::uniform_real_distribution<double> draw(0, 1);
+    if (!view.Rate || (!limit && view.Rate->PerSecond == 0))
       view.Rate = RateShare{part, limit ? 0 : draw(Random), now};
-    }
     // A part that is taken over is no reason to send at once what the holder
     // before may have sent just now.
     if (view.Rate->PerSecond == 0)
@@ -264,6 +263,12 @@
   view->Target = {record.Id, record.At, record.DataCentre, false,
                   takesNoWork(kept)};
   applyColdRecord(kept, isNewServer, wasLeaving && !view->Target.Leaving);
+  // Calls that wait must not all start before shareLimits() sets the part.
+  if (!view->Rate && isBounded(coldRule()) &&
+      isLimited(kept.Cold, Clock::now())) {
+    view->Rate = RateShare{0, 0, Clock::now()};
+    HasRates = true;
+  }
   view->Slots = slotsOfServer(record);
   updateStreamLimit();
   startWaiting(Clock::now());
--- a/src/include/greengagespar/direct/direct_entry.h
+++ b/src/include/greengagespar/direct/direct_entry.h
@@ -97,6 +97,7 @@
   std::vector<std::unique_ptr<Exchange>> EndedExchanges; ///< To destroy.
   std::uint64_t NextCall = 0;
   std::size_t NextColdRow = 0; ///< See coldRows().
+  Clock::time_point LimitsSharedAt{};
   Clock::time_point StartedAt{};
   std::optional<Clock::time_point> LeavingSince;
   bool IsDraining = false;
