--- a/src/direct/direct_entry.cpp
+++ b/src/direct/direct_entry.cpp
@@ -271,8 +271,8 @@
     pool->addColdRows(rows, Clock::now());
   if (rows.size() <= MaxColdRows)
     return rows;
-  std::ranges::rotate(rows, rows.begin() + static_cast<std::ptrdiff_t>(
-                                               NextColdRow % rows.size()));
+  auto first = static_cast<std::ptrdiff_t>(NextColdRow % rows.size());
+  std::rotate(rows.begin(), rows.begin() + first, rows.end());
   NextColdRow += MaxColdRows;
   return rows;
 }
@@ -285,6 +285,7 @@
 // Sets each pool's parts of the rate limits of its servers and of the room of
 // its group.
 void DirectEntry::shareLimits(Clock::time_point now) {
+  LimitsSharedAt = now;
   for (auto &[service, pool] : Pools) {
     bool isLimited = !Shared.Limits.Servers.empty() || pool->isRateLimited() ||
                      pool->hasCold(now);
@@ -505,7 +506,9 @@
   logUnknownOrders(
       Shared, [this](const DataCentreId &it) { return knowsDataCentre(it); },
       now);
-  shareLimits(now);
+  // Each tick would be too often on a large site while calls wait.
+  if (now - LimitsSharedAt >= IdleTick / 2)
+    shareLimits(now);
   shareRetries();
   bool isWaiting = LeavingSince.has_value();
   for (auto &[id, pool] : Pools) {
@@ -570,6 +573,8 @@
   Self.Settings = table->Site.Version;
   for (const auto &[id, backend] : table->Site.Backends)
     poolOf(id).configure(backend);
+  // The servers may have been known before, and some of them be cold.
+  shareLimits(Clock::now());
   RequestListener.setLimits(table->Site.Limits);
   updateRankAgents();
 }
