Take servers that return to service for cold until they say otherwise

Cause: servers of a data centre that was out of service may have become cold meanwhile. Where they come back by the withdrawal of the order, and not by a changed registration, they were not suspected, and calls that waited could all start there before this entry's part was set.

Change: a return by notice or order is treated as one by registration.

--- a/src/direct/server_pool.cpp
+++ b/src/direct/server_pool.cpp
@@ -154,9 +154,13 @@
 void ServerPool::applyNotices() {
   bool isChanged = false;
   for (EndpointView &view : Views) {
-    bool leaves = takesNoWork(Servers[view.Target.Id]);
+    KeptConnections &kept = Servers[view.Target.Id];
+    bool leaves = takesNoWork(kept);
     isChanged = isChanged || leaves != view.Target.Leaving;
+    bool hasReturned = view.Target.Leaving && !leaves;
     view.Target.Leaving = leaves;
+    if (hasReturned)
+      recordReturn(view, kept);
   }
   if (isChanged)
     updateStreamLimit();
@@ -376,12 +380,7 @@
   view->Target = {record.Id, record.At, record.DataCentre, false,
                   takesNoWork(kept)};
   applyColdRecord(kept, isNewServer, wasLeaving && !view->Target.Leaving);
-  // Calls that wait must not all start before shareLimits() sets the part.
-  if (!view->Rate && isBounded(coldRule()) &&
-      isLimited(kept.Cold, Clock::now())) {
-    view->Rate = RateShare{0, 0, Clock::now()};
-    HasRates = true;
-  }
+  withholdPart(*view, kept);
   view->Slots = slotsOfServer(record);
   updateStreamLimit();
   startWaiting(Clock::now());
--- a/src/direct/server_pool_cold.cpp
+++ b/src/direct/server_pool_cold.cpp
@@ -37,6 +37,23 @@
     suspectCold(kept.Cold, coldRule(), now);
 }
 
+// Records that a server takes work again whose registration may not have
+// changed: it may have become cold while it got none.
+void ServerPool::recordReturn(EndpointView &view, KeptConnections &kept) {
+  suspectCold(kept.Cold, coldRule(), Clock::now());
+  withholdPart(view, kept);
+}
+
+// Keeps calls that wait from all starting at a server that is cold before
+// shareLimits() sets this entry's part of it.
+void ServerPool::withholdPart(EndpointView &view, const KeptConnections &kept) {
+  auto now = Clock::now();
+  if (view.Rate || !isBounded(coldRule()) || !isLimited(kept.Cold, now))
+    return;
+  view.Rate = RateShare{0, 0, now};
+  HasRates = true;
+}
+
 bool ServerPool::recordCold(const ServerRecord &server,
                             std::chrono::milliseconds remaining) {
   auto it = Servers.find(server.Id);
--- a/src/direct/server_pool_test.cpp
+++ b/src/direct/server_pool_test.cpp
@@ -23,6 +23,7 @@
     record.At = {std::string("127.0.0.1:").append(std::to_string(++NextPort))};
     record.DataCentre = dataCentre;
     record.Slots = 2;
+    record.ColdRemaining = ColdRemaining;
     Pool.update(record);
   }
 
@@ -69,6 +70,7 @@
   ServerPool Pool{Loop.base(), {"ledger"}, Notices, Orders, 5};
   std::vector<std::pair<CallId, ServerRecord>> Started;
   std::vector<Refusal> Refused;
+  std::optional<std::chrono::milliseconds> ColdRemaining; ///< Of new servers.
   int NextPort = 7000;
   std::uint64_t NextCall = 0;
   std::uint64_t Revision = 0;
@@ -92,6 +94,30 @@
   BOOST_TEST(startedIn(North) > 0);
 }
 
+// The load: the servers of a data centre come back cold and idle at one moment,
+// so that each entry would send its next calls there.
+BOOST_AUTO_TEST_CASE(servers_backInService_getNoCallsBeforeTheirPartIsSet) {
+  Backend service;
+  service.Id = {"ledger"};
+  service.ColdTime = 3s;
+  service.ColdPerSecond = 20;
+  Pool.configure(service);
+  Pool.setColdBound(1.5, 5);
+  ColdRemaining = 0ms;
+  addServer("n1", North);
+  addServer("s1", South);
+  Address self{"10.0.0.1:1"};
+  ColdSharers all{.Entries = {self}, .Known = 1};
+  order(North, true);
+  Pool.shareLimits({}, self, {{self, {}}}, all);
+  submitAll(4);
+  order(North, false);
+  submitAll(4);
+  BOOST_TEST(startedIn(North) == 0);
+  Pool.shareLimits({}, self, {{self, {}}}, all);
+  BOOST_TEST(Pool.hasCold(Clock::now()));
+}
+
 BOOST_AUTO_TEST_CASE(server_registeredMeanwhile_getsNoCalls) {
   addServer("s1", South);
   order(North, true);
--- a/src/include/greengagespar/direct/server_pool.h
+++ b/src/include/greengagespar/direct/server_pool.h
@@ -192,6 +192,8 @@
   ColdStartRule coldRule() const;
   void applyColdRecord(KeptConnections &kept, bool isNewServer,
                        bool hasReturned);
+  void recordReturn(EndpointView &view, KeptConnections &kept);
+  void withholdPart(EndpointView &view, const KeptConnections &kept);
   void noticeStandstill(Clock::time_point now);
   void reportCold(KeptConnections &kept, Clock::time_point now) const;
   void recordColdMetrics(Metrics &counters) const;
