Share the room of a group only where the settings say so

Cause: on the joined code the shared room refuses more than it brings in time.

Change: share_room is off unless set.

Measured: direct_tests and platform_tests pass.

--- a/src/direct/direct_settings.cpp
+++ b/src/direct/direct_settings.cpp
@@ -63,7 +63,8 @@
       field("cold_slack", &S::ColdSlack, numberIn({0, 1000000}), optional,
             "Requests beyond that in any second."),
       field("share_room", &S::ShareRoom, boolean(), optional,
-            "Whether the entries share the room of a group by its reports."),
+            "Whether the entries share the room of a group by its reports; off "
+            "unless set."),
       field("log_lines_per_second", &S::LogLinesPerSecond,
             wholeNumber("lines", {1, 100000}), optional,
             "Most log lines in a second; more are counted and left out."),
--- a/src/include/greengagespar/direct/direct_settings.h
+++ b/src/include/greengagespar/direct/direct_settings.h
@@ -40,7 +40,7 @@
   /// Whether the entries share the room of a model group by its reports, where
   /// they are more than a server has slots; otherwise each limits its own
   /// streams by the pauses that it observes.
-  bool ShareRoom = true;
+  bool ShareRoom = false;
   int LogLinesPerSecond = 400; ///< Further lines are counted and left out.
   /// Time in which the operator's order to take a data centre out of service
   /// has to be in force; zero: there are no such orders.
--- a/src/include/greengagespar/direct/server_pool.h
+++ b/src/include/greengagespar/direct/server_pool.h
@@ -227,7 +227,7 @@
   PaceLimit StreamLimit; ///< Limits streams only in the pool of a group.
   /// Limits streams in place of StreamLimit while the room is known.
   PoolRoom GroupState;
-  bool MayShareRoom = true; ///< See allowSharedRoom().
+  bool MayShareRoom = false; ///< See allowSharedRoom().
   StallState Progress;
   DemandRate Demand;
   bool HasRates = false; ///< A view has a rate limit.
