--- a/testsuite/direct/odd_status_test.cpp
+++ b/testsuite/direct/odd_status_test.cpp
@@ -33,7 +33,7 @@
   // the odd answer, with \p fields, and the other one answers with \p sound.
   void addServers(const std::string &service, const std::string &status,
                   const std::string &fields, Framing framing,
-                  const std::string &body, FakeServer::Script sound) {
+                  const std::string &body, const FakeServer::Script &sound) {
     FakeServer::Script script = [=, this](const HttpRequestMessage &it) {
       if (OddAnswers++ > 0)
         return sound(it);
