Review: show that a planned stop cuts answers that callers still read

A leaving entry takes a connection for idle once the answer is in its output buffer, and closes it after 300 ms with the part that a slow caller has not taken yet, bookings included.

--- a/review/standins-2/slow_callers.cpp
+++ b/review/standins-2/slow_callers.cpp
@@ -22,7 +22,7 @@
 std::string configuration() {
   return R"({"version":1,
     "limits":{"maxHeaderBytes":16384,"maxBodyBytes":65536,
-              "headerTimeoutMs":5000,"idleTimeoutMs":60000},
+              "headerTimeoutMs":5000,"idleTimeoutMs":15000},
     "services":[{"name":"ledger"}],
     "routes":[{"name":"look","host":"shop.example","pathPrefix":"/look/",
                "kind":"idempotent","service":"ledger","timeoutMs":8000,
