--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -1,4 +1,5 @@
 #!/bin/sh
-# A large entry of another writer can't be read. TROUBLE=0: there is none.
+# Entries of another writer name the addresses of servers. TROUBLE=0: there are
+# no such entries.
 cd "$(dirname "$0")/../.." || exit 2
-exec target/review-2/foreign_entry review/9 bytes
+exec target/review-2/foreign_entry review/9 address
--- a/review/standins-2/site.cpp
+++ b/review/standins-2/site.cpp
@@ -37,26 +37,15 @@
 constexpr int NetworkSegment = 1448;
 constexpr int SmallBuffer = 4096;
 
-sockaddr_in addressOf(int port) {
+sockaddr_in addressOf(int port, int host = 1) {
+  constexpr std::uint32_t loopbackNet = 0x7f000000;
   sockaddr_in name{};
   name.sin_family = AF_INET;
-  name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  name.sin_addr.s_addr = htonl(loopbackNet + static_cast<std::uint32_t>(host));
   name.sin_port = htons(static_cast<std::uint16_t>(port));
   return name;
 }
 
-int listenAt(int port) {
-  int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  int on = 1;
-  setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-  sockaddr_in name = addressOf(port);
-  bool isBound =
-      bind(fd, reinterpret_cast<sockaddr *>(&name), sizeof(name)) == 0;
-  if (!isBound || ::listen(fd, 1024) != 0)
-    throw std::runtime_error("can't listen on port " + std::to_string(port));
-  return fd;
-}
-
 std::string unquoted(std::string_view target, std::string_view key) {
   std::string text(key);
   text += '=';
@@ -111,7 +100,21 @@
   throw std::runtime_error("no free port");
 }
 
-std::string loopback(int port) { return "127.0.0.1:" + std::to_string(port); }
+int listenAt(int port, int host) {
+  int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  int on = 1;
+  setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+  sockaddr_in name = addressOf(port, host);
+  bool isBound =
+      bind(fd, reinterpret_cast<sockaddr *>(&name), sizeof(name)) == 0;
+  if (!isBound || ::listen(fd, 1024) != 0)
+    throw std::runtime_error("can't listen on port " + std::to_string(port));
+  return fd;
+}
+
+std::string loopback(int port, int host) {
+  return "127.0.0." + std::to_string(host) + ":" + std::to_string(port);
+}
 
 std::string Message::field(std::string_view name) const {
   for (const auto &[key, value] : Fields)
@@ -130,7 +133,7 @@
   return std::atoi(First.c_str() + std::min(First.size(), First.find(' ')));
 }
 
-bool Socket::connect(int port, bool isSlow) {
+bool Socket::connect(int port, bool isSlow, int host) {
   Fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   if (isSlow) {
     setsockopt(Fd, SOL_SOCKET, SO_RCVBUF, &SmallBuffer, sizeof(SmallBuffer));
@@ -139,7 +142,7 @@
   }
   int on = 1;
   setsockopt(Fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-  sockaddr_in name = addressOf(port);
+  sockaddr_in name = addressOf(port, host);
   return ::connect(Fd, reinterpret_cast<sockaddr *>(&name), sizeof(name)) == 0;
 }
 
@@ -252,8 +255,8 @@
     ::shutdown(Fd, SHUT_RDWR);
 }
 
-Listener::Listener(int port, Handler handler)
-    : Port(port), Handle(std::move(handler)), Fd(listenAt(port)),
+Listener::Listener(int port, Handler handler, int host)
+    : Port(port), Handle(std::move(handler)), Fd(listenAt(port, host)),
       Acceptor([this] { accept(); }) {}
 
 Listener::~Listener() {
--- a/review/standins-2/site.h
+++ b/review/standins-2/site.h
@@ -46,8 +46,10 @@
 
 /// Returns a port of 127.0.0.1 that is free. Throws if there is none.
 int freePort();
-/// Returns "127.0.0.1:" and \p port.
-std::string loopback(int port);
+/// Returns "127.0.0.HOST:PORT".
+std::string loopback(int port, int host = 1);
+/// Listens at a port of 127.0.0.HOST. Throws if it can't.
+int listenAt(int port, int host);
 
 /// A message as it was read.
 struct Message {
@@ -71,9 +73,9 @@
   Socket(const Socket &) = delete;
   Socket &operator=(const Socket &) = delete;
 
-  /// Connects to a port of 127.0.0.1. With \p isSlow, the kernel keeps few
+  /// Connects to a port of 127.0.0.HOST. With \p isSlow, the kernel keeps few
   /// bytes for the other side. Returns whether it is connected.
-  bool connect(int port, bool isSlow = false);
+  bool connect(int port, bool isSlow = false, int host = 1);
   bool send(std::string_view bytes);
   /// Reads one message that has a length, is chunked or ends with the
   /// connection. Empty: the connection ended before it began.
@@ -94,13 +96,13 @@
   bool IsAtEnd = false;
 };
 
-/// Accepts connections at a port and calls a handler with each request. The
-/// handler answers on the socket.
+/// Accepts connections at a port of 127.0.0.HOST and calls a handler with each
+/// request. The handler answers on the socket.
 class Listener {
 public:
   using Handler = std::function<void(Socket &, const Message &)>;
 
-  Listener(int port, Handler handler);
+  Listener(int port, Handler handler, int host = 1);
   ~Listener();
   Listener(const Listener &) = delete;
   Listener &operator=(const Listener &) = delete;
--- a/review/standins-2/slow_callers.cpp
+++ b/review/standins-2/slow_callers.cpp
@@ -92,11 +92,9 @@
     record.line("sent " + id);
     bool isSent =
         socket->connect(port, isSlow) && socket->send(requestOf("large", id));
-    if (!isSent)
-      ++refused;
-    else if (isSlow)
+    if (isSent && isSlow)
       open.push_back(std::move(socket));
-    else if (!socket->read(milliseconds(9000), true))
+    else if (!isSent || !socket->read(milliseconds(9000), true))
       ++refused;
     std::this_thread::sleep_for(milliseconds(20));
   }
@@ -138,6 +136,7 @@
   std::this_thread::sleep_for(milliseconds(3500));
   auto until = Clock::now() + RunTime;
   std::vector<std::thread> threads;
+  threads.reserve(OtherCallers + 1);
   for (int i = 0; i < OtherCallers; ++i)
     threads.emplace_back(
         [&, i] { playOther(ports.Listen, i, until, record, all); });
