Take no answer for whole whose connection was reset while its request was sent

What callers saw: a server answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was still being written. They got that part as the complete, signed answer.

Cause: the kernel reports a reset once. The write of the upload gets the error, the read then sees an end, and libevent delivers both events together. The client looked at the end alone, which completes an answer without a length.

The same reader serves the orders to ranks' servers: an order to prepare a map counted as accepted.

Change: an end counts only if the connection reports no error with it, as an error alone already does. Then the attempt has failed after it may have run: bookings get 502, uploads that may be repeated and streams go to another server. An answer without a length that ends in order stays whole, also while its request is still being sent; the tests hold that too. If the reset of a closed server arrives in the same turn as its orderly end, the answer counts as broken, since the order of the two can't be told any more.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -129,7 +129,10 @@
     return keep->end(ExchangeEnd::NotConnected, "connection refused");
   }
   keep->IsClosedByServer = true;
-  if ((what & BEV_EVENT_EOF) && keep->InExchange && keep->Reader) {
+  // The kernel reports a reset once. If a write has got the error, a read sees
+  // the end of an orderly close, and both events may arrive together.
+  bool isInOrder = !(what & BEV_EVENT_ERROR);
+  if (isInOrder && keep->InExchange && keep->Reader) {
     keep->Reader->takeEnd();
     // A skipped answer that ends with the connection is followed by no other.
     if (keep->HeadSeen && !keep->IsSkipping &&
@@ -138,8 +141,8 @@
       return keep->complete();
     }
   }
-  keep->end(ExchangeEnd::Broken, what & BEV_EVENT_EOF ? "closed by the server"
-                                                      : "reset by the server");
+  keep->end(ExchangeEnd::Broken,
+            isInOrder ? "closed by the server" : "reset by the server");
 }
 
 } // namespace
--- a/src/store/endless_server.h
+++ b/src/store/endless_server.h
@@ -1,11 +1,12 @@
 /// \file
 /// Test support: a server on a free port that answers each connection with
-/// bytes that never end, or that it breaks off.
+/// bytes that never end, or after which it ends the connection.
 #ifndef GREENGAGESPAR_STORE_ENDLESS_SERVER_H
 #define GREENGAGESPAR_STORE_ENDLESS_SERVER_H
 
 #include "greengagespar/base/clock.h"
 #include "greengagespar/base/ids.h"
+#include "greengagespar/base/timer.h"
 #include <arpa/inet.h>
 #include <csignal>
 #include <cstddef>
@@ -17,13 +18,15 @@
 #include <memory>
 #include <string>
 #include <sys/socket.h>
+#include <vector>
 
 namespace greengagespar {
 
 /// An event loop and the server on it. Once bytes of a request have arrived on
 /// a connection, the server sends Begin, and then Piece until the client closes
 /// the connection. If Piece is empty, the server ends the connection after
-/// Begin.
+/// Begin. It reads nothing else and has a small receive buffer, so a request of
+/// some megabytes is still being sent then.
 struct EndlessServer {
   std::unique_ptr<event_base, decltype(&event_base_free)> Loop{
       event_base_new(), &event_base_free};
@@ -32,7 +35,9 @@
   Address At;
   std::string Begin;
   std::string Piece;
-  bool Resets = false;       ///< Whether the server's end is a reset.
+  bool Resets = false; ///< Whether the server's end is a reset.
+  /// Time from Begin to the server's end.
+  std::chrono::milliseconds EndDelay{0};
   std::size_t BytesSent = 0; ///< On all connections.
   int Closed = 0;            ///< Connections that the client closed.
 
@@ -45,9 +50,12 @@
     Listener.reset(evconnlistener_new_bind(
         Loop.get(), onAccept, this, LEV_OPT_CLOSE_ON_FREE, -1,
         reinterpret_cast<sockaddr *>(&name), sizeof(name)));
+    evutil_socket_t fd = evconnlistener_get_fd(Listener.get());
+    int receiveBuffer = 1; // The kernel takes its minimum.
+    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receiveBuffer,
+               sizeof(receiveBuffer));
     socklen_t size = sizeof(name);
-    getsockname(evconnlistener_get_fd(Listener.get()),
-                reinterpret_cast<sockaddr *>(&name), &size);
+    getsockname(fd, reinterpret_cast<sockaddr *>(&name), &size);
     At.Value = "127.0.0.1:";
     At.Value.append(std::to_string(ntohs(name.sin_port)));
   }
@@ -66,6 +74,8 @@
   }
 
 private:
+  std::vector<std::unique_ptr<Timer>> EndTimers;
+
   static void onAccept(evconnlistener *, evutil_socket_t fd, sockaddr *, int,
                        void *arg) {
     auto *self = static_cast<EndlessServer *>(arg);
@@ -86,22 +96,41 @@
       onWritten(stream, arg);
   }
 
+  static void onRest(bufferevent *stream, void *) {
+    evbuffer *in = bufferevent_get_input(stream);
+    evbuffer_drain(in, evbuffer_get_length(in));
+  }
+
   static void onWritten(bufferevent *stream, void *arg) {
     constexpr std::size_t burstBytes = std::size_t{64} * 1024;
     auto *self = static_cast<EndlessServer *>(arg);
     if (self->Piece.empty())
-      return end(stream, self->Resets);
+      return self->endLater(stream);
     for (std::size_t n = 0; n < burstBytes; n += self->Piece.size())
       bufferevent_write(stream, self->Piece.data(), self->Piece.size());
     self->BytesSent += burstBytes;
   }
 
-  static void end(bufferevent *stream, bool resets) {
+  void endLater(bufferevent *stream) {
     if (evbuffer_get_length(bufferevent_get_output(stream)) > 0)
       return;
-    linger value{resets ? 1 : 0, 0};
-    setsockopt(bufferevent_getfd(stream), SOL_SOCKET, SO_LINGER, &value,
-               sizeof(value));
+    bufferevent_setcb(stream, nullptr, nullptr, nullptr, nullptr);
+    EndTimers.push_back(
+        std::make_unique<Timer>(Loop.get(), [this, stream] { end(stream); }));
+    EndTimers.back()->start(EndDelay);
+  }
+
+  void end(bufferevent *stream) {
+    evutil_socket_t fd = bufferevent_getfd(stream);
+    if (!Resets) {
+      // Closing would reset the connection if bytes of the request are unread.
+      shutdown(fd, SHUT_WR);
+      bufferevent_setcb(stream, onRest, nullptr, onEvent, this);
+      bufferevent_enable(stream, EV_READ);
+      return;
+    }
+    linger value{1, 0};
+    setsockopt(fd, SOL_SOCKET, SO_LINGER, &value, sizeof(value));
     bufferevent_free(stream);
   }
 
--- a/testsuite/direct/site.cpp
+++ b/testsuite/direct/site.cpp
@@ -21,6 +21,8 @@
 
 // Time between two checks of the store for polls whose wait is over.
 constexpr auto PollCheckInterval = 10ms;
+// Bytes that the kernel holds for a server which does not read.
+constexpr int SmallReceiveBuffer = 16384;
 
 bool canBind(int port) {
   int fd = socket(AF_INET, SOCK_STREAM, 0);
@@ -204,12 +206,18 @@
           reinterpret_cast<const char *>(evbuffer_pullup(buf, -1));
       std::size_t used = it->Reader->take({bytes, size});
       evbuffer_drain(buf, used);
-      if (it->Reader->state() != ReadState::Complete)
+      bool isEarly =
+          it->Owner->AnswersEarly && it->Reader->state() == ReadState::Body;
+      if (it->Reader->state() != ReadState::Complete && !isEarly)
         return;
+      if (isEarly)
+        bufferevent_disable(stream, EV_READ);
       HttpRequestMessage message{it->Reader->head(), it->Body};
       it->Reader.reset();
       it->Owner->Requests.push_back(message);
       respond(*it, message, it->Owner->Respond);
+      if (isEarly)
+        return;
     }
   }
 
@@ -304,6 +312,13 @@
     throw std::runtime_error("the server can't listen");
 }
 
+void FakeServer::answerEarly() {
+  AnswersEarly = true;
+  int receiveBuffer = SmallReceiveBuffer;
+  setsockopt(evconnlistener_get_fd(Listener), SOL_SOCKET, SO_RCVBUF,
+             &receiveBuffer, sizeof(receiveBuffer));
+}
+
 void FakeServer::stopListening() {
   if (Listener)
     evconnlistener_free(std::exchange(Listener, nullptr));
@@ -333,6 +348,10 @@
   ServerCallbacks::end(*Open.back(), resets);
 }
 
+void FakeServer::endNewest() {
+  shutdown(bufferevent_getfd(Open.back()->Stream), SHUT_WR);
+}
+
 void FakeServer::answerPending(const Script &rest) {
   for (auto &it : Open)
     if (!it->IsClosed && it->Pending) {
--- a/testsuite/direct/site.h
+++ b/testsuite/direct/site.h
@@ -155,6 +155,8 @@
   void sendMoreOnFirst(std::string_view bytes);
   /// Closes the newest connection; resets it if \p resets is set.
   void closeNewest(bool resets);
+  /// Ends the server's side of the newest connection in order.
+  void endNewest();
   /// Closes all connections; resets them if \p resets is set.
   void closeAll(bool resets);
   /// Calls \p rest for each request without its whole answer, after
@@ -162,6 +164,10 @@
   void answerPending(const Script &rest);
   /// Accepts connections again after stopListening(). Throws if it can't.
   void listen();
+  /// Answers each request once its head has come, and reads no more of its
+  /// body: one of some megabytes is still being sent then. Precondition: no
+  /// connection was accepted.
+  void answerEarly();
   /// Refuses new connections from now on.
   void stopListening();
 
@@ -172,6 +178,7 @@
   event_base *Loop;
   std::string Id;
   Address At;
+  bool AnswersEarly = false;
   evconnlistener *Listener = nullptr;
   std::vector<std::unique_ptr<Connection>> Open;
 };
