Refuse folded lines in the trailer of an answer

What callers saw: an answer in chunks in whose trailer a line begins with a blank or a tab, so that the name of its field holds one, was passed on as the server's whole answer; streams ended as whole.

Cause: the parser joins a folded line to the one before it and does not report it. The reader looks at the raw lines of the head for that, but not at those of the trailer, which the parser read in one go with the chunks before it.

Evidence: BrokenNames of http_tests gives the reader 133 answers with 19 broken lines (names with a blank, a tab or a control byte at any place, empty, without a colon) in 7 places of heads and trailers, whole and byte by byte. On the code before, 130 were refused; the 3 with a folded line behind another line of the trailer were taken, both ways. At a whole entry: bookings were answered 200 with such an answer (3 lines, with and without a proof of not having run), look-ups and streams were not sent again; a rank's server had its state read and its orders taken for accepted. All other broken names were refused before in direct mode: their tests are kept, nothing else changes.

Change: the parser hands the elements of a message over one by one, as its pages provide for. The last one of a message in chunks is the last chunk with the trailer, whose lines are looked at like those of the head. The same reader reads callers' requests, so a folded line in their trailers is refused too.

Measured: all 133 answers are refused, at the reader, a whole entry (look-ups, bookings, streams) and the client of ranks' servers.

--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -214,7 +214,8 @@
                                 std::function<void(std::string_view)> onBody)
     : Limits(limits) {
   Parser.OnBody.swap(onBody);
-  Parser.eager(true);
+  // take() looks at the elements of the message one by one.
+  Parser.eager(false);
   Parser.header_limit(limits.MaxHeadBytes);
   Parser.body_limit(limits.MaxBodyBytes);
 }
@@ -270,6 +271,13 @@
     }
     if (Parser.is_done())
       State = ReadState::Complete;
+    // The last element of a message in chunks is its last chunk with the
+    // trailer, of which the parser does not report folded lines either.
+    if (Parser.is_done() && Parser.Head.IsChunked &&
+        hasAmbiguousLines(bytes.substr(used - n, n))) {
+      refuse(ReadFault::Malformed);
+      return used;
+    }
     if (n == 0)
       break;
   }
