End a draft only when the answer that brought it has ended whole

What callers of the own interface saw: a draft ended as whole although the answer of its engine was broken behind the engine's end line, as by a field in its trailer whose name holds a blank.

Cause: the endpoint process passed the end on as soon as the line was there, and ignored what became of the answer.

Evidence: draft_whoseAnswerHasBrokenTrailer_isNotWhole of broken_answer_tests, whole and streamed, fails on the code before: both drafts end as whole.

Change: the end waits for the end of the answer; if that is broken, the attempt has failed after it ran, and the entry resumes the draft elsewhere or cuts it.

Measured: broken_answer_tests passes. By reading, the engine stand-in sends the end of its answer right behind the end line; the delay was not measured.

--- a/src/endpoint/endpoint.cpp
+++ b/src/endpoint/endpoint.cpp
@@ -314,6 +314,8 @@
 }
 
 void Endpoint::onStreamLine(Execution &execution, std::string_view line) {
+  if (execution.StreamEnd)
+    return;
   boost::system::error_code ec;
   json::value value = json::parse(line, ec);
   const json::object *object = ec ? nullptr : value.if_object();
@@ -328,7 +330,8 @@
       end.set_prompt_tokens(n->to_number<std::uint32_t>());
     end.set_tokens(execution.FirstOffset +
                    static_cast<std::uint32_t>(execution.Tokens.size()));
-    return finishWith(execution, std::move(end));
+    execution.StreamEnd = std::move(end);
+    return;
   }
   const auto *token = object->if_contains("t");
   if (token && token->is_string())
@@ -345,7 +348,10 @@
   if (result.Outcome == UpstreamOutcome::Complete && result.Status == 503)
     return failWith(*execution, ErrorKind::Overloaded,
                     "the engine's queue is full", true);
-  if (result.IsServerEnd && execution->Tokens.size() < TokensBeyondBeginning)
+  if (result.Outcome == UpstreamOutcome::Complete && execution->StreamEnd)
+    return finishWith(*execution, *std::move(execution->StreamEnd));
+  if (result.IsServerEnd && !execution->StreamEnd &&
+      execution->Tokens.size() < TokensBeyondBeginning)
     execution->ServerEnd = numberServerEnd(Clock::now());
   failWith(*execution, ErrorKind::EndpointFailed,
            "the engine's stream ended early", false);
--- a/src/endpoint/execution.h
+++ b/src/endpoint/execution.h
@@ -42,8 +42,10 @@
   Deadline Expires;
   UpstreamId RequestId;    ///< The request to the server, when running.
   std::string PartialLine; ///< Bytes of a stream line that is not complete yet.
-  std::uint32_t FirstOffset = 0;        ///< Of Tokens, in the whole stream.
-  std::vector<std::string> Tokens;      ///< Received from FirstOffset on.
+  std::uint32_t FirstOffset = 0;   ///< Of Tokens, in the whole stream.
+  std::vector<std::string> Tokens; ///< Received from FirstOffset on.
+  /// Received from the engine, whose answer may still turn out to be broken.
+  std::optional<wire::End> StreamEnd;
   std::optional<wire::End> Answer;      ///< Set when the call succeeded.
   std::optional<wire::Refusal> Failure; ///< Set when the call failed.
   /// Numbers the end of the server as it began to answer; zero: it did not.
--- a/testsuite/calls/broken_answer_test.cpp
+++ b/testsuite/calls/broken_answer_test.cpp
@@ -36,6 +36,9 @@
     {"status 000", "HTTP/1.1 200", "HTTP/1.1 000"},
 };
 
+constexpr Change TrailerChange = {"a blank in the name of a trailer field",
+                                  "\r\n0\r\n\r\n", "\r\n0\r\nX A: b\r\n\r\n"};
+
 /// One engine and one ledger, each behind a relay that breaks answers.
 struct BrokenAnswerFixture : Cluster {
   int Number = 0; ///< Of the last call.
@@ -111,4 +114,16 @@
     BOOST_TEST(times == 1, order);
 }
 
+// Guards against a draft that ends as whole although the answer that brought it
+// was broken at its end.
+BOOST_AUTO_TEST_CASE(draft_whoseAnswerHasBrokenTrailer_isNotWhole) {
+  breakAnswers(TrailerChange);
+  for (bool isStream : {false, true}) {
+    load::CallOutcome outcome =
+        outcomeOf(newCall(load::CallKind::Draft, isStream));
+    BOOST_TEST((outcome.Result == load::Verdict::Unknown ||
+                outcome.Result == load::Verdict::Truncated));
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
