Read the answers of the store with the reader that checks names

What went wrong: an answer of a store in trouble, in whose head or trailer the name of a field holds a blank or a control byte, was believed: a write counted as done, and a timeline stated there was followed.

Cause: the pool of connections to the store read answers with evhttp, as the endpoint process did.

Handled before, their tests are kept: statuses that are none, and a reset while the object is still being sent.

Change: the pool uses the client connection of direct mode. Such an answer, like a lost one, leaves the outcome of its call unknown, and settling the write reads it back. Limits, keep-alive, idle time and what counts as sent stay.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -299,6 +299,24 @@
   S->ConnectTimer->stop();
 }
 
+void HttpClientConnection::setKeepAlive(const HttpKeepAlive &options) {
+  evutil_socket_t fd = bufferevent_getfd(S->Stream);
+  if (!options.On || fd < 0)
+    return;
+  auto set = [fd](int level, int name, int value) {
+    setsockopt(fd, level, name, &value, sizeof(value));
+  };
+  auto idle = static_cast<int>(options.Idle.count());
+  auto interval = static_cast<int>(options.Interval.count());
+  set(SOL_SOCKET, SO_KEEPALIVE, 1);
+  set(IPPROTO_TCP, TCP_KEEPIDLE, idle);
+  set(IPPROTO_TCP, TCP_KEEPINTVL, interval);
+  set(IPPROTO_TCP, TCP_KEEPCNT, options.Probes);
+  constexpr int millisPerSecond = 1000;
+  set(IPPROTO_TCP, TCP_USER_TIMEOUT,
+      (idle + options.Probes * interval) * millisPerSecond);
+}
+
 void HttpClientConnection::send(std::string_view request, bool isHead,
                                 ExchangeEvents events, std::string_view id) {
   if (!id.empty())
--- a/src/include/greengagespar/http/client.h
+++ b/src/include/greengagespar/http/client.h
@@ -42,6 +42,15 @@
   std::function<void(ExchangeEnd, std::string_view why)> OnEnd;
 };
 
+/// TCP keep-alive of a connection. A device on the path may forget a
+/// connection; without probes a long poll would not detect this.
+struct HttpKeepAlive {
+  bool On = false;
+  std::chrono::seconds Idle{1}; ///< Time without data before the first probe.
+  std::chrono::seconds Interval{1}; ///< Time between probes.
+  int Probes = 2; ///< Unanswered probes after which it is closed.
+};
+
 /// A connection to one server. Its destructor closes the connection, by which
 /// the server learns that it may abandon the request in progress. The
 /// connection may be destroyed from inside one of its own callbacks.
@@ -64,6 +73,11 @@
   HttpClientConnection(const HttpClientConnection &) = delete;
   HttpClientConnection &operator=(const HttpClientConnection &) = delete;
 
+  /// Sets the keep-alive options of the connection. If an option can't be set,
+  /// a connection that no longer delivers data is detected only by the timeouts
+  /// of its requests.
+  void setKeepAlive(const HttpKeepAlive &options);
+
   /// Sends \p request, a complete message. \p isHead is true for a HEAD
   /// request, whose answer has no body. \p id is what the answer repeats of the
   /// request; empty: it repeats nothing.
--- a/src/include/greengagespar/store/http_pool.h
+++ b/src/include/greengagespar/store/http_pool.h
@@ -1,9 +1,10 @@
 /// \file
-/// A small pool of HTTP connections to one address, on evhttp.
+/// A small pool of HTTP connections to one address.
 #ifndef GREENGAGESPAR_STORE_HTTP_POOL_H
 #define GREENGAGESPAR_STORE_HTTP_POOL_H
 
 #include "greengagespar/base/ids.h"
+#include "greengagespar/http/client.h"
 #include <chrono>
 #include <cstddef>
 #include <functional>
@@ -51,15 +52,6 @@
   std::string Failure; ///< Why there is no answer; empty when there is one.
 };
 
-/// TCP keep-alive of a pool's connections. A device on the path may forget a
-/// connection; without probes a long poll would not detect this.
-struct HttpKeepAlive {
-  bool On = false;
-  std::chrono::seconds Idle{1}; ///< Time without data before the first probe.
-  std::chrono::seconds Interval{1}; ///< Time between probes.
-  int Probes = 2; ///< Unanswered probes after which it is closed.
-};
-
 /// Limits of a pool.
 struct HttpPoolOptions {
   Address Server;              ///< IP address and port.
@@ -71,7 +63,7 @@
   std::chrono::milliseconds MaxIdle{5000};
   std::size_t MaxAnswerBytes =
       std::size_t{16} * 1024 * 1024; ///< Largest answer body.
-  HttpKeepAlive KeepAlive = {};
+  HttpKeepAlive KeepAlive = {};      ///< Of the pool's connections.
   std::string Header; ///< Name of the header that answers keep; empty: none.
 };
 
@@ -98,7 +90,7 @@
 
   /// Gives up the request \p number: closes its connection, and its callback
   /// receives a failed answer from the loop. Does nothing if the request has
-  /// ended. Precondition: not called from inside evhttp.
+  /// ended.
   void cancel(HttpRequestNumber number);
 
   /// Calls \p done, from the loop, with an answer that says that the request
--- a/src/store/http_pool.cpp
+++ b/src/store/http_pool.cpp
@@ -1,22 +1,13 @@
 #include "greengagespar/store/http_pool.h"
 
 #include "greengagespar/base/clock.h"
-#include "greengagespar/base/http_status.h"
 #include "greengagespar/base/timer.h"
 
 #include <algorithm>
-#include <cstdlib>
 #include <deque>
-#include <event2/buffer.h>
-#include <event2/bufferevent.h>
 #include <event2/event.h>
-#include <event2/http.h>
-#include <event2/keyvalq_struct.h>
 #include <iterator>
 #include <list>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
 #include <utility>
 #include <vector>
 
@@ -24,13 +15,7 @@
 
 namespace {
 
-// Largest head of an answer.
-constexpr std::size_t MaxHeadBytes = std::size_t{64} * 1024;
-
-struct ConnectionDeleter {
-  void operator()(evhttp_connection *it) const { evhttp_connection_free(it); }
-};
-using ConnectionPtr = std::unique_ptr<evhttp_connection, ConnectionDeleter>;
+using ConnectionPtr = std::unique_ptr<HttpClientConnection>;
 
 using EventPtr = std::unique_ptr<event, detail::EventDeleter>;
 
@@ -39,16 +24,24 @@
   Clock::time_point Since;
 };
 
-evhttp_cmd_type commandOf(HttpMethod method) {
+std::string_view nameOf(HttpMethod method) {
   switch (method) {
   case HttpMethod::Get:
-    return EVHTTP_REQ_GET;
+    return "GET";
   case HttpMethod::Put:
-    return EVHTTP_REQ_PUT;
+    return "PUT";
   case HttpMethod::Delete:
-    return EVHTTP_REQ_DELETE;
+    return "DELETE";
   }
-  return EVHTTP_REQ_GET;
+  return "GET";
+}
+
+std::string textOf(const HttpRequest &request, const Address &server) {
+  HttpFields fields{{"Host", server.Value}};
+  if (!request.Body.empty())
+    fields.push_back({"Content-Type", "application/json"});
+  return requestText(nameOf(request.Method), request.Target, std::move(fields),
+                     request.Body);
 }
 
 HttpAnswer failedAnswer(std::string why, bool sent) {
@@ -58,48 +51,6 @@
   return answer;
 }
 
-HttpAnswer answerOf(evhttp_request *req, const std::string &header) {
-  if (req == nullptr || evhttp_request_get_response_code(req) == 0)
-    return failedAnswer("the connection closed before the answer", true);
-  int status = evhttp_request_get_response_code(req);
-  if (!isFinalHttpStatus(status))
-    return failedAnswer("the status " + std::to_string(status) +
-                            " is none of a final answer",
-                        true);
-  HttpAnswer answer;
-  answer.Status = status;
-  evbuffer *buf = evhttp_request_get_input_buffer(req);
-  answer.Body.resize(evbuffer_get_length(buf));
-  evbuffer_remove(buf, answer.Body.data(), answer.Body.size());
-  const char *value =
-      evhttp_find_header(evhttp_request_get_input_headers(req), header.c_str());
-  if (value != nullptr)
-    answer.Header = value;
-  return answer;
-}
-
-// Sets the keep-alive options of a connection if its socket exists. If an
-// option can't be set, the timeouts of the requests still detect a connection
-// that no longer delivers data.
-void applyKeepAlive(evhttp_connection *connection, const HttpKeepAlive &it) {
-  evutil_socket_t fd =
-      bufferevent_getfd(evhttp_connection_get_bufferevent(connection));
-  if (!it.On || fd < 0)
-    return;
-  auto set = [fd](int level, int name, int value) {
-    setsockopt(fd, level, name, &value, sizeof(value));
-  };
-  auto idle = static_cast<int>(it.Idle.count());
-  auto interval = static_cast<int>(it.Interval.count());
-  set(SOL_SOCKET, SO_KEEPALIVE, 1);
-  set(IPPROTO_TCP, TCP_KEEPIDLE, idle);
-  set(IPPROTO_TCP, TCP_KEEPINTVL, interval);
-  set(IPPROTO_TCP, TCP_KEEPCNT, it.Probes);
-  constexpr int millisPerSecond = 1000;
-  set(IPPROTO_TCP, TCP_USER_TIMEOUT,
-      (idle + it.Probes * interval) * millisPerSecond);
-}
-
 } // namespace
 
 namespace detail {
@@ -114,7 +65,7 @@
   HttpPool::Callback Done;
   ConnectionPtr Connection;
   std::unique_ptr<Timer> ExpiryTimer;
-  HttpAnswer Answer;
+  HttpAnswer Answer;    ///< As much as has arrived, or the final one.
   bool Started = false; ///< Counts against the limit of its kind.
 };
 
@@ -129,8 +80,6 @@
 
   event_base *Loop;
   HttpPoolOptions Options;
-  std::string Host;
-  std::uint16_t Port = 0;
   RequestQueue Ordinary;
   RequestQueue LongPolls;
   std::list<std::unique_ptr<Exchange>> InProgress;
@@ -145,22 +94,18 @@
   }
   void startQueued(RequestQueue &queue);
   void start(std::unique_ptr<Exchange> exchange);
+  ExchangeEvents eventsOf(Exchange *exchange);
+  void receive(Exchange *exchange, std::string_view piece);
   void finish(Exchange *exchange, HttpAnswer answer);
   void expire(Exchange *exchange);
   void cancel(HttpRequestNumber number);
   void deliver();
-  ConnectionPtr takeConnection();
+  ConnectionPtr takeConnection(std::chrono::milliseconds connectTimeout);
   void keepConnection(Exchange &exchange);
 };
 
 namespace {
 
-void onAnswer(evhttp_request *req, void *arg) {
-  auto *exchange = static_cast<Exchange *>(arg);
-  exchange->Pool->finish(exchange,
-                         answerOf(req, exchange->Pool->Options.Header));
-}
-
 void onFinish(evutil_socket_t, short, void *arg) {
   static_cast<PoolState *>(arg)->deliver();
 }
@@ -169,12 +114,6 @@
 
 PoolState::PoolState(event_base *loop, HttpPoolOptions options)
     : Loop(loop), Options(std::move(options)) {
-  const std::string &address = Options.Server.Value;
-  std::size_t colon = address.rfind(':');
-  Host = address.substr(0, colon);
-  if (colon != std::string::npos)
-    Port = static_cast<std::uint16_t>(
-        std::strtoul(address.c_str() + colon + 1, nullptr, 10));
   Ordinary.Limit = Options.MaxOrdinary;
   LongPolls.Limit = Options.MaxLongPolls;
   FinishEvent.reset(event_new(Loop, -1, 0, onFinish, this));
@@ -193,22 +132,40 @@
 void PoolState::start(std::unique_ptr<Exchange> exchange) {
   Exchange *it = exchange.get();
   InProgress.push_back(std::move(exchange));
-  it->Connection = takeConnection();
   it->ExpiryTimer = std::make_unique<Timer>(Loop, [this, it] { expire(it); });
   it->ExpiryTimer->start(it->Request.Timeout);
-  evhttp_request *req = evhttp_request_new(onAnswer, it);
-  evkeyvalq *headers = evhttp_request_get_output_headers(req);
-  evhttp_add_header(headers, "Host", Options.Server.Value.c_str());
-  if (!it->Request.Body.empty()) {
-    evhttp_add_header(headers, "Content-Type", "application/json");
-    evbuffer_add(evhttp_request_get_output_buffer(req), it->Request.Body.data(),
-                 it->Request.Body.size());
+  it->Connection = takeConnection(it->Request.Timeout);
+  it->Connection->send(textOf(it->Request, Options.Server), false,
+                       eventsOf(it));
+}
+
+ExchangeEvents PoolState::eventsOf(Exchange *exchange) {
+  ExchangeEvents events;
+  events.OnHead = [this, exchange](const HttpHead &head) {
+    exchange->Answer.Status = head.Status;
+    const std::string *value = findField(head.Fields, Options.Header);
+    exchange->Answer.Header = value ? *value : "";
+    return true;
+  };
+  events.OnBody = [this, exchange](std::string_view piece) {
+    receive(exchange, piece);
+  };
+  events.OnEnd = [this, exchange](ExchangeEnd how, std::string_view why) {
+    finish(exchange, how == ExchangeEnd::Complete
+                         ? std::move(exchange->Answer)
+                         : failedAnswer(std::string(why), true));
+  };
+  return events;
+}
+
+void PoolState::receive(Exchange *exchange, std::string_view piece) {
+  std::string &body = exchange->Answer.Body;
+  if (body.size() + piece.size() <= Options.MaxAnswerBytes) {
+    body.append(piece);
+    return;
   }
-  if (evhttp_make_request(it->Connection.get(), req,
-                          commandOf(it->Request.Method),
-                          it->Request.Target.c_str()) != 0)
-    return finish(it, failedAnswer("could not open a connection", false));
-  applyKeepAlive(it->Connection.get(), Options.KeepAlive);
+  exchange->Connection.reset();
+  finish(exchange, failedAnswer("the answer is too large", true));
 }
 
 void PoolState::finish(Exchange *exchange, HttpAnswer answer) {
@@ -220,8 +177,8 @@
   exchange->ExpiryTimer->stop();
   Finished.push_back(std::move(*it));
   InProgress.erase(it);
-  // evhttp still uses the connection after this callback. deliver(), which runs
-  // from a separate event, returns the connection to the pool or closes it.
+  // The connection may be in its own callback. deliver(), which runs from a
+  // separate event, returns it to the pool or closes it.
   event_active(FinishEvent.get(), EV_TIMEOUT, 0);
 }
 
@@ -268,29 +225,26 @@
   startQueued(LongPolls);
 }
 
-ConnectionPtr PoolState::takeConnection() {
+ConnectionPtr
+PoolState::takeConnection(std::chrono::milliseconds connectTimeout) {
   auto now = Clock::now();
-  std::erase_if(Idle,
-                [&](auto &it) { return now - it.Since > Options.MaxIdle; });
+  std::erase_if(Idle, [&](auto &it) {
+    return now - it.Since > Options.MaxIdle || !it.Connection->isReusable();
+  });
   if (!Idle.empty()) {
     ConnectionPtr connection = std::move(Idle.back().Connection);
     Idle.pop_back();
     return connection;
   }
-  ConnectionPtr connection(evhttp_connection_base_new(
-      Loop, nullptr, Host.c_str(), static_cast<ev_uint16_t>(Port)));
-  evhttp_connection_set_max_body_size(
-      connection.get(), static_cast<ev_ssize_t>(Options.MaxAnswerBytes));
-  evhttp_connection_set_max_headers_size(connection.get(), MaxHeadBytes);
-  // evhttp has no limit on a line of a chunked body.
-  bufferevent_setwatermark(evhttp_connection_get_bufferevent(connection.get()),
-                           EV_READ, 0, Options.MaxAnswerBytes + MaxHeadBytes);
+  auto connection = std::make_unique<HttpClientConnection>(
+      Loop, Options.Server, connectTimeout, std::chrono::milliseconds::zero());
+  connection->setKeepAlive(Options.KeepAlive);
   return connection;
 }
 
 void PoolState::keepConnection(Exchange &exchange) {
   int limit = Options.MaxOrdinary + Options.MaxLongPolls;
-  bool usable = exchange.Answer.Status != 0 && std::ssize(Idle) < limit;
+  bool usable = exchange.Connection->isReusable() && std::ssize(Idle) < limit;
   if (usable)
     Idle.push_back({std::move(exchange.Connection), Clock::now()});
   else
