--- a/src/endpoint/upstream.cpp
+++ b/src/endpoint/upstream.cpp
@@ -4,7 +4,6 @@
 #include "greengagespar/base/timer.h"
 #include "greengagespar/http/client.h"
 
-#include <event2/http.h>
 #include <utility>
 
 namespace greengagespar {
@@ -21,13 +20,12 @@
 std::string textOf(const UpstreamRequest &request, const Address &server) {
   // The fallback to GET is never used: entries forward only methods that are
   // known here.
-  evhttp_cmd_type method = methodOf(request.Method).value_or(EVHTTP_REQ_GET);
+  std::string method = methodOf(request.Method) ? request.Method : "GET";
   HttpFields fields;
   addField(fields, "Host", server.Value.substr(0, server.Value.rfind(':')));
   addField(fields, "Content-Type", request.ContentType);
   addField(fields, "Idempotency-Key", request.IdempotencyKey);
-  return requestText(methodName(method), request.Path, std::move(fields),
-                     request.Body);
+  return requestText(method, request.Path, std::move(fields), request.Body);
 }
 
 UpstreamOutcome outcomeOf(ExchangeEnd end) {
--- a/src/include/greengagespar/base/http_status.h
+++ b/src/include/greengagespar/base/http_status.h
@@ -12,12 +12,6 @@
   return status >= 100 && status < 600;
 }
 
-/// Whether \p status can be that of a final answer, which interim answers may
-/// precede. Thread safe.
-constexpr bool isFinalHttpStatus(int status) {
-  return isHttpStatus(status) && status >= 200;
-}
-
 } // namespace greengagespar
 
 #endif // GREENGAGESPAR_BASE_HTTP_STATUS_H
