Block a stream that ends server after server as a whole request

What callers saw: one request for a stream that ended each server which ran it came again at any entry, and each time ended two more. Sound requests at these servers failed or were cut, and most others were refused.

Cause: what may crash servers was chosen by the kind of the route. A stream had the shared parts of its prompt, which other requests had shown to be sound, so that nothing was recorded and a second server was allowed.

Change: a stream is known as a whole request too, by the fingerprint that requests for whole answers have. Its break counts once the end of the server explains it, at any event, and as an uncertain crash, as other streams ran there. The end of its answer clears it; its first events clear the shared parts only. A server that ends under a stream with sound parts doesn't keep it from a second server, as before.

--- a/src/direct/exchange.cpp
+++ b/src/direct/exchange.cpp
@@ -44,13 +44,13 @@
 constexpr int StatusUnavailable = 503;
 constexpr int StatusGatewayTimeout = 504;
 
-// Returns the parts of the prompt of a stream; any other request is one part.
 PromptParts partsOf(const AcceptedCall &call,
                     const HttpRequestMessage &request) {
+  RequestFingerprint whole{request.Head.Method, request.Head.Target,
+                           call.Workspace, request.Body};
   if (call.MatchedRoute->Kind == RequestKind::Stream)
-    return promptPartsOf(call.Service, call.Facts.SharedParts);
-  return wholeRequestOf(call.Service, {request.Head.Method, request.Head.Target,
-                                       call.Workspace, request.Body});
+    return streamPartsOf(call.Service, call.Facts.SharedParts, whole);
+  return wholeRequestOf(call.Service, whole);
 }
 
 } // namespace
@@ -249,7 +249,7 @@
                      Call.MatchedRoute->LongestPause);
   CurrentAttempt->LastEventAt = now;
   if (++CurrentAttempt->Events == EventsBeyondBeginning)
-    reportSurvival(*Context.Guard, Parts, now);
+    reportBeginning(*Context.Guard, Parts, now);
   if (!HasSentHead) {
     HasSentHead = true;
     FirstEventAt = now;
@@ -320,9 +320,8 @@
   Pool.finished(Call.Id, server.Id, outcome);
 }
 
-// Records that the server ended as it began to answer, if the attempt looks
-// like that, and has a broken connection explained otherwise. Returns whether
-// the request must go to no other server.
+// Records what the end of the attempt says about the parts of the request.
+// Returns whether the request must go to no other server.
 bool Exchange::noteCrash(AttemptEnd end, Clock::time_point now) {
   BrokenAttempt attempt;
   attempt.RequestId = Call.Facts.RequestId;
@@ -339,10 +338,7 @@
   bool isStream = Call.MatchedRoute->Kind == RequestKind::Stream;
   if (!isStream || !attempt.HasBegun)
     return reportBreak(*Context.Guard, Parts, attempt, now);
-  if (!looksLikeCrash(attempt))
-    return false;
-  reportCrash(*Context.Guard, Parts, attempt, now);
-  return mayCrashServers(*Context.Guard, Parts);
+  return reportStreamBreak(*Context.Guard, Parts, attempt, now);
 }
 
 // Ends an attempt without an answer to forward, and then sends the request
--- a/src/direct/part_guard.cpp
+++ b/src/direct/part_guard.cpp
@@ -33,6 +33,60 @@
   return {{ErrorKind::Overloaded, left}, "crashing_part", true};
 }
 
+// Returns \p parts without the whole request.
+PromptParts sharedPartsIn(PromptParts parts) {
+  if (parts.HasWholeRequest) {
+    parts.Names.pop_back();
+    parts.Ids.pop_back();
+    parts.HasWholeRequest = false;
+  }
+  return parts;
+}
+
+// Returns the whole request as its only part. Precondition: \p parts has it.
+PromptParts wholeRequestIn(const PromptParts &parts) {
+  PromptParts whole = parts;
+  whole.Names = {parts.Names.back()};
+  whole.Ids = {parts.Ids.back()};
+  return whole;
+}
+
+// Adds the whole \p request to \p parts.
+void addWholeRequest(PromptParts &parts, const ServiceId &service,
+                     const RequestFingerprint &request) {
+  std::string text;
+  for (std::string_view it : {request.Method, request.Target,
+                              std::string_view(request.Caller.Value)}) {
+    text.append(it);
+    text.push_back('\0');
+  }
+  XXH64_hash_t head = XXH3_64bits(text.data(), text.size());
+  XXH64_hash_t all =
+      XXH3_64bits_withSeed(request.Body.data(), request.Body.size(), head);
+  std::ostringstream name;
+  name << "request-" << std::hex << all;
+  parts.Names.push_back(name.str());
+  parts.Ids.push_back(promptPartOf(service, parts.Names.back()));
+  parts.HasWholeRequest = true;
+}
+
+bool isUnderSuspicion(const PartGuard &guard, const PromptParts &parts,
+                      Clock::time_point now) {
+  return decideParts(guard.Evidence, parts.Ids, now).State != PartState::Clear;
+}
+
+// Keeps a break, which the end of its server may explain, and has the server
+// checked.
+void keepBreak(PartGuard &guard, const PromptParts &parts,
+               const BrokenAttempt &attempt, Clock::time_point now) {
+  if (guard.Breaks.size() >= MaxUnexplainedBreaks)
+    guard.Breaks.pop_front();
+  guard.Breaks.push_back({attempt.Server, parts, std::string(attempt.RequestId),
+                          attempt.IsTrial, now});
+  if (guard.CheckServer)
+    guard.CheckServer(attempt.Server);
+}
+
 // Records the recent breaks at servers that have ended as crashes.
 template <class IsEnded>
 void explainBreaks(PartGuard &guard, IsEnded isEnded, Clock::time_point now) {
@@ -59,7 +113,8 @@
 
 PromptParts promptPartsOf(const ServiceId &service,
                           const std::vector<std::string> &names) {
-  PromptParts parts{names, {}, false};
+  PromptParts parts;
+  parts.Names = names;
   for (const std::string &it : names)
     parts.Ids.push_back(promptPartOf(service, it));
   return parts;
@@ -67,19 +122,17 @@
 
 PromptParts wholeRequestOf(const ServiceId &service,
                            const RequestFingerprint &request) {
-  std::string text;
-  for (std::string_view it : {request.Method, request.Target,
-                              std::string_view(request.Caller.Value)}) {
-    text.append(it);
-    text.push_back('\0');
-  }
-  XXH64_hash_t head = XXH3_64bits(text.data(), text.size());
-  XXH64_hash_t all =
-      XXH3_64bits_withSeed(request.Body.data(), request.Body.size(), head);
-  std::ostringstream name;
-  name << "request-" << std::hex << all;
-  PromptParts parts = promptPartsOf(service, {name.str()});
-  parts.IsWholeRequest = true;
+  PromptParts parts;
+  addWholeRequest(parts, service, request);
+  parts.IsSuspectAtOnce = true;
+  return parts;
+}
+
+PromptParts streamPartsOf(const ServiceId &service,
+                          const std::vector<std::string> &names,
+                          const RequestFingerprint &request) {
+  PromptParts parts = promptPartsOf(service, names);
+  addWholeRequest(parts, service, request);
   return parts;
 }
 
@@ -132,21 +185,33 @@
                  const BrokenAttempt &attempt, Clock::time_point now) {
   if (!attempt.IsDisconnected || areKnownSound(guard.Evidence, parts.Ids))
     return false;
-  bool isSuspect =
-      decideParts(guard.Evidence, parts.Ids, now).State != PartState::Clear;
-  if (isSuspect && parts.IsWholeRequest) {
+  bool isSuspect = isUnderSuspicion(guard, parts, now);
+  if (isSuspect && parts.IsSuspectAtOnce) {
     reportCrash(guard, parts, attempt, now);
     return true;
   }
-  if (guard.Breaks.size() >= MaxUnexplainedBreaks)
-    guard.Breaks.pop_front();
-  guard.Breaks.push_back({attempt.Server, parts, std::string(attempt.RequestId),
-                          attempt.IsTrial, now});
-  if (guard.CheckServer)
-    guard.CheckServer(attempt.Server);
+  keepBreak(guard, parts, attempt, now);
   return isSuspect;
 }
 
+bool reportStreamBreak(PartGuard &guard, const PromptParts &parts,
+                       const BrokenAttempt &attempt, Clock::time_point now) {
+  bool isNearEnd =
+      attempt.IsDisconnected && attempt.Silence < CrashSilenceLimit;
+  if (!isNearEnd)
+    return false;
+  PromptParts whole = wholeRequestIn(parts);
+  bool isSuspect = isUnderSuspicion(guard, whole, now);
+  if (!looksLikeCrash(attempt)) {
+    keepBreak(guard, whole, attempt, now);
+    return attempt.IsTrial && isSuspect;
+  }
+  PromptParts shared = sharedPartsIn(parts);
+  reportCrash(guard, shared, attempt, now);
+  keepBreak(guard, parts, attempt, now);
+  return isSuspect || mayCrashServers(guard, shared);
+}
+
 void reportServerEnd(PartGuard &guard, const ServerRecord &server,
                      Clock::time_point now) {
   explainBreaks(
@@ -172,10 +237,10 @@
                  const BrokenAttempt &attempt, Clock::time_point now) {
   ServerIncarnationId crash =
       incarnationIdOf(attempt.Server.Id, attempt.Server.StartedMs);
-  // A whole request is suspected by itself. A suspicion of it holds up no other
-  // request, so that one crash is enough.
+  // A suspicion of a request that is suspect at once holds up no other one, so
+  // that one crash is enough.
   bool isUncertain =
-      !attempt.HasBegun && !attempt.IsTrial && !parts.IsWholeRequest;
+      !attempt.HasBegun && !attempt.IsTrial && !parts.IsSuspectAtOnce;
   if (!recordCrash(guard.Evidence, parts.Ids, crash, now, isUncertain))
     return;
   PartDecision decision = decideParts(guard.Evidence, parts.Ids, now);
@@ -192,6 +257,11 @@
   guard.OnNews();
 }
 
+void reportBeginning(PartGuard &guard, const PromptParts &parts,
+                     Clock::time_point now) {
+  reportSurvival(guard, sharedPartsIn(parts), now);
+}
+
 void reportSurvival(PartGuard &guard, const PromptParts &parts,
                     Clock::time_point now) {
   if (parts.Ids.empty() || !recordSurvival(guard.Evidence, parts.Ids, now))
--- a/src/direct/part_guard_test.cpp
+++ b/src/direct/part_guard_test.cpp
@@ -133,3 +133,116 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+namespace {
+
+/// A guard and streams whose prompts share parts that were answered of late.
+struct StreamFixture {
+  PartGuard Guard;
+  PromptParts Crashing = stream("a question that crashes servers");
+  PromptParts Sound = stream("a sound question");
+  Clock::time_point Now = Clock::now();
+  std::uint64_t NextStart = 1;
+
+  StreamFixture() {
+    Guard.MayTry = [](PromptPartId) { return true; };
+    Guard.OnNews = [] {};
+    reportSurvival(Guard, Sound, Now);
+  }
+
+  static PromptParts stream(std::string_view body) {
+    return streamPartsOf({"helper"}, {"a", "b"},
+                         {"POST", "/draft/1", {"t"}, body});
+  }
+
+  PartState stateOf(const PromptParts &parts) const {
+    return decideParts(Guard.Evidence, parts.Ids, Now).State;
+  }
+
+  struct Break {
+    ServerRecord Server;
+    bool IsLast = false; ///< The stream must go to no other server.
+  };
+
+  // Breaks a stream with \p parts off after \p events.
+  Break breakStream(const PromptParts &parts, int events) {
+    BrokenAttempt attempt;
+    attempt.Server.Id = {"i-1"};
+    attempt.Server.StartedMs = NextStart++;
+    attempt.IsDisconnected = true;
+    attempt.HasBegun = true;
+    attempt.Events = events;
+    attempt.IsTrial = startTrial(Guard.Evidence, parts.Ids, Now);
+    bool isLast = reportStreamBreak(Guard, parts, attempt, Now);
+    endTrial(Guard.Evidence, parts.Ids);
+    return {attempt.Server, isLast};
+  }
+
+  // The same because its server ends. Returns whether the stream must go to no
+  // other server.
+  bool endServer(const PromptParts &parts, int events) {
+    Break it = breakStream(parts, events);
+    reportServerEnd(Guard, it.Server, Now);
+    return it.IsLast;
+  }
+};
+
+} // namespace
+
+BOOST_TEST_DONT_PRINT_LOG_VALUE(PartState)
+
+BOOST_FIXTURE_TEST_SUITE(BrokenStreams, StreamFixture)
+
+// Guards against a stream that ends server after server each time it comes
+// again, because all parts of its prompt are known to be sound.
+BOOST_AUTO_TEST_CASE(stream_endingServersWithSoundParts_isBlocked) {
+  for (int events : {0, 5}) {
+    StreamFixture site;
+    BOOST_TEST(!site.endServer(site.Crashing, events));
+    BOOST_TEST(!site.endServer(site.Crashing, events));
+    BOOST_TEST(site.stateOf(site.Crashing) == PartState::Suspect);
+    for (int i = 0; i < 2; ++i) {
+      site.Now += 2s;
+      BOOST_TEST(site.endServer(site.Crashing, events));
+    }
+    BOOST_TEST(site.stateOf(site.Crashing) == PartState::Blocked);
+    BOOST_TEST(site.stateOf(site.Sound) == PartState::Clear);
+  }
+}
+
+// Guards against a stream that is blocked because the server where it ran ended
+// for another reason: it goes on at another server.
+BOOST_AUTO_TEST_CASE(stream_resumedAfterServersEnd_isNoSuspect) {
+  for (int i = 0; i < 4; ++i) {
+    BOOST_TEST(!endServer(Crashing, 5));
+    Now += 2s;
+    reportSurvival(Guard, Crashing, Now);
+    BOOST_TEST(stateOf(Crashing) == PartState::Clear);
+    Now += 70s;
+    expireEvidence(Guard.Evidence, Now);
+    expireEvidence(Guard.Evidence, Now + 70s);
+  }
+}
+
+// The first events of a stream show nothing of what the rest of it does.
+BOOST_AUTO_TEST_CASE(stream_answeredBeyondItsBeginning_staysSuspectAsAWhole) {
+  endServer(Crashing, 5);
+  endServer(Crashing, 5);
+  reportBeginning(Guard, Crashing, Now);
+  BOOST_TEST(stateOf(Crashing) == PartState::Suspect);
+  reportSurvival(Guard, Crashing, Now);
+  BOOST_TEST(stateOf(Crashing) == PartState::Clear);
+}
+
+// Guards against streams of one caller that are blocked because they ran at
+// servers that lost their power together.
+BOOST_AUTO_TEST_CASE(alikeStreams_atServersThatEndTogether_areTried) {
+  std::vector<ServerRecord> servers;
+  for (int i = 0; i < 6; ++i)
+    servers.push_back(breakStream(Crashing, 5).Server);
+  for (const ServerRecord &it : servers)
+    reportServerEnd(Guard, it, Now);
+  BOOST_TEST(stateOf(Crashing) == PartState::Suspect);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/src/include/greengagespar/direct/part_guard.h
+++ b/src/include/greengagespar/direct/part_guard.h
@@ -31,11 +31,16 @@
 /// a trial has usually ended by then.
 inline constexpr std::chrono::milliseconds SuspectRetryAfter{1000};
 
-/// The parts of one request's prompt. A request without any is its own part.
+/// What a request is recognised by when it comes again: the parts of its prompt
+/// that other requests share, and the whole request.
 struct PromptParts {
-  std::vector<std::string> Names;
+  std::vector<std::string> Names; ///< Of Ids, for the log.
   std::vector<PromptPartId> Ids;
-  bool IsWholeRequest = false; ///< The one part is the whole request.
+  bool HasWholeRequest = false; ///< The last part is the whole request.
+  /// Whether one crash makes the whole request a suspect. Streams need more: a
+  /// caller's streams may have the same path and body, and differ in their
+  /// prompts only.
+  bool IsSuspectAtOnce = false;
 };
 
 /// A connection that broke before the whole answer to a request had arrived.
@@ -78,10 +83,16 @@
   std::string_view Body;
 };
 
-/// Returns the one part of a request for \p service without parts.
+/// Returns the one part of a request for a whole answer of \p service.
 PromptParts wholeRequestOf(const ServiceId &service,
                            const RequestFingerprint &request);
 
+/// Returns the parts of a request for a stream of \p service, whose prompt has
+/// the shared parts \p names.
+PromptParts streamPartsOf(const ServiceId &service,
+                          const std::vector<std::string> &names,
+                          const RequestFingerprint &request);
+
 /// Returns the names of \p parts for a log line, separated by commas; bounded
 /// in number and length.
 std::string describeParts(const std::vector<std::string> &names);
@@ -129,11 +140,19 @@
 
 /// Keeps the break of \p attempt, which a crash may explain, and has its server
 /// checked. Returns whether the request must go to no other server: one of
-/// \p parts is under suspicion already. The break of a whole request then
-/// counts as a crash at once.
+/// \p parts is under suspicion already. The break of a request that is suspect
+/// at once then counts as a crash without a check.
 bool reportBreak(PartGuard &guard, const PromptParts &parts,
                  const BrokenAttempt &attempt, Clock::time_point now);
 
+/// Records the break of a stream whose head had arrived. At the beginning of
+/// the answer, it is a crash under the shared parts. Whether the whole request
+/// has crashed the server is known once the server's end explains the break,
+/// which may be at any event. Returns whether the request must go to no other
+/// server.
+bool reportStreamBreak(PartGuard &guard, const PromptParts &parts,
+                       const BrokenAttempt &attempt, Clock::time_point now);
+
 /// Records that \p server has ended: it refuses connections, or another server
 /// is at its address. Breaks of the last seconds there were crashes.
 void reportServerEnd(PartGuard &guard, const ServerRecord &server,
@@ -145,7 +164,12 @@
 void reportServerStart(PartGuard &guard, const ServerRecord &server,
                        Clock::time_point now);
 
-/// Records that a server answered a request with \p parts beyond its beginning.
+/// Records that a server answered a request with \p parts beyond its beginning,
+/// so that none of the shared ones crashes servers.
+void reportBeginning(PartGuard &guard, const PromptParts &parts,
+                     Clock::time_point now);
+
+/// Records that a server answered a request with \p parts to the end.
 void reportSurvival(PartGuard &guard, const PromptParts &parts,
                     Clock::time_point now);
 
--- a/testsuite/direct/crash_test.cpp
+++ b/testsuite/direct/crash_test.cpp
@@ -12,10 +12,14 @@
 
 // A server ends when it begins to answer a request with this part.
 constexpr const char *CrashingPart = "bad00";
+// The same for a request with this target, whatever its prompt holds.
+constexpr const char *CrashingTarget = "/draft/bad";
 
 // The rule of the users' platform: after the fifth crash, at most three more
 // requests with the part reach a server.
 constexpr int MostCrashes = 8;
+// The same for one request that comes again: three more after the third crash.
+constexpr int MostCrashesOfOneRequest = 6;
 
 // Time for which a group stalls when one of its ranks has ended, before the
 // others break their calls off, and for which it stays closed afterwards.
@@ -34,6 +38,7 @@
   std::vector<Clock::time_point> RestartAt;
   bool IsGroup = false;
   bool EndsBeforeHead = false; ///< A server ends before it sends a head.
+  int EventsBeforeEnd = 0;     ///< Events that a server sends before it ends.
   int Crashes = 0;
   bool CrashesNext = false; ///< A server ends under the next request.
   bool DropsNext = false;   ///< The next request finds its connection closed.
@@ -61,7 +66,8 @@
   FakeAnswer respond(const std::string &id, const HttpRequestMessage &request) {
     const std::string *parts =
         findField(request.Head.Fields, "X-Prompt-Prefix");
-    bool isBad = parts && parts->find(CrashingPart) != std::string::npos;
+    bool isBad = request.Head.Target == CrashingTarget ||
+                 (parts && parts->find(CrashingPart) != std::string::npos);
     BadArrived += isBad ? 1 : 0;
     auto now = Clock::now();
     if (std::exchange(DropsNext, false))
@@ -74,7 +80,10 @@
       crash(id);
       if (EndsBeforeHead)
         return {.Resets = true};
-      return {.Bytes = streamHead(request), .Closes = true};
+      std::string bytes = streamHead(request);
+      for (int i = 1; i <= EventsBeforeEnd; ++i)
+        bytes += chunk(eventText(i));
+      return {.Bytes = bytes, .Closes = true};
     }
     Begun[idOf(request)] = now;
     return {.Bytes =
@@ -164,6 +173,30 @@
     }
   }
 
+  // Sends sound requests for \p time, and the same crashing one again and again
+  // among them, which shares its parts with them.
+  void sendRepeated(std::chrono::milliseconds time) {
+    auto end = Clock::now() + time;
+    for (std::size_t n = 0; Clock::now() < end; ++n) {
+      if (n % 8 == 0)
+        sendParts(n / 8, "a0:40", CrashingTarget);
+      sendParts(Rng(), withFirst(""));
+      steps(25ms);
+    }
+  }
+
+  // Starts servers and entries, sends a crashing request again and again, and
+  // checks that few servers end and that sound requests are served.
+  void checkRepeatedStream() {
+    addServers(12);
+    startEntries(3);
+    sendRepeated(7s);
+    BOOST_TEST_MESSAGE("crashes: " << Crashes);
+    BOOST_TEST(Crashes >= 3);
+    BOOST_TEST(Crashes <= MostCrashesOfOneRequest);
+    BOOST_TEST(servedShare(40) >= 0.9);
+  }
+
   // Starts servers and entries, sends requests for \p time, of which more than
   // \p leastBad have CrashingPart, and checks that few servers end.
   void checkCrashes(std::chrono::milliseconds time, int leastBad) {
@@ -232,6 +265,22 @@
   BOOST_TEST(servedShare(40) >= 0.9);
 }
 
+// Guards against one stream that ends server after server as it comes again,
+// because the parts of its prompt are known to be sound.
+BOOST_AUTO_TEST_CASE(crashingStream_withSoundParts_endsFewServers) {
+  checkRepeatedStream();
+}
+
+BOOST_AUTO_TEST_CASE(crashingStream_endingServersBeforeTheHead_endsFewServers) {
+  EndsBeforeHead = true;
+  checkRepeatedStream();
+}
+
+BOOST_AUTO_TEST_CASE(crashingStream_endingServersMidway_endsFewServers) {
+  EventsBeforeEnd = 4;
+  checkRepeatedStream();
+}
+
 // Guards against parts that are blocked as they waited at servers which lost
 // their power together.
 BOOST_AUTO_TEST_CASE(parts_waitingAtServersThatEndTogether_areServed) {
--- a/testsuite/direct/entries_site.cpp
+++ b/testsuite/direct/entries_site.cpp
@@ -47,12 +47,13 @@
   }
 }
 
-Call &EntriesFixture::sendParts(std::size_t index, const std::string &parts) {
+Call &EntriesFixture::sendParts(std::size_t index, const std::string &parts,
+                                const std::string &target) {
   Settings.Listen = Entries[index % Entries.size()].Settings.Listen;
   std::string fields = "X-Api-Key: k1\r\nX-Deadline-Ms: 3000\r\n"
                        "X-Prompt-Prefix: ";
   fields.append(parts).append(numbered(",f", ++NextOwnPart)).append(":600\r\n");
-  Calls.push_back(send("POST", "/draft/1", fields));
+  Calls.push_back(send("POST", target, fields));
   return *Calls.back();
 }
 
--- a/testsuite/direct/entries_site.h
+++ b/testsuite/direct/entries_site.h
@@ -34,7 +34,8 @@
   void steps(std::chrono::milliseconds time);
   /// Sends a stream request with the shared \p parts in its prompt, and a part
   /// of its own behind them, via the entry \p index (modulo their number).
-  Call &sendParts(std::size_t index, const std::string &parts);
+  Call &sendParts(std::size_t index, const std::string &parts,
+                  const std::string &target = "/draft/1");
 
 private:
   std::uint64_t NextOwnPart = 0;
