Go on with a list behind entries that can't be read

What callers saw: after a kill of all entries no request was served, as one large entry of another writer that could not be read was the first of the list of servers. All servers were registered and ran.

Cause: parseList() went on to the next page only if the page had a readable object, and reported the list as whole otherwise. The servers behind the page were unknown; an entry that had been running would have counted them as gone.

Evidence: the log of an entry holds one store_entry_unreadable line, no line of a server after the restart and no store_lost.

Change: the last name of a page is found whether or not its entry can be read. A list that goes on without a name, or leads back to an earlier page, is reported as incomplete: it removes nothing, its changes are followed, and it is asked for again after 5 s. The revision of a list is that of its first page also when nothing on that page could be read.

--- a/src/direct/site_follower.cpp
+++ b/src/direct/site_follower.cpp
@@ -281,9 +281,9 @@
   logUnreadable(change.Unreadable);
   auto now = Clock::now();
   std::vector<ServerRecord> records = readServers(change.Objects);
-  report(change.IsSnapshot
-             ? recordListing(Known, records, change.IsRestored, now)
-             : recordRegistrations(Known, records));
+  bool isList = change.IsSnapshot || change.IsIncompleteList;
+  report(isList ? recordListing(Known, records, change.IsRestored, now)
+                : recordRegistrations(Known, records));
   std::vector<ServerId> missing;
   if (change.IsSnapshot)
     missing = missingFrom(Known, records);
@@ -305,7 +305,7 @@
             .add("missing", static_cast<std::int64_t>(missing.size()))
             .add("doubtful", static_cast<std::int64_t>(Known.Doubtful.size()))
             .text());
-  HasServers = HasServers || change.IsSnapshot;
+  HasServers = HasServers || isList;
 }
 
 void SiteFollower::onOrders(const PrefixChange &change) {
--- a/src/include/greengagespar/store/json_batch.h
+++ b/src/include/greengagespar/store/json_batch.h
@@ -8,6 +8,8 @@
 #include "greengagespar/base/errors.h"
 #include <boost/json/object.hpp>
 #include <boost/json/value.hpp>
+#include <initializer_list>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -29,6 +31,7 @@
   boost::json::object Envelope; ///< Members that can't be read are left out.
   std::vector<BatchEntry> Entries;
   std::vector<std::string> Unreadable; ///< See describeEntry().
+  std::vector<std::string_view> Texts; ///< All entries, of the body.
 };
 
 /// Parses \p body, an object whose member \p list is an array of entries.
@@ -36,6 +39,12 @@
 /// is missing. The result refers to \p body. Thread safe.
 Result<JsonBatch> parseBatch(std::string_view body, std::string_view list);
 
+/// Returns the text at \p path, names of nested members, in \p object. Other
+/// members may hold bytes that can't be read; a text that is no valid JSON is
+/// returned as it stands. Empty if there is none. Thread safe.
+std::optional<std::string>
+findText(std::string_view object, std::initializer_list<std::string_view> path);
+
 /// Returns the beginning of an entry's \p text, whatever bytes it has, and why
 /// it can't be used: one line of printable characters. Thread safe.
 std::string describeEntry(std::string_view text, std::string_view why);
--- a/src/include/greengagespar/store/object.h
+++ b/src/include/greengagespar/store/object.h
@@ -63,6 +63,8 @@
   ObjectVersion Revision;
   std::vector<Object> Objects; ///< In order of path.
   std::string Next; ///< Pass it as `after` for the rest; empty at the end.
+  /// There is a rest, but the part holds no name to pass as `after`.
+  bool IsIncomplete = false;
   std::vector<std::string> Unreadable; ///< See describeEntry().
 };
 
--- a/src/include/greengagespar/store/prefix_watch.h
+++ b/src/include/greengagespar/store/prefix_watch.h
@@ -12,6 +12,7 @@
 #include "greengagespar/store/poll_schedule.h"
 #include <cstdint>
 #include <functional>
+#include <set>
 #include <string>
 
 namespace greengagespar {
@@ -19,8 +20,11 @@
 /// One report of a watch.
 struct PrefixChange {
   bool IsSnapshot = false; ///< Objects holds all objects under the prefix.
-  /// A snapshot of a store that was restored since the last report: its objects
-  /// may be older than those reported before.
+  /// A list of which a part can't be read: Objects holds some of the objects
+  /// under the prefix, and others exist. Not set for a snapshot.
+  bool IsIncompleteList = false;
+  /// A list of a store that was restored since the last report: its objects may
+  /// be older than those reported before.
   bool IsRestored = false;
   ObjectVersion Revision;              ///< Never lower than in earlier reports.
   std::vector<Object> Objects;         ///< Written since the last report.
@@ -80,6 +84,8 @@
   /// random moment, so that many processes do not all list at the same time.
   std::chrono::milliseconds RestoreSpread{200};
   BackoffOptions Retry; ///< Between attempts while the platform fails.
+  /// Time from an incomplete list to the next one. Polls go on meanwhile.
+  std::chrono::milliseconds RelistAfter{5000};
 };
 
 /// Watches one prefix. After an outage it continues after the last revision
@@ -87,6 +93,7 @@
 /// platform reports that this revision is too old, or was restored: its
 /// revision then says nothing about the changes that the watch has missed. A
 /// poll that gets no answer is abandoned and sent again over a new connection.
+/// An incomplete list is reported as such, and asked for again after a while.
 /// The store may lose a poll in an outage without a sign on its connection, so
 /// the ends of the polls are spread (see poll_schedule.h), and the processes
 /// tell each other of changes (see expect()).
@@ -136,6 +143,7 @@
   void listRestored();
   void list();
   void listPart(const std::string &after);
+  void addPart(Listing part);
   void watch();
   std::chrono::milliseconds nextWait() const;
   void checkExpected();
@@ -163,6 +171,10 @@
   Clock::time_point PollSentAt;
   std::uint64_t OvertakenPolls = 0;
   Listing Parts; ///< The parts received so far of a list in progress.
+  /// The names after which these parts were asked for, the first one excepted.
+  std::set<std::string> ListedAfter;
+  Clock::time_point RelistAt; ///< When to list again, after an incomplete list.
+  bool IsIncomplete = false;  ///< The last list was.
   bool Listed = false;
   bool HasReported = false;
   bool HasFailed = false; ///< No call has succeeded since a failure or start().
--- a/src/store/json_batch.cpp
+++ b/src/store/json_batch.cpp
@@ -144,6 +144,31 @@
   return line;
 }
 
+std::optional<std::string>
+findText(std::string_view object,
+         std::initializer_list<std::string_view> path) {
+  std::string_view text = object;
+  for (std::string_view name : path) {
+    auto members = membersOf(text);
+    if (!members)
+      return std::nullopt;
+    auto it = std::ranges::find_if(*members, [&](const Member &member) {
+      return member.first.size() == name.size() + 2 &&
+             member.first.substr(1, name.size()) == name;
+    });
+    if (it == members->end())
+      return std::nullopt;
+    text = it->second;
+  }
+  if (text.size() < 2 || text.front() != '"')
+    return std::nullopt;
+  json::error_code ec;
+  json::value value = parseText(text, ec);
+  if (ec)
+    return std::string(text.substr(1, text.size() - 2));
+  return std::string(value.get_string());
+}
+
 Result<JsonBatch> parseBatch(std::string_view body, std::string_view list) {
   auto members = membersOf(body);
   if (!members)
@@ -162,7 +187,8 @@
   if (!elements)
     return fail(ErrorKind::BadRequest,
                 "the store's answer has no valid list " + std::string(list));
-  for (std::string_view text : *elements) {
+  batch.Texts = std::move(*elements);
+  for (std::string_view text : batch.Texts) {
     json::error_code ec;
     json::value value = parseText(text, ec);
     if (ec)
--- a/src/store/prefix_watch.cpp
+++ b/src/store/prefix_watch.cpp
@@ -107,7 +107,8 @@
 }
 
 void PrefixWatch::poll() {
-  if (Listed)
+  bool isRelistDue = IsIncomplete && Clock::now() >= RelistAt;
+  if (Listed && !isRelistDue)
     watch();
   else
     list();
@@ -126,27 +127,46 @@
 
 void PrefixWatch::list() {
   Parts = {};
+  ListedAfter.clear();
   listPart("");
 }
 
+// Adds \p part to the list. A part that leads back to an earlier one has no
+// name to go on from.
+void PrefixWatch::addPart(Listing part) {
+  std::ranges::move(part.Objects, std::back_inserter(Parts.Objects));
+  std::ranges::move(part.Unreadable, std::back_inserter(Parts.Unreadable));
+  Parts.Next = std::move(part.Next);
+  bool isRepeated =
+      !Parts.Next.empty() && !ListedAfter.insert(Parts.Next).second;
+  if (isRepeated)
+    Parts.Next.clear();
+  Parts.IsIncomplete = part.IsIncomplete || isRepeated;
+  if (Parts.IsIncomplete)
+    Parts.Unreadable.emplace_back("the rest of a list: no name to go on from");
+}
+
 // The first poll begins at the revision of the first part, so it reports the
 // changes that were made while the parts were being received.
 void PrefixWatch::listPart(const std::string &after) {
-  auto done = [this, round = Round](Result<Listing> result) {
+  bool isFirst = after.empty();
+  auto done = [this, isFirst, round = Round](Result<Listing> result) {
     if (round != Round)
       return;
-    handle(std::move(result), [this](Listing part) {
-      if (Parts.Objects.empty())
+    handle(std::move(result), [this, isFirst](Listing part) {
+      if (isFirst)
         Parts.Revision = part.Revision;
       // The store was restored between two parts.
       if (part.Revision.Timeline != Parts.Revision.Timeline)
         return listRestored();
-      std::ranges::move(part.Objects, std::back_inserter(Parts.Objects));
-      std::ranges::move(part.Unreadable, std::back_inserter(Parts.Unreadable));
-      if (!part.Next.empty())
-        return listPart(part.Next);
+      addPart(std::move(part));
+      if (!Parts.Next.empty())
+        return listPart(Parts.Next);
       Listed = Parts.Revision >= Revision;
-      report({.IsSnapshot = true,
+      IsIncomplete = Parts.IsIncomplete;
+      RelistAt = Clock::now() + Options.RelistAfter;
+      report({.IsSnapshot = !IsIncomplete,
+              .IsIncompleteList = IsIncomplete,
               .IsRestored =
                   HasReported && Parts.Revision.Timeline > Revision.Timeline,
               .Revision = Parts.Revision,
@@ -184,8 +204,9 @@
   if (HasFailed)
     return ProbeWait;
   PollSlot slot = Options.Slot ? Options.Slot() : PollSlot{};
-  return IsOnSchedule ? pollCycle(Options.Spread, slot)
-                      : firstPollWait(Options.Spread, slot);
+  auto wait = IsOnSchedule ? pollCycle(Options.Spread, slot)
+                           : firstPollWait(Options.Spread, slot);
+  return IsIncomplete ? std::min(wait, Options.RelistAfter) : wait;
 }
 
 void PrefixWatch::handleAnswer(WatchAnswer answer) {
@@ -197,6 +218,7 @@
   if (answer.Revision.Timeline != Revision.Timeline)
     return listRestored();
   report({.IsSnapshot = false,
+          .IsIncompleteList = false,
           .IsRestored = false,
           .Revision = answer.Revision,
           .Objects = std::move(answer.Objects),
@@ -216,11 +238,12 @@
   Revision = change.Revision;
   bool hasChanged = !change.Objects.empty() || !change.Deleted.empty() ||
                     !change.Unreadable.empty();
-  if (!change.IsSnapshot && hasChanged) {
+  bool isList = change.IsSnapshot || change.IsIncompleteList;
+  if (!isList && hasChanged) {
     LastChange = change.Revision;
     LastChangeAt = Clock::now();
   }
-  IsOnSchedule = !change.IsSnapshot && !hasChanged && !HasFailed;
+  IsOnSchedule = !isList && !hasChanged && !HasFailed;
   HasReported = true;
   HasFailed = false;
   NextPoll.start(Pause);
--- a/src/store/prefix_watch_test.cpp
+++ b/src/store/prefix_watch_test.cpp
@@ -46,7 +46,8 @@
                      .Pause = {.Min = 1ms, .Max = 1ms},
                      .Grace = {.Min = 50ms, .Max = 200ms},
                      .RestoreSpread = 5ms,
-                     .Retry = {.Base = 1ms, .Cap = 4ms}},
+                     .Retry = {.Base = 1ms, .Cap = 4ms},
+                     .RelistAfter = 20ms},
                     1,
                     [this](const PrefixChange &c) { Changes.push_back(c); },
                     [this](const Error &) { ++Failures; }};
@@ -72,11 +73,12 @@
   }
 };
 
-// Reads the member "next" besides those of a whole list.
+// Reads the members "next" and "incomplete" besides those of a whole list.
 Result<Listing> parsePart(std::string_view body) {
   BOOST_LEAF_AUTO(listing, parseListing(body));
   boost::json::value parsed = boost::json::parse({body.data(), body.size()});
   listing.Next = parsed.at("next").as_string().c_str();
+  listing.IsIncomplete = parsed.as_object().contains("incomplete");
   return listing;
 }
 
@@ -87,6 +89,11 @@
                    R"(","version":1,"value":1}],"next":")" + next + "\"}"};
 }
 
+ScriptedAnswer emptyPart(int revision, const std::string &next) {
+  return {200, R"({"revision":)" + std::to_string(revision) +
+                   R"(,"objects":[],"next":")" + next + "\"}"};
+}
+
 /// A watch of a store that lists in parts.
 struct PartsFixture : WatchFixture {
   static const ObjectApi &api() {
@@ -333,4 +340,53 @@
   BOOST_TEST(Changes.at(0).Objects.at(1).Path == "/p/d");
 }
 
+// Parts of a list whose entries can't be read, at the beginning, in the midst,
+// two in a row and at the end, cost none of the others.
+BOOST_AUTO_TEST_CASE(list_withPartsWithoutObjects_isReportedAsAWhole) {
+  Script = {emptyPart(5, "b"), part(6, "/p/c", "d"), emptyPart(6, "e"),
+            emptyPart(6, "f"), part(6, "/p/g", "h"), emptyPart(6, "")};
+  Watch.start();
+  Server.runUntil([&] { return !Changes.empty(); });
+  const PrefixChange &change = Changes.at(0);
+  BOOST_TEST(change.IsSnapshot);
+  BOOST_TEST(change.Objects.size() == 2);
+  // The changes made since the first part are still to be reported.
+  BOOST_TEST(change.Revision.Value == 5);
+}
+
+// Guards against objects that count as removed because a part of the list that
+// would name them can't be read.
+BOOST_AUTO_TEST_CASE(list_thatIsIncomplete_isNoSnapshotAndReadAgain) {
+  const std::vector<ScriptedAnswer> parts = {
+      part(5, "/p/a", "a"),
+      {200, R"({"revision":5,"objects":[],"next":"","incomplete":1})"},
+      part(7, "/p/a", "a"),
+      part(7, "/p/b", "")};
+  std::size_t listed = 0;
+  Server.Answer = [&](auto &request) {
+    bool isList = request.Target.starts_with("/v1/list");
+    return isList ? parts.at(std::min(listed++, parts.size() - 1)) : change(6);
+  };
+  Watch.start();
+  Server.runUntil(
+      [&] { return !Changes.empty() && Changes.back().IsSnapshot; });
+  BOOST_TEST(!Changes.at(0).IsSnapshot);
+  BOOST_TEST(Changes.at(0).IsIncompleteList);
+  BOOST_TEST(Changes.at(0).Objects.size() == 1);
+  BOOST_TEST(Changes.at(0).Unreadable.size() == 1);
+  // Polls go on from the incomplete list.
+  BOOST_TEST(watchesAfter(2, "5"));
+  BOOST_TEST(!Changes.at(1).IsIncompleteList);
+  BOOST_TEST(Changes.back().Objects.size() == 2);
+}
+
+// Guards against a list that never ends.
+BOOST_AUTO_TEST_CASE(list_leadingBackToAnEarlierPart_isIncomplete) {
+  Script = {part(5, "/p/a", "a"), part(5, "/p/b", "b"), part(5, "/p/a", "a")};
+  Watch.start();
+  Server.runUntil([&] { return !Changes.empty(); });
+  BOOST_TEST(!Changes.at(0).IsSnapshot);
+  BOOST_TEST(Changes.at(0).IsIncompleteList);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
