Let only servers of named services decide who is used at an address

What callers saw: beside each server's entry stood one of another writer with the same address, a later start and a service that no configuration names. Every request was refused with 503 until these entries were removed.

Cause: updateUsed() kept the latest start at an address over all entries, whatever they named.

Evidence: on the code before, the server is out of use as soon as the entry appears, and after a restart (server_besideEntryOfUnnamedService_isUsed, 2 checks failed).

Change: servers count only if the configuration names their service; a later one that does makes them count. A server for which another one has answered at its address replaces none there, so that an entry with a start in the future, or of another named service, costs a second attempt only (server_besideEntryWithStartInTheFuture_isUsed, 3 checks failed before). Requests that carry an expected id are refused by another server without having run, so that trying is safe.

--- a/src/direct/direct_entry.cpp
+++ b/src/direct/direct_entry.cpp
@@ -1,5 +1,6 @@
 #include "greengagespar/direct/direct_entry.h"
 
+#include "greengagespar/base/hash.h"
 #include "greengagespar/base/log.h"
 #include "greengagespar/base/log_output.h"
 #include "greengagespar/direct/digest_messages.h"
@@ -280,6 +281,10 @@
 void DirectEntry::applyNotices() {
   for (auto &[service, pool] : Pools)
     pool->applyNotices();
+  if (!Shared.Notices.Servers.empty())
+    Site.findElsewhere([this](const ServerRecord &it) {
+      return isGone(Shared.Notices, incarnationIdOf(it.Id, it.StartedMs));
+    });
 }
 
 // Sets each pool's parts of the rate limits of its servers and of the room of
--- a/src/direct/server_table.cpp
+++ b/src/direct/server_table.cpp
@@ -27,16 +27,23 @@
   table.Servers.erase(it);
 }
 
+bool isNamed(const ServerTable &table, const ServiceId &service) {
+  return !table.Services || table.Services->contains(service);
+}
+
 // Decides anew which servers are used, and adds what that changes.
 void updateUsed(ServerTable &table, ServerChanges &changes) {
   std::map<Address, std::uint64_t> latestStart;
   for (const auto &[id, it] : table.Servers) {
+    if (it.IsElsewhere || !isNamed(table, it.Record.Service))
+      continue;
     std::uint64_t &latest = latestStart[it.Record.At];
     latest = std::max(latest, it.Record.StartedMs);
   }
   for (auto &entry : table.Servers) {
     KnownServer &it = entry.second;
-    bool isUsed = it.Record.StartedMs >= latestStart[it.Record.At];
+    bool isUsed = isNamed(table, it.Record.Service) &&
+                  it.Record.StartedMs >= latestStart[it.Record.At];
     bool wasUsed = std::exchange(it.IsUsed, isUsed);
     if (isUsed && !wasUsed)
       changes.Updated.push_back(it.Record);
@@ -68,6 +75,26 @@
 
 } // namespace
 
+ServerChanges recordServices(ServerTable &table, std::set<ServiceId> services) {
+  table.Services = std::move(services);
+  ServerChanges changes;
+  updateUsed(table, changes);
+  return changes;
+}
+
+ServerChanges
+recordElsewhere(ServerTable &table,
+                const std::function<bool(const ServerRecord &)> &isElsewhere) {
+  bool isNews = false;
+  for (auto &[id, it] : table.Servers)
+    if (!it.IsElsewhere && isElsewhere(it.Record))
+      it.IsElsewhere = isNews = true;
+  ServerChanges changes;
+  if (isNews)
+    updateUsed(table, changes);
+  return changes;
+}
+
 void recordStoreUnavailable(ServerTable &table) {
   table.StoreUnavailable = true;
 }
@@ -121,8 +148,12 @@
         changes.Cold.push_back(it);
       continue;
     }
-    if (known.IsUsed && known.Record.Service != it.Service)
+    if (known.IsUsed && known.Record.Service != it.Service) {
       changes.Removed.push_back(known.Record);
+      known.IsUsed = false;
+    }
+    if (known.Record.StartedMs != it.StartedMs || known.Record.At != it.At)
+      known.IsElsewhere = false;
     known.Record = it;
     if (known.IsUsed)
       changes.Updated.push_back(it);
--- a/src/direct/server_table_test.cpp
+++ b/src/direct/server_table_test.cpp
@@ -249,4 +249,71 @@
   BOOST_TEST(recordRegistrations(Table, {cold}).Cold.empty());
 }
 
+// Guards against an entry of another writer that puts a server out of use: no
+// configuration names its service.
+BOOST_AUTO_TEST_CASE(registration_ofUnnamedService_replacesNoServer) {
+  recordServices(Table, {{"ledger"}, {"helper"}});
+  ServerRecord foreign = record("m1", false, 9);
+  foreign.At = record("s1", false).At;
+  foreign.Service = {"ledger-watch"};
+  ServerChanges changes = recordRegistrations(Table, {foreign});
+  BOOST_TEST(changes.Updated.empty());
+  BOOST_TEST(changes.Removed.empty());
+  BOOST_TEST(recordMissing(Table, {{"m1"}}, Now).Removed.empty());
+}
+
+// Servers and configuration may come in any order.
+BOOST_AUTO_TEST_CASE(configuration_namingTheServiceLater_makesItsServersCount) {
+  ServerRecord foreign = record("m1", false, 9);
+  foreign.At = record("s1", false).At;
+  foreign.Service = {"helper"};
+  recordRegistrations(Table, {foreign});
+  ServerChanges changes = recordServices(Table, {{"ledger"}});
+  BOOST_REQUIRE(changes.Updated.size() == 1);
+  BOOST_TEST(changes.Updated[0].Id.Value == "s1");
+  BOOST_REQUIRE(changes.Removed.size() == 1);
+  BOOST_TEST(changes.Removed[0].Id.Value == "m1");
+  changes = recordServices(Table, {{"ledger"}, {"helper"}});
+  BOOST_REQUIRE(changes.Updated.size() == 1);
+  BOOST_TEST(changes.Updated[0].Id.Value == "m1");
+  BOOST_REQUIRE(changes.Removed.size() == 1);
+  BOOST_TEST(changes.Removed[0].Id.Value == "s1");
+}
+
+BOOST_AUTO_TEST_CASE(server_movedToUnnamedService_isRemovedOnce) {
+  recordServices(Table, {{"ledger"}});
+  ServerRecord moved = record("s1", false, 2);
+  moved.Service = {"ledger-watch"};
+  ServerChanges changes = recordRegistrations(Table, {moved});
+  BOOST_TEST(changes.Updated.empty());
+  BOOST_REQUIRE(changes.Removed.size() == 1);
+  BOOST_TEST(changes.Removed[0].Service.Value == "ledger");
+}
+
+// Guards against an entry with a start in the future that puts the server at
+// its address out of use, in one service or two.
+BOOST_AUTO_TEST_CASE(
+    registration_thatAnotherServerAnswersFor_replacesNoServer) {
+  for (const char *service : {"ledger", "helper"}) {
+    ServersFixture site;
+    recordServices(site.Table, {{"ledger"}, {"helper"}});
+    ServerRecord foreign = record("m1", false, 1000);
+    foreign.At = record("s1", false).At;
+    foreign.Service = {service};
+    BOOST_TEST(recordRegistrations(site.Table, {foreign}).Removed.size() == 1);
+    auto isForeign = [&](const ServerRecord &it) {
+      return it.Id == foreign.Id;
+    };
+    ServerChanges changes = recordElsewhere(site.Table, isForeign);
+    BOOST_REQUIRE(changes.Updated.size() == 1);
+    BOOST_TEST(changes.Updated[0].Id.Value == "s1");
+    BOOST_TEST(recordElsewhere(site.Table, isForeign).Updated.empty());
+    // A later start is news of the address.
+    foreign.StartedMs = 2000;
+    changes = recordRegistrations(site.Table, {foreign});
+    BOOST_REQUIRE(changes.Removed.size() == 1);
+    BOOST_TEST(changes.Removed[0].Id.Value == "s1");
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/direct/site_follower.cpp
+++ b/src/direct/site_follower.cpp
@@ -74,6 +74,17 @@
   return path.substr(path.rfind('/') + 1);
 }
 
+// Returns all services that the configuration names.
+std::set<ServiceId> servicesIn(const SiteConfiguration &site) {
+  std::set<ServiceId> services;
+  for (const auto &[id, backend] : site.Backends)
+    services.insert(id);
+  for (const Route &route : site.Routes)
+    for (const ServiceShare &it : route.Services)
+      services.insert(it.Service);
+  return services;
+}
+
 // Returns the id of the server whose registration has \p path.
 ServerId idOf(const std::string &path) { return {nameOf(path)}; }
 
@@ -208,6 +219,7 @@
         Declared = value;
         Table = makeRouteTable(std::move(site));
         Hooks.OnConfiguration(Table);
+        report(recordServices(Known, servicesIn(Table->Site)));
         return {};
       },
       [&](const Error &e) {
@@ -342,6 +354,11 @@
     Hooks.OnServers(changes);
 }
 
+void SiteFollower::findElsewhere(
+    const std::function<bool(const ServerRecord &)> &isElsewhere) {
+  report(recordElsewhere(Known, isElsewhere));
+}
+
 void SiteFollower::tick(Clock::time_point now) {
   report(removeExpired(Known, now));
   report(recordConfirmed(Known, now));
--- a/src/include/greengagespar/direct/server_table.h
+++ b/src/include/greengagespar/direct/server_table.h
@@ -18,6 +18,8 @@
 
 #include "greengagespar/base/clock.h"
 #include "greengagespar/direct/site.h"
+#include <functional>
+#include <set>
 
 namespace greengagespar {
 
@@ -31,7 +33,11 @@
   /// Set while the registration is missing after an outage: the server is
   /// removed at this time unless it registers again.
   std::optional<Clock::time_point> RemoveAt;
-  /// No server that started later is registered at its address.
+  /// Another server has answered at its address, so that its registration says
+  /// nothing of the others there.
+  bool IsElsewhere = false;
+  /// The configuration names its service, and no server of which that holds too
+  /// and that started later is registered at its address.
   bool IsUsed = false;
 };
 
@@ -56,6 +62,8 @@
 /// All servers that may receive work, and those that are leaving.
 struct ServerTable {
   std::map<ServerId, KnownServer> Servers;
+  /// Those that the configuration names; empty: no configuration is known yet.
+  std::optional<std::set<ServiceId>> Services;
   bool StoreUnavailable = false; ///< The last call to the store failed.
   /// Registrations that go missing before this time may have expired in an
   /// outage.
@@ -88,6 +96,17 @@
   std::vector<ServerRecord> Cold;
 };
 
+/// Records that the configuration names \p services. Servers of other ones are
+/// not used, and don't replace any.
+ServerChanges recordServices(ServerTable &table, std::set<ServiceId> services);
+
+/// Records that another server than each for which \p isElsewhere holds has
+/// answered at its address. These replace no other server until they start
+/// again.
+ServerChanges
+recordElsewhere(ServerTable &table,
+                const std::function<bool(const ServerRecord &)> &isElsewhere);
+
 /// Records that the store did not answer.
 void recordStoreUnavailable(ServerTable &table);
 
--- a/src/include/greengagespar/direct/site_follower.h
+++ b/src/include/greengagespar/direct/site_follower.h
@@ -84,6 +84,11 @@
   /// have not been read from the store; a malformed one is logged and ignored.
   void applySnapshot(const std::string &text);
 
+  /// Finds the servers for which \p isElsewhere holds: another one has answered
+  /// at their addresses. See recordElsewhere().
+  void
+  findElsewhere(const std::function<bool(const ServerRecord &)> &isElsewhere);
+
   /// Removes servers that have not registered again in time after an outage.
   void tick(Clock::time_point now);
 
--- a/src/include/greengagespar/route/server_notice.h
+++ b/src/include/greengagespar/route/server_notice.h
@@ -61,6 +61,9 @@
 /// Whether there is a notice about \p server.
 bool hasNotice(const ServerNotices &notices, ServerIncarnationId server);
 
+/// Whether there is a notice that \p server is gone.
+bool isGone(const ServerNotices &notices, ServerIncarnationId server);
+
 /// Returns at most \p most rows for other entries, the newest first.
 std::vector<NoticeRow> noticeRows(const ServerNotices &notices,
                                   std::size_t most, Clock::time_point now);
--- a/src/route/server_notice.cpp
+++ b/src/route/server_notice.cpp
@@ -42,6 +42,11 @@
   return notices.Servers.contains(server);
 }
 
+bool isGone(const ServerNotices &notices, ServerIncarnationId server) {
+  auto it = notices.Servers.find(server);
+  return it != notices.Servers.end() && it->second.Kind == NoticeKind::Gone;
+}
+
 std::vector<NoticeRow> noticeRows(const ServerNotices &notices,
                                   std::size_t most, Clock::time_point now) {
   std::vector<NoticeRow> rows;
--- a/testsuite/direct/path_test.cpp
+++ b/testsuite/direct/path_test.cpp
@@ -145,6 +145,42 @@
   BOOST_TEST(sendAndWait("GET", "/status/1").Head.Status == 200);
 }
 
+// Guards against an entry of another writer that puts the server at the address
+// it names out of use, when it appears and after a restart.
+BOOST_AUTO_TEST_CASE(server_besideEntryOfUnnamedService_isUsed) {
+  FakeServer &ledger =
+      addServer("ledger", [](const auto &it) { return ok(it); });
+  startEntry();
+  boost::json::object foreign = ledger.entry("ledger-watch");
+  foreign["born"] = ledger.StartedMs + 1000;
+  Objects.put("servers", "a-watch", foreign);
+  runFor(300ms);
+  BOOST_TEST(sendAndWait("GET", "/status/1").Head.Status == 200);
+  Entry.reset();
+  startEntry();
+  BOOST_TEST(sendAndWait("GET", "/status/2").Head.Status == 200);
+  Objects.remove("servers", "a-watch");
+  runFor(300ms);
+  BOOST_TEST(sendAndWait("GET", "/status/3").Head.Status == 200);
+}
+
+// The same for an entry of a service that has requests, with a start in the
+// future: the server refuses what is sent to the other one.
+BOOST_AUTO_TEST_CASE(server_besideEntryWithStartInTheFuture_isUsed) {
+  FakeServer &ledger = addServer("ledger", [](const auto &it) {
+    const std::string *to = findField(it.Head.Fields, "X-Expect-Instance");
+    return to && *to == "m-1" ? FakeAnswer{signedAnswer(it, 421, "")} : ok(it);
+  });
+  startEntry();
+  boost::json::object foreign = ledger.entry("ledger");
+  foreign["born"] = ledger.StartedMs + 1000000;
+  Objects.put("servers", "m-1", foreign);
+  runFor(300ms);
+  sendAndWait("GET", "/status/1");
+  for (int i = 0; i < 3; ++i)
+    BOOST_TEST(sendAndWait("GET", "/status/2").Head.Status == 200);
+}
+
 BOOST_AUTO_TEST_CASE(entry_stoppedDuringRequest_finishesIt) {
   FakeServer &ledger = addServer(
       "ledger", [](const auto &) { return FakeAnswer{.SendsNothing = true}; });
