Look at all parts of a prompt for the one that crashes servers

What callers saw: a part behind the 64th of long prompts ended server after server; sound requests failed or were refused for as long as such requests came.

Cause: readSharedParts() stopped after 64 parts, and what was beyond was taken for sound. Behind it stood a second bound of the same kind: a digest held the 16 rows with the newest crashes, so that of the many suspects of one crash the same 16 were sent each time.

Change: the size of a head alone bounds the parts. Evidence goes to other entries in turns, what changed first. Cleared evidence makes room first, and a crash with more suspects than there is room for is completed by later ones. A break keeps only the parts that may be its reason, and a decision compares only parts with evidence, so that a long list costs little more than reading it. Names are kept as one text.

--- a/src/direct/exchange.cpp
+++ b/src/direct/exchange.cpp
@@ -63,6 +63,8 @@
       Parts(partsOf(Call, Request)),
       LimitTimer(context.Loop, [this] { onTimer(); }),
       PauseTimer(context.Loop, [this] { onPauseTimer(); }) {
+  // Parts holds them in fewer bytes.
+  Call.Facts.SharedParts = {};
   Stream.LastId = Call.Facts.LastEventId;
   Reply->onDisconnect([this] { onCallerGone(); });
 }
@@ -380,8 +382,8 @@
     next = decideNext(history, end);
     next.Reason = "retry_budget";
   }
-  logAttemptEnd(*Context.Counters, Call, *CurrentAttempt, Stream, Runs, why,
-                next.Reason, payment, Pool.budget().Tokens);
+  logAttemptEnd(*Context.Counters, Call, *CurrentAttempt, Stream, Parts, Runs,
+                why, next.Reason, payment, Pool.budget().Tokens);
   if (next.Step == NextStep::ForwardAnswer && !HasSentHead)
     return forwardAnswer();
   PoolOutcome outcome;
--- a/src/direct/exchange_log.cpp
+++ b/src/direct/exchange_log.cpp
@@ -80,8 +80,8 @@
 
 void logAttemptEnd(Metrics &counters, const AcceptedCall &call,
                    const detail::Attempt &attempt, const EventRelay &stream,
-                   int runs, std::string_view why, std::string_view next,
-                   RetryPayment payment, double tokens) {
+                   const PromptParts &parts, int runs, std::string_view why,
+                   std::string_view next, RetryPayment payment, double tokens) {
   auto now = Clock::now();
   LogLine line("attempt_ended");
   line.add("id", call.Facts.RequestId)
@@ -94,7 +94,7 @@
   line.add("runs", runs)
       .add("events", static_cast<std::int64_t>(stream.EventCount))
       .add("events_here", attempt.Events)
-      .add("parts", describeParts(call.Facts.SharedParts))
+      .add("parts", describeParts(parts))
       .add("failed_server", attempt.Answer.FailedServer.Value)
       .add("next", next)
       .add("paid", nameOf(payment))
--- a/src/direct/exchange_log.h
+++ b/src/direct/exchange_log.h
@@ -32,8 +32,8 @@
 /// follows, \p payment how it is paid for; \p tokens are left in the budget.
 void logAttemptEnd(Metrics &counters, const AcceptedCall &call,
                    const detail::Attempt &attempt, const EventRelay &stream,
-                   int runs, std::string_view why, std::string_view next,
-                   RetryPayment payment, double tokens);
+                   const PromptParts &parts, int runs, std::string_view why,
+                   std::string_view next, RetryPayment payment, double tokens);
 
 /// What the caller of a request got.
 struct FinalAnswer {
--- a/src/direct/part_guard.cpp
+++ b/src/direct/part_guard.cpp
@@ -18,12 +18,38 @@
 constexpr std::size_t MaxLoggedParts = 8;
 constexpr std::size_t MaxLoggedPartBytes = 24;
 
+// Removes the first of \p names, and returns it.
+std::string_view takeName(std::string_view &names) {
+  std::string_view name = names.substr(0, names.find('\0'));
+  names.remove_prefix(std::min(name.size() + 1, names.size()));
+  return name;
+}
+
+void addPart(PromptParts &parts, PromptPartId id, std::string_view name) {
+  parts.Ids.push_back(id);
+  parts.Names.append(name).push_back('\0');
+}
+
+// Returns the parts of which \p isKept holds, at most \p most.
+template <class IsKept>
+PromptParts selectParts(const PromptParts &parts, std::size_t most,
+                        IsKept isKept) {
+  PromptParts kept;
+  kept.IsSuspectAtOnce = parts.IsSuspectAtOnce;
+  std::string_view names = parts.Names;
+  for (PromptPartId it : parts.Ids) {
+    std::string_view name = takeName(names);
+    if (kept.Ids.size() < most && isKept(it))
+      addPart(kept, it, name);
+  }
+  kept.HasWholeRequest = parts.HasWholeRequest && !kept.Ids.empty() &&
+                         kept.Ids.back() == parts.Ids.back();
+  return kept;
+}
+
 std::string nameOf(const PromptParts &parts, PromptPartId id) {
-  auto it = std::ranges::find(parts.Ids, id);
-  if (it == parts.Ids.end())
-    return {};
-  return describeParts({parts.Names[static_cast<std::size_t>(
-      std::distance(parts.Ids.begin(), it))]});
+  return describeParts(
+      selectParts(parts, 1, [id](PromptPartId it) { return it == id; }));
 }
 
 // Returns the refusal for a request whose part is blocked. Its caller may come
@@ -34,21 +60,17 @@
 }
 
 // Returns \p parts without the whole request.
-PromptParts sharedPartsIn(PromptParts parts) {
-  if (parts.HasWholeRequest) {
-    parts.Names.pop_back();
-    parts.Ids.pop_back();
-    parts.HasWholeRequest = false;
-  }
-  return parts;
+PromptParts sharedPartsIn(const PromptParts &parts) {
+  if (!parts.HasWholeRequest)
+    return parts;
+  return selectParts(parts, parts.Ids.size() - 1,
+                     [](PromptPartId) { return true; });
 }
 
 // Returns the whole request as its only part. Precondition: \p parts has it.
 PromptParts wholeRequestIn(const PromptParts &parts) {
-  PromptParts whole = parts;
-  whole.Names = {parts.Names.back()};
-  whole.Ids = {parts.Ids.back()};
-  return whole;
+  return selectParts(parts, 1,
+                     [&](PromptPartId it) { return it == parts.Ids.back(); });
 }
 
 // Adds the whole \p request to \p parts.
@@ -65,8 +87,7 @@
       XXH3_64bits_withSeed(request.Body.data(), request.Body.size(), head);
   std::ostringstream name;
   name << "request-" << std::hex << all;
-  parts.Names.push_back(name.str());
-  parts.Ids.push_back(promptPartOf(service, parts.Names.back()));
+  addPart(parts, promptPartOf(service, name.str()), name.str());
   parts.HasWholeRequest = true;
 }
 
@@ -81,8 +102,14 @@
                const BrokenAttempt &attempt, Clock::time_point now) {
   if (guard.Breaks.size() >= MaxUnexplainedBreaks)
     guard.Breaks.pop_front();
-  guard.Breaks.push_back({attempt.Server, parts, std::string(attempt.RequestId),
-                          attempt.IsTrial, now});
+  // Parts that were answered of late have crashed no server.
+  PromptParts unsound =
+      selectParts(parts, guard.Evidence.Limits.MaxParts, [&](PromptPartId it) {
+        return !areKnownSound(guard.Evidence, {it});
+      });
+  guard.Breaks.push_back({attempt.Server, std::move(unsound),
+                          std::string(attempt.RequestId), attempt.IsTrial,
+                          now});
   if (guard.CheckServer)
     guard.CheckServer(attempt.Server);
 }
@@ -114,9 +141,9 @@
 PromptParts promptPartsOf(const ServiceId &service,
                           const std::vector<std::string> &names) {
   PromptParts parts;
-  parts.Names = names;
+  parts.Ids.reserve(names.size() + 1);
   for (const std::string &it : names)
-    parts.Ids.push_back(promptPartOf(service, it));
+    addPart(parts, promptPartOf(service, it), it);
   return parts;
 }
 
@@ -136,12 +163,13 @@
   return parts;
 }
 
-std::string describeParts(const std::vector<std::string> &names) {
+std::string describeParts(const PromptParts &parts) {
   std::string text;
-  for (std::size_t i = 0; i < std::min(names.size(), MaxLoggedParts); ++i) {
+  std::string_view names = parts.Names;
+  for (std::size_t i = 0; i < std::min(parts.Ids.size(), MaxLoggedParts); ++i) {
     if (i > 0)
       text.push_back(',');
-    text.append(names[i], 0, MaxLoggedPartBytes);
+    text.append(takeName(names).substr(0, MaxLoggedPartBytes));
   }
   return text;
 }
@@ -248,7 +276,7 @@
              LogLine("crash_suspected")
                  .add("id", attempt.RequestId)
                  .add("server", attempt.Server.Id.Value)
-                 .add("parts", describeParts(parts.Names))
+                 .add("parts", describeParts(parts))
                  .add("part", nameOf(parts, decision.Part))
                  .add("crashes", static_cast<std::int64_t>(decision.Crashes))
                  .add("uncertain", isUncertain)
@@ -266,9 +294,8 @@
                     Clock::time_point now) {
   if (parts.Ids.empty() || !recordSurvival(guard.Evidence, parts.Ids, now))
     return;
-  logInfo(
-      Part::Route,
-      LogLine("parts_cleared").add("parts", describeParts(parts.Names)).text());
+  logInfo(Part::Route,
+          LogLine("parts_cleared").add("parts", describeParts(parts)).text());
   guard.OnNews();
 }
 
--- a/src/direct/part_guard_test.cpp
+++ b/src/direct/part_guard_test.cpp
@@ -245,4 +245,26 @@
   BOOST_TEST(stateOf(Crashing) == PartState::Suspect);
 }
 
+// A break keeps those parts only that may have crashed the server.
+BOOST_AUTO_TEST_CASE(break_ofStreamWithManyParts_keepsFewOfThem) {
+  std::vector<std::string> names;
+  for (int i = 0; i < 5000; ++i)
+    names.push_back("part-" + std::to_string(i));
+  PromptParts parts =
+      streamPartsOf({"helper"}, names, {"POST", "/draft/2", {"t"}, ""});
+  BOOST_TEST(parts.Ids.size() == names.size() + 1);
+  BOOST_TEST(describeParts(parts).starts_with("part-0,part-1,"));
+  BOOST_TEST(describeParts(parts).size() < 300);
+  BrokenAttempt attempt;
+  attempt.IsDisconnected = true;
+  reportBreak(Guard, parts, attempt, Now);
+  reportBreak(Guard, Crashing, attempt, Now);
+  BOOST_REQUIRE(Guard.Breaks.size() == 2);
+  BOOST_TEST(Guard.Breaks[0].Parts.Ids.size() ==
+             Guard.Evidence.Limits.MaxParts);
+  // The parts "a" and "b" are known to be sound.
+  BOOST_TEST(Guard.Breaks[1].Parts.Ids.size() == 1);
+  BOOST_TEST(Guard.Breaks[1].Parts.HasWholeRequest);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/direct/shared_state.cpp
+++ b/src/direct/shared_state.cpp
@@ -45,7 +45,7 @@
 
 void writeShared(SharedState &state, wire::Members &digest,
                  Clock::time_point now) {
-  writeEvidence(evidenceRows(state.Guard.Evidence, now, MaxEvidenceRows),
+  writeEvidence(takeEvidenceRows(state.Guard.Evidence, MaxEvidenceRows, now),
                 digest);
   writeLimits(takeLimitRows(state.Limits, MaxLimitRows, now), digest);
   writeNotices(noticeRows(state.Notices, MaxNoticeRows, now), digest);
--- a/src/include/greengagespar/direct/part_guard.h
+++ b/src/include/greengagespar/direct/part_guard.h
@@ -34,7 +34,7 @@
 /// What a request is recognised by when it comes again: the parts of its prompt
 /// that other requests share, and the whole request.
 struct PromptParts {
-  std::vector<std::string> Names; ///< Of Ids, for the log.
+  std::string Names; ///< Of Ids, for the log; each ends with a zero byte.
   std::vector<PromptPartId> Ids;
   bool HasWholeRequest = false; ///< The last part is the whole request.
   /// Whether one crash makes the whole request a suspect. Streams need more: a
@@ -55,7 +55,8 @@
 
 /// Time after a break in which news of the server's end explain it.
 inline constexpr std::chrono::milliseconds BreakRetention{5000};
-/// Most unexplained breaks that are kept; the oldest make room.
+/// Most unexplained breaks that are kept; the oldest make room. Of a request's
+/// parts, a break keeps as many as the evidence can hold.
 inline constexpr std::size_t MaxUnexplainedBreaks = 256;
 
 /// What the requests of one entry share.
@@ -93,9 +94,9 @@
                           const std::vector<std::string> &names,
                           const RequestFingerprint &request);
 
-/// Returns the names of \p parts for a log line, separated by commas; bounded
-/// in number and length.
-std::string describeParts(const std::vector<std::string> &names);
+/// Returns the first names of \p parts for a log line, separated by commas;
+/// bounded in number and length.
+std::string describeParts(const PromptParts &parts);
 
 /// Why a request is not sent.
 struct PartRefusal {
--- a/src/include/greengagespar/direct/site.h
+++ b/src/include/greengagespar/direct/site.h
@@ -142,14 +142,10 @@
   int PromptTokens = 0;
   int MaxAnswerTokens = 0;
   /// Identifiers of the parts of the prompt that other requests may share, in
-  /// order, without duplicates; at most MaxSharedParts.
+  /// order, without duplicates. Their number is bounded by the size of a head.
   std::vector<std::string> SharedParts;
 };
 
-/// Most parts of one prompt that the entry keeps track of; further parts are
-/// ignored.
-inline constexpr std::size_t MaxSharedParts = 64;
-
 /// What the entry adds to a caller's request when it sends it to a server.
 struct SendMetadata {
   ServerId Server;       ///< Any other server refuses the request.
--- a/src/include/greengagespar/route/crash_evidence.h
+++ b/src/include/greengagespar/route/crash_evidence.h
@@ -77,6 +77,7 @@
   std::map<ServerIncarnationId, CrashRecord> Crashes; ///< At least one.
   /// A trial by this entry is in progress until this time; empty: none is.
   std::optional<Clock::time_point> TrialUntil;
+  std::uint64_t Sent = 0; ///< Digests with it since it last changed.
 };
 
 /// Everything that one entry knows about parts that may crash servers.
@@ -150,17 +151,20 @@
 
 /// Records that the server of \p crash ended under a request with \p parts;
 /// \p isUncertain: see CrashRecord. A part that is blocked already explains the
-/// crash, so that no other becomes a suspect. Returns whether that changed what
-/// other entries should know.
+/// crash, so that no other becomes a suspect. Beyond Limits.MaxParts new
+/// suspects the last ones are left out: as requests clear the others, a later
+/// crash finds room for them. Returns whether that changed what other entries
+/// should know.
 bool recordCrash(CrashEvidence &evidence,
                  const std::vector<PromptPartId> &parts,
                  ServerIncarnationId crash, Clock::time_point now,
                  bool isUncertain = false);
 
-/// Returns at most \p most rows for other entries, those with the newest
-/// crashes first.
-std::vector<EvidenceRow> evidenceRows(const CrashEvidence &evidence,
-                                      Clock::time_point now, std::size_t most);
+/// Returns at most \p most rows for other entries: those that were sent least
+/// often since they changed, and among them the ones with the newest crashes.
+std::vector<EvidenceRow> takeEvidenceRows(CrashEvidence &evidence,
+                                          std::size_t most,
+                                          Clock::time_point now);
 
 /// Adds what \p row says. Returns whether it was news.
 bool mergeEvidence(CrashEvidence &evidence, const EvidenceRow &row,
--- a/src/route/crash_evidence.cpp
+++ b/src/route/crash_evidence.cpp
@@ -2,8 +2,8 @@
 
 #include "greengagespar/base/hash.h"
 #include <algorithm>
-#include <functional>
 #include <string>
+#include <tuple>
 #include <utility>
 
 namespace greengagespar {
@@ -12,6 +12,8 @@
 
 using std::chrono::milliseconds;
 
+using PartSet = std::unordered_set<PromptPartId>;
+
 bool isSound(const CrashEvidence &evidence, PromptPartId part) {
   return std::ranges::any_of(
       evidence.Sound, [&](const auto &parts) { return parts.contains(part); });
@@ -85,24 +87,30 @@
   });
 }
 
+// Returns those of `parts` about which there is evidence, which are few.
+PartSet withEvidence(const CrashEvidence &evidence,
+                     const std::vector<PromptPartId> &parts) {
+  PartSet found;
+  for (PromptPartId it : parts)
+    if (evidence.Parts.contains(it))
+      found.insert(it);
+  return found;
+}
+
 // Whether another blocked part, which is none of `parts`, explains all crashes
 // under `id`: which of the two crashes servers is then unknown, and a request
 // with only one of them may be tried.
 bool isAmbiguous(const CrashEvidence &evidence, PromptPartId id,
-                 const std::vector<PromptPartId> &parts,
-                 Clock::time_point now) {
+                 const PartSet &parts, Clock::time_point now) {
   const PartEvidence &part = evidence.Parts.at(id);
   return std::ranges::any_of(evidence.Parts, [&](const auto &it) {
-    return it.first != id &&
-           std::ranges::find(parts, it.first) == parts.end() &&
-           isBlocked(evidence, it.second, now) &&
+    return !parts.contains(it.first) && isBlocked(evidence, it.second, now) &&
            isExplainedBy(part, it.second);
   });
 }
 
 PartDecision decidePart(const CrashEvidence &evidence, PromptPartId id,
-                        const std::vector<PromptPartId> &parts,
-                        Clock::time_point now) {
+                        const PartSet &parts, Clock::time_point now) {
   auto it = evidence.Parts.find(id);
   if (it == evidence.Parts.end() || !isSuspicious(it->second))
     return {};
@@ -135,12 +143,17 @@
   return now - until > evidence.Limits.ForgetAfter;
 }
 
+bool isCleared(const PartEvidence &part) {
+  return std::ranges::all_of(
+      part.Crashes, [](const auto &it) { return it.second.IsCleared; });
+}
+
 bool clearCrashes(PartEvidence &part) {
-  bool isNews = false;
-  for (auto &[id, crash] : part.Crashes) {
-    isNews = isNews || !crash.IsCleared;
+  bool isNews = !isCleared(part);
+  for (auto &[id, crash] : part.Crashes)
     crash.IsCleared = true;
-  }
+  if (isNews)
+    part.Sent = 0;
   return isNews;
 }
 
@@ -156,24 +169,33 @@
   newest.insert(part);
 }
 
+// Whether the evidence about `part` makes room for a crash at `crashAt`.
+bool makesRoom(const CrashEvidence &evidence, const PartEvidence &part,
+               Clock::time_point crashAt, Clock::time_point now) {
+  return isCleared(part) ||
+         (!isBlocked(evidence, part, now) && lastCrashAt(part) < crashAt);
+}
+
 // Returns the evidence about `id`, added if there is none, for a crash at
-// `crashAt`. The part whose last crash is the oldest and that is not blocked
-// makes room. Null: there is no such part with an older crash.
+// `crashAt`. A part whose crashes are all cleared makes room, or the one whose
+// last crash is the oldest and that is not blocked. Null: there is neither.
 PartEvidence *findOrAddPart(CrashEvidence &evidence, PromptPartId id,
                             Clock::time_point crashAt, Clock::time_point now) {
   auto &parts = evidence.Parts;
   if (auto it = parts.find(id); it != parts.end())
     return &it->second;
   if (parts.size() >= evidence.Limits.MaxParts) {
-    auto oldest = parts.end();
+    auto rank = [](const PartEvidence &part) {
+      return std::pair(!isCleared(part), lastCrashAt(part));
+    };
+    auto first = parts.end();
     for (auto it = parts.begin(); it != parts.end(); ++it)
-      if (!isBlocked(evidence, it->second, now) &&
-          (oldest == parts.end() ||
-           lastCrashAt(it->second) < lastCrashAt(oldest->second)))
-        oldest = it;
-    if (oldest == parts.end() || crashAt <= lastCrashAt(oldest->second))
+      if (makesRoom(evidence, it->second, crashAt, now) &&
+          (first == parts.end() || rank(it->second) < rank(first->second)))
+        first = it;
+    if (first == parts.end())
       return nullptr;
-    parts.erase(oldest);
+    parts.erase(first);
   }
   return &parts[id];
 }
@@ -191,6 +213,7 @@
       part.Crashes.erase(oldest);
     }
     part.Crashes.emplace(id, record);
+    part.Sent = 0;
     return true;
   }
   it->second.At = std::min(it->second.At, record.At);
@@ -198,6 +221,8 @@
                 (!record.IsUncertain && it->second.IsUncertain);
   it->second.IsCleared = it->second.IsCleared || record.IsCleared;
   it->second.IsUncertain = it->second.IsUncertain && record.IsUncertain;
+  if (isNews)
+    part.Sent = 0;
   return isNews;
 }
 
@@ -216,8 +241,9 @@
   PartDecision strongest;
   if (evidence.Parts.empty())
     return strongest;
-  for (PromptPartId it : parts) {
-    PartDecision decision = decidePart(evidence, it, parts, now);
+  PartSet known = withEvidence(evidence, parts);
+  for (PromptPartId it : known) {
+    PartDecision decision = decidePart(evidence, it, known, now);
     if (isStronger(decision, strongest))
       strongest = decision;
   }
@@ -271,28 +297,35 @@
   };
   bool isExplained = std::ranges::any_of(parts, isCulprit);
   bool isNews = false;
+  bool isFull = false;
   for (PromptPartId id : parts) {
-    if (isSound(evidence, id) || (isExplained && !isCulprit(id)))
+    if (isSound(evidence, id) || (isExplained && !isCulprit(id)) ||
+        (isFull && !evidence.Parts.contains(id)))
       continue;
-    if (PartEvidence *part = findOrAddPart(evidence, id, now, now))
+    PartEvidence *part = findOrAddPart(evidence, id, now, now);
+    isFull = !part;
+    if (part)
       isNews =
           addCrash(evidence, *part, crash, {now, false, isUncertain}) || isNews;
   }
   return isNews;
 }
 
-std::vector<EvidenceRow> evidenceRows(const CrashEvidence &evidence,
-                                      Clock::time_point now, std::size_t most) {
-  std::vector<std::pair<Clock::time_point, PromptPartId>> newest;
-  newest.reserve(evidence.Parts.size());
+std::vector<EvidenceRow> takeEvidenceRows(CrashEvidence &evidence,
+                                          std::size_t most,
+                                          Clock::time_point now) {
+  std::vector<std::tuple<std::uint64_t, Clock::duration, PromptPartId>> order;
+  order.reserve(evidence.Parts.size());
   for (const auto &[id, part] : evidence.Parts)
-    newest.emplace_back(lastCrashAt(part), id);
-  std::ranges::sort(newest, std::greater());
-  newest.resize(std::min(newest.size(), most));
+    order.emplace_back(part.Sent, now - lastCrashAt(part), id);
+  std::ranges::sort(order);
+  order.resize(std::min(order.size(), most));
   std::vector<EvidenceRow> rows;
-  for (const auto &[at, id] : newest) {
+  for (const auto &[sent, age, id] : order) {
+    PartEvidence &part = evidence.Parts.at(id);
+    ++part.Sent;
     EvidenceRow &row = rows.emplace_back(EvidenceRow{id, {}});
-    for (const auto &[crash, record] : evidence.Parts.at(id).Crashes) {
+    for (const auto &[crash, record] : part.Crashes) {
       auto age = std::chrono::duration_cast<milliseconds>(now - record.At);
       row.Crashes.push_back({crash, age, record.IsCleared, record.IsUncertain});
     }
--- a/src/route/crash_evidence_test.cpp
+++ b/src/route/crash_evidence_test.cpp
@@ -43,7 +43,7 @@
     for (CrashEvidence &from : Entries)
       for (CrashEvidence &to : Entries)
         if (&from != &to)
-          for (const EvidenceRow &it : evidenceRows(from, Now, most))
+          for (const EvidenceRow &it : takeEvidenceRows(from, most, Now))
             news += mergeEvidence(to, it, Now) ? 1 : 0;
     return news;
   }
@@ -268,6 +268,44 @@
              limits.MaxCrashesPerPart);
 }
 
+// Guards against a part whose evidence never reaches other entries because that
+// about many other parts is as new, or because theirs is about still others.
+BOOST_AUTO_TEST_CASE(evidence_aboutManyParts_reachesOtherEntriesInTurns) {
+  Parts parts;
+  for (std::uint64_t i = 0; i < 70; ++i)
+    parts.push_back(part(1000 + i));
+  end(parts, 0);
+  for (int i = 0; i < 5; ++i)
+    exchange(16);
+  for (PromptPartId it : parts) {
+    BOOST_TEST(stateOf({it}, 1) == PartState::Suspect);
+    BOOST_TEST(stateOf({it}, 2) == PartState::Suspect);
+  }
+  // What has changed goes first.
+  end({part(1069)}, 0);
+  exchange(1);
+  BOOST_TEST(decideParts(Entries[1], {part(1069)}, Now).Crashes == 2U);
+}
+
+// A prompt may have more unknown parts than the evidence can hold: sound
+// requests that share them make room for the one that crashes servers.
+BOOST_AUTO_TEST_CASE(crashes_underMorePartsThanAreKept_leadToTheLastOne) {
+  const std::size_t count = 2 * first().Limits.MaxParts;
+  Parts sound;
+  for (std::uint64_t i = 0; i < count; ++i)
+    sound.push_back(part(i));
+  Parts crashing = sound;
+  crashing.push_back(part(5000));
+  end(crashing);
+  BOOST_TEST(first().Parts.size() <= first().Limits.MaxParts);
+  recordSurvival(first(), sound, Now);
+  for (int i = 0; i < 3; ++i)
+    end(crashing);
+  BOOST_TEST(stateOf(crashing) == PartState::Blocked);
+  BOOST_TEST(stateOf(sound) == PartState::Clear);
+  BOOST_TEST(first().Parts.size() <= first().Limits.MaxParts);
+}
+
 // A row that many entries send again and again in any order leads to the same
 // evidence everywhere.
 BOOST_AUTO_TEST_CASE(rows_inAnyOrderAndNumber_leadToTheSameDecision) {
--- a/testsuite/direct/crash_test.cpp
+++ b/testsuite/direct/crash_test.cpp
@@ -38,6 +38,7 @@
   std::vector<Clock::time_point> RestartAt;
   bool IsGroup = false;
   bool EndsBeforeHead = false; ///< A server ends before it sends a head.
+  int CommonParts = 0;         ///< Parts of all prompts before other ones.
   int EventsBeforeEnd = 0;     ///< Events that a server sends before it ends.
   int Crashes = 0;
   bool CrashesNext = false; ///< A server ends under the next request.
@@ -155,6 +156,8 @@
   // Returns \p parts with a common part of few before them.
   std::string withFirst(const std::string &parts) {
     std::string first = numbered("a", Rng() % 4).append(":40");
+    for (int i = 0; i < CommonParts; ++i)
+      first.append(numbered(",c", static_cast<std::uint64_t>(i))).append(":8");
     return parts.empty() ? first : first.append(",").append(parts);
   }
 
@@ -265,6 +268,14 @@
   BOOST_TEST(servedShare(40) >= 0.9);
 }
 
+// Guards against a part that ends server after server because many others are
+// before it, as in a long conversation.
+BOOST_AUTO_TEST_CASE(crashingPart_lateInLongPrompts_endsFewServers) {
+  CommonParts = 300;
+  checkCrashes(4s, 30);
+  BOOST_TEST(servedShare(40) >= 0.9);
+}
+
 // Guards against one stream that ends server after server as it comes again,
 // because the parts of its prompt are known to be sound.
 BOOST_AUTO_TEST_CASE(crashingStream_withSoundParts_endsFewServers) {
