Look at the parts of prompts on routes for whole answers too

What callers saw: on a route for whole answers whose requests state the parts of their prompts, a part that crashes servers ended one server after another; sound requests failed or were refused.

Cause: the guard chose by the kind of the route what it may suspect. A request for a whole answer had its fingerprint alone, and no two of these were alike.

Change: each request offers all shared parts and itself. One crash makes a request without shared parts a suspect, as before; one with shared parts needs the evidence that they need, as requests that differ in their prompts alone would be blocked as one, before the part that is the reason.

--- a/src/direct/exchange.cpp
+++ b/src/direct/exchange.cpp
@@ -48,9 +48,10 @@
                     const HttpRequestMessage &request) {
   RequestFingerprint whole{request.Head.Method, request.Head.Target,
                            call.Workspace, request.Body};
-  if (call.MatchedRoute->Kind == RequestKind::Stream)
-    return streamPartsOf(call.Service, call.Facts.SharedParts, whole);
-  return wholeRequestOf(call.Service, whole);
+  bool isStream = call.MatchedRoute->Kind == RequestKind::Stream;
+  if (!isStream && call.Facts.SharedParts.empty())
+    return wholeRequestOf(call.Service, whole);
+  return requestPartsOf(call.Service, call.Facts.SharedParts, whole);
 }
 
 } // namespace
--- a/src/direct/part_guard.cpp
+++ b/src/direct/part_guard.cpp
@@ -155,9 +155,9 @@
   return parts;
 }
 
-PromptParts streamPartsOf(const ServiceId &service,
-                          const std::vector<std::string> &names,
-                          const RequestFingerprint &request) {
+PromptParts requestPartsOf(const ServiceId &service,
+                           const std::vector<std::string> &names,
+                           const RequestFingerprint &request) {
   PromptParts parts = promptPartsOf(service, names);
   addWholeRequest(parts, service, request);
   return parts;
--- a/src/direct/part_guard_test.cpp
+++ b/src/direct/part_guard_test.cpp
@@ -151,8 +151,8 @@
   }
 
   static PromptParts stream(std::string_view body) {
-    return streamPartsOf({"helper"}, {"a", "b"},
-                         {"POST", "/draft/1", {"t"}, body});
+    return requestPartsOf({"helper"}, {"a", "b"},
+                          {"POST", "/draft/1", {"t"}, body});
   }
 
   PartState stateOf(const PromptParts &parts) const {
@@ -251,7 +251,7 @@
   for (int i = 0; i < 5000; ++i)
     names.push_back("part-" + std::to_string(i));
   PromptParts parts =
-      streamPartsOf({"helper"}, names, {"POST", "/draft/2", {"t"}, ""});
+      requestPartsOf({"helper"}, names, {"POST", "/draft/2", {"t"}, ""});
   BOOST_TEST(parts.Ids.size() == names.size() + 1);
   BOOST_TEST(describeParts(parts).starts_with("part-0,part-1,"));
   BOOST_TEST(describeParts(parts).size() < 300);
@@ -267,4 +267,28 @@
   BOOST_TEST(Guard.Breaks[1].Parts.HasWholeRequest);
 }
 
+// Guards against a whole request that is blocked instead of a part of its
+// prompt, because the requests with that part are alike in all else.
+BOOST_AUTO_TEST_CASE(alikeRequests_withACrashingPart_areTriedWithoutIt) {
+  RequestFingerprint alike{"POST", "/draft/1", {"t"}, "the same question"};
+  PromptParts crashing = requestPartsOf({"helper"}, {"a", "bad"}, alike);
+  PromptParts sound = requestPartsOf({"helper"}, {"a", "b"}, alike);
+  for (int i = 0; i < 4; ++i) {
+    BrokenAttempt attempt;
+    attempt.Server.Id = {"i-1"};
+    attempt.Server.StartedMs = NextStart++;
+    attempt.IsDisconnected = true;
+    attempt.IsTrial = startTrial(Guard.Evidence, crashing.Ids, Now);
+    reportBreak(Guard, crashing, attempt, Now);
+    endTrial(Guard.Evidence, crashing.Ids);
+    reportServerEnd(Guard, attempt.Server, Now);
+    Now += 1s;
+  }
+  BOOST_TEST(stateOf(crashing) == PartState::Blocked);
+  BOOST_TEST(stateOf(sound) == PartState::Suspect);
+  reportSurvival(Guard, sound, Now);
+  BOOST_TEST(stateOf(sound) == PartState::Clear);
+  BOOST_TEST(stateOf(crashing) == PartState::Blocked);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/include/greengagespar/direct/part_guard.h
+++ b/src/include/greengagespar/direct/part_guard.h
@@ -37,9 +37,10 @@
   std::string Names; ///< Of Ids, for the log; each ends with a zero byte.
   std::vector<PromptPartId> Ids;
   bool HasWholeRequest = false; ///< The last part is the whole request.
-  /// Whether one crash makes the whole request a suspect. Streams need more: a
-  /// caller's streams may have the same path and body, and differ in their
-  /// prompts only.
+  /// Whether one crash makes the whole request a suspect. Streams and requests
+  /// with shared parts need more: those of one caller may have the same path
+  /// and body, and differ in their prompts only. The whole request would then
+  /// be blocked before the part that is the reason.
   bool IsSuspectAtOnce = false;
 };
 
@@ -84,15 +85,16 @@
   std::string_view Body;
 };
 
-/// Returns the one part of a request for a whole answer of \p service.
+/// Returns the one part of a request for a whole answer of \p service without
+/// shared parts.
 PromptParts wholeRequestOf(const ServiceId &service,
                            const RequestFingerprint &request);
 
-/// Returns the parts of a request for a stream of \p service, whose prompt has
-/// the shared parts \p names.
-PromptParts streamPartsOf(const ServiceId &service,
-                          const std::vector<std::string> &names,
-                          const RequestFingerprint &request);
+/// Returns the parts of a request for \p service whose prompt has the shared
+/// parts \p names.
+PromptParts requestPartsOf(const ServiceId &service,
+                           const std::vector<std::string> &names,
+                           const RequestFingerprint &request);
 
 /// Returns the first names of \p parts for a log line, separated by commas;
 /// bounded in number and length.
--- a/testsuite/direct/crashing_request_test.cpp
+++ b/testsuite/direct/crashing_request_test.cpp
@@ -11,11 +11,15 @@
 
 // A server ends when it begins to run a request for this target.
 constexpr const char *CrashingTarget = "/status/bad?part=7";
+// The same for a request with this part in its prompt.
+constexpr const char *CrashingPart = "bad00";
 
 // The rule of the users' platform: more than this many servers may be reached
 // after the third has ended only until the time from which the rule holds.
 constexpr int MostArrivalsAfterBlock = 3;
 constexpr auto StableWindow = 3s;
+// The same for requests with one part: three more after the fifth crash.
+constexpr int MostCrashesOfOnePart = 8;
 
 constexpr auto RunTime = 40ms;
 constexpr auto RestartTime = 150ms;
@@ -53,8 +57,15 @@
     Objects.put("servers", id, Running.back()->entry("ledger"));
   }
 
+  static bool crashes(const HttpRequestMessage &request) {
+    const std::string *parts =
+        findField(request.Head.Fields, "X-Prompt-Prefix");
+    return request.Head.Target == CrashingTarget ||
+           (parts && parts->find(CrashingPart) != std::string::npos);
+  }
+
   FakeAnswer respond(const std::string &id, const HttpRequestMessage &request) {
-    if (request.Head.Target != CrashingTarget)
+    if (!crashes(request))
       return {.SendsNothing = true};
     auto now = Clock::now();
     if (ThirdCrashAt && now > *ThirdCrashAt + StableWindow)
@@ -80,7 +91,7 @@
     });
     for (auto &it : Running)
       it->answerPending([](const HttpRequestMessage &request) {
-        if (request.Head.Target == CrashingTarget)
+        if (crashes(request))
           return FakeAnswer{.SendsNothing = true};
         return FakeAnswer{signedAnswer(request, 200, "done")};
       });
@@ -97,13 +108,22 @@
     Running.erase(it);
   }
 
-  Call &sendVia(std::size_t index, const std::string &target) {
+  Call &sendVia(std::size_t index, const std::string &target,
+                const std::string &fields = "") {
     Settings.Listen = Entries[index % Entries.size()].Settings.Listen;
-    Calls.push_back(
-        send("GET", target, "X-Api-Key: k1\r\nX-Deadline-Ms: 1000\r\n"));
+    Calls.push_back(send("GET", target,
+                         "X-Api-Key: k1\r\nX-Deadline-Ms: 1000\r\n" + fields));
     return *Calls.back();
   }
 
+  // Sends a request without a like whose prompt has the shared part \p part
+  // between others.
+  Call &sendWithPart(std::size_t number, const std::string &part) {
+    return sendVia(Rng(), numbered("/status/", number).append("/"),
+                   "X-Prompt-Prefix: a1:40," + part + ":300," +
+                       numbered("f", number) + ":9\r\n");
+  }
+
   // Sends sound look-ups, also a popular one, for \p time, and the crashing one
   // among them. Returns the share of the sound ones in the last second that are
   // served.
@@ -141,6 +161,30 @@
   BOOST_TEST(served >= 0.95);
 }
 
+// Guards against a part of prompts that ends server after server on a route
+// for whole answers, because parts are looked at for streams only.
+BOOST_AUTO_TEST_CASE(crashingPart_ofWholeAnswers_endsFewServers) {
+  startEntries(3);
+  std::vector<Call *> sound;
+  auto end = Clock::now() + 8s;
+  for (std::size_t n = 0; Clock::now() < end; ++n) {
+    if (n % 5 == 0)
+      sendWithPart(2 * n, CrashingPart);
+    Call &call = sendWithPart(2 * n + 1, "600d");
+    if (end - Clock::now() < 1s)
+      sound.push_back(&call);
+    steps(30ms);
+  }
+  steps(400ms);
+  BOOST_TEST_MESSAGE("crashes: " << Crashes);
+  BOOST_TEST(Crashes >= 3);
+  BOOST_TEST(Crashes <= MostCrashesOfOnePart);
+  auto served = std::ranges::count_if(
+      sound, [](const Call *it) { return it->Response.Head.Status == 200; });
+  BOOST_TEST(static_cast<double>(served) >=
+             0.95 * static_cast<double>(sound.size()));
+}
+
 // A blocked request is refused at once: it has not run.
 BOOST_AUTO_TEST_CASE(crashingRequest_blocked_isRefusedAtOnce) {
   startEntries(3);
