Keep a stream at its silent server until another one takes it

What callers saw: around a SIGTERM, streams that the newly started process had taken were closed in their midst, though their servers would have gone on before callers give up.

Cause: an exchange left a server after 1.7 s of silence before it knew whether another one would take the stream. An entry has no part of the extra retries in its first window of 10 s, so that the streams of a new process ended with next=retry_budget; a stalled group or full servers end them in the same way.

Change: a stream of which the caller has a part leaves its server only for one that would take it at once, with a run, a retry and time left, and looks again each 100 ms. server_kept says why it stays. A request of which the caller has nothing is answered as before and may be sent again.

That the users' ten streams ended this way is likely, as all signs fit, and not shown.

--- a/src/direct/exchange.cpp
+++ b/src/direct/exchange.cpp
@@ -26,6 +26,10 @@
 // after this many times its route's objective without data.
 constexpr double WholeAnswerInactivityFactor = 3;
 
+// While the exchange keeps a server that sends nothing, it looks for another
+// one at this interval.
+constexpr milliseconds SwitchRetryInterval{100};
+
 // The deadline that a server receives is this much earlier than the request's:
 // the time to return the answer.
 constexpr milliseconds ReturnMargin{5};
@@ -344,6 +348,16 @@
   return reportStreamBreak(*Context.Guard, Parts, attempt, now);
 }
 
+AttemptHistory Exchange::history(Clock::time_point now) const {
+  AttemptHistory history;
+  history.IsRepeatable = isRepeatable();
+  history.AllowedRuns = std::max(1, Call.MatchedRoute->Attempts);
+  history.Runs = Runs;
+  history.Refusals = Refusals;
+  history.TimeLeft = Call.CallDeadline.At - now;
+  return history;
+}
+
 // Ends an attempt without an answer to forward, and then sends the request
 // again, refuses it or fails it, as decideNext() and the retry budget say.
 void Exchange::endAttempt(AttemptEnd end, std::string_view why) {
@@ -355,21 +369,16 @@
     --Runs;
     ++Refusals;
   }
-  AttemptHistory history;
-  history.IsRepeatable = isRepeatable();
-  history.AllowedRuns = std::max(1, Call.MatchedRoute->Attempts);
-  history.Runs = Runs;
-  history.Refusals = Refusals;
-  history.TimeLeft = Call.CallDeadline.At - now;
-  NextDecision next = decideNext(history, end);
+  AttemptHistory past = history(now);
+  NextDecision next = decideNext(past, end);
   // Without a connection the request reached no server, so the next attempt
   // takes nothing from the retry budget.
   bool isFree = end == AttemptEnd::NotConnected;
   bool isCrash = noteCrash(end, now);
   if (isCrash) {
     // Another server would end as well if a part of the prompt is the cause.
-    history.AllowedRuns = 0;
-    next = decideNext(history, end);
+    past.AllowedRuns = 0;
+    next = decideNext(past, end);
     next.Reason = "server_ended";
   }
   RetryPayment payment = RetryPayment::None;
@@ -379,8 +388,8 @@
                   ? RetryPayment::Token
                   : RetryPayment::Refused;
   if (payment == RetryPayment::Refused) {
-    history.AllowedRuns = 0;
-    next = decideNext(history, end);
+    past.AllowedRuns = 0;
+    next = decideNext(past, end);
     next.Reason = "retry_budget";
   }
   logAttemptEnd(*Context.Counters, Call, *CurrentAttempt, Stream, Parts, Runs,
@@ -498,10 +507,53 @@
          !HasSwitchedServer && Runs < Call.MatchedRoute->Attempts;
 }
 
+// Returns why the exchange keeps a server that sends nothing; empty: another
+// one would take the request at once. A stream whose caller has a part of it
+// would otherwise be cut, though the rest may still come; a request of which
+// the caller has nothing is answered 502 and may be sent again.
+std::string_view Exchange::whyKeepServer(Clock::time_point now) {
+  if (!HasSentHead)
+    return {};
+  NextDecision next = decideNext(history(now), AttemptEnd::Lost);
+  if (next.Step != NextStep::SendAgain)
+    return next.Reason;
+  if (!hasRetryToken(Pool.budget(), HasSentHead))
+    return "retry_budget";
+  PartDecision parts = decideParts(Context.Guard->Evidence, Parts.Ids, now);
+  if (parts.State != PartState::Clear)
+    return "suspect_part";
+  std::vector<ServerId> exclude = TriedServers;
+  exclude.push_back(CurrentAttempt->Server.Id);
+  std::int64_t tokens =
+      tokensOf(Call.Facts.PromptTokens, Call.Facts.MaxAnswerTokens);
+  return Pool.canStartElsewhere(exclude, tokens) ? "" : "no_server";
+}
+
+// Sends the request to another server, unless the present one, which sends
+// nothing, is kept.
+void Exchange::onInactivity(Clock::time_point now) {
+  std::string_view why = whyKeepServer(now);
+  if (why.empty()) {
+    HasSwitchedServer = true;
+    return endAttempt(AttemptEnd::Lost, "silent");
+  }
+  if (!CurrentAttempt->SwitchAt)
+    logServerKept(Call, *CurrentAttempt, Stream, why);
+  CurrentAttempt->SwitchAt = now + SwitchRetryInterval;
+  armTimer();
+}
+
+// Returns when the exchange looks for another server if the present one sends
+// nothing until then.
+Clock::time_point Exchange::switchAt() const {
+  auto at = CurrentAttempt->LastReceivedAt + inactivityLimit();
+  return std::max(at, CurrentAttempt->SwitchAt.value_or(at));
+}
+
 void Exchange::armTimer() {
   auto at = Call.CallDeadline.At;
   if (watchesInactivity())
-    at = std::min(at, CurrentAttempt->LastReceivedAt + inactivityLimit());
+    at = std::min(at, switchAt());
   auto wait = std::chrono::ceil<milliseconds>(at - Clock::now());
   LimitTimer.start(std::max(milliseconds{1}, wait));
 }
@@ -512,11 +564,8 @@
   auto now = Clock::now();
   if (hasPassed(Call.CallDeadline, now))
     return giveUp(ErrorKind::DeadlineTooShort, "deadline");
-  if (watchesInactivity() &&
-      now - CurrentAttempt->LastReceivedAt >= inactivityLimit()) {
-    HasSwitchedServer = true;
-    return endAttempt(AttemptEnd::Lost, "silent");
-  }
+  if (watchesInactivity() && now >= switchAt())
+    return onInactivity(now);
   armTimer();
 }
 
--- a/src/direct/exchange_log.cpp
+++ b/src/direct/exchange_log.cpp
@@ -108,6 +108,17 @@
                         {"paid", std::string(nameOf(payment))}}});
 }
 
+void logServerKept(const AcceptedCall &call, const detail::Attempt &attempt,
+                   const EventRelay &stream, std::string_view why) {
+  LogLine line("server_kept");
+  line.add("id", call.Facts.RequestId)
+      .add("server", attempt.Server.Id.Value)
+      .addMs("silent_ms", Clock::now() - attempt.LastReceivedAt)
+      .add("events", static_cast<std::int64_t>(stream.EventCount))
+      .add("why", why);
+  logInfo(Part::Route, line.text());
+}
+
 void logAnswer(Metrics &counters, const AcceptedCall &call,
                const FinalAnswer &answer) {
   auto now = Clock::now();
--- a/src/direct/exchange_log.h
+++ b/src/direct/exchange_log.h
@@ -35,6 +35,11 @@
                    const PromptParts &parts, int runs, std::string_view why,
                    std::string_view next, RetryPayment payment, double tokens);
 
+/// Logs that the server of \p attempt sends nothing and is kept because of
+/// \p why.
+void logServerKept(const AcceptedCall &call, const detail::Attempt &attempt,
+                   const EventRelay &stream, std::string_view why);
+
 /// What the caller of a request got.
 struct FinalAnswer {
   int Status = 0; ///< 0: the connection was closed.
--- a/src/direct/server_pool.cpp
+++ b/src/direct/server_pool.cpp
@@ -448,6 +448,23 @@
     greengagespar::remove(AdmissionControl.Queue, id);
 }
 
+bool ServerPool::canStartElsewhere(const std::vector<ServerId> &exclude,
+                                   std::int64_t tokens) {
+  auto now = Clock::now();
+  updateRates(now);
+  auto others = static_cast<int>(Started.size()) - 1;
+  bool stalls = Declared.Engine &&
+                isStalled(Progress, static_cast<int>(Started.size()), now);
+  if (stalls || waiting() > 0 || others >= streamsAllowedNow(now))
+    return false;
+  ChoiceRequest request;
+  request.Exclude = exclude;
+  request.Tokens = tokens;
+  auto choice = chooseEndpoint(Views, request, choiceOptions(), now, Random);
+  return choice && std::ranges::find(exclude, Views[choice->Index].Target.Id) ==
+                       exclude.end();
+}
+
 std::optional<std::size_t> ServerPool::choose(const QueuedCall &call,
                                               Clock::time_point now) {
   ChoiceOptions options = choiceOptions();
--- a/src/include/greengagespar/direct/exchange.h
+++ b/src/include/greengagespar/direct/exchange.h
@@ -68,6 +68,9 @@
   Clock::time_point LastReceivedAt; ///< SentAt until the answer begins.
   /// When this server's last event was received; empty before its first one.
   std::optional<Clock::time_point> LastEventAt;
+  /// When to look for another server again, as this one sends nothing and none
+  /// took the request; empty: not looked yet.
+  std::optional<Clock::time_point> SwitchAt;
   int Events = 0; ///< Events that this server has sent.
   HttpHead Head;
   AnswerMetadata Answer;
@@ -126,6 +129,10 @@
   void forwardAnswer();
   void onCallerGone();
   void onTimer();
+  void onInactivity(Clock::time_point now);
+  std::string_view whyKeepServer(Clock::time_point now);
+  Clock::time_point switchAt() const;
+  AttemptHistory history(Clock::time_point now) const;
   void giveUp(ErrorKind kind, std::string_view reason);
   bool watchesInactivity() const;
   Clock::duration inactivityLimit() const;
--- a/src/include/greengagespar/direct/server_pool.h
+++ b/src/include/greengagespar/direct/server_pool.h
@@ -82,6 +82,10 @@
   void submit(PoolCall call);
   /// Removes a call that waits. Does nothing when it does not wait.
   void withdraw(CallId id);
+  /// Whether a started call that takes \p tokens would start at once if it left
+  /// its server, on one that is not in \p exclude.
+  bool canStartElsewhere(const std::vector<ServerId> &exclude,
+                         std::int64_t tokens);
   /// Records that a started call ended on \p server, and starts waiting calls.
   void finished(CallId id, const ServerId &server, const PoolOutcome &outcome);
 
--- a/src/include/greengagespar/route/retry_budget.h
+++ b/src/include/greengagespar/route/retry_budget.h
@@ -96,6 +96,9 @@
 /// no token, when the budget allows no retry now.
 bool spendRetryToken(RetryBudget &budget, bool resumes);
 
+/// Whether spendRetryToken() would return true.
+bool hasRetryToken(const RetryBudget &budget, bool resumes);
+
 /// A call in flight that might be sent to a second server.
 struct HedgeCandidate {
   /// Whether it is safe to run the call more than once.
--- a/src/route/retry_budget.cpp
+++ b/src/route/retry_budget.cpp
@@ -48,8 +48,12 @@
   return std::chrono::duration_cast<milliseconds>(wait * (0.5 + draw / 2));
 }
 
+bool hasToken(const RetryBudget &budget, double floor) {
+  return budget.Tokens - 1 >= floor;
+}
+
 bool spendToken(RetryBudget &budget, double floor) {
-  if (budget.Tokens - 1 < floor)
+  if (!hasToken(budget, floor))
     return false;
   budget.Tokens -= 1;
   return true;
@@ -91,6 +95,10 @@
   return {RetryReason::Allowed, backoff};
 }
 
+bool hasRetryToken(const RetryBudget &budget, bool resumes) {
+  return hasToken(budget, resumes ? -budget.Overdraft : 0);
+}
+
 bool spendRetryToken(RetryBudget &budget, bool resumes) {
   if (!spendToken(budget, resumes ? -budget.Overdraft : 0))
     return false;
