Let streams that ran beside a crash cost no suspect its place

What operators and callers would see: since streams are known as whole requests, each server that ends leaves evidence about all streams that ran there, a warning for each, and a round of digests for each.

Cause: the evidence gave room by age alone, sent all rows alike, and was announced without the gap that other news keep. By reading; one server of 12 slots leaves 12 such rows, a rack more than the 256 that are kept.

Change: a part with one uncertain crash, which makes no suspect, replaces none and goes into 16 digests. The log line is a warning only if a part is a suspect or blocked.

Test: uncertainCrashesOfManyParts_costNoSuspect of route_tests.

--- a/src/direct/direct_entry.cpp
+++ b/src/direct/direct_entry.cpp
@@ -138,7 +138,7 @@
   Shared.Guard.MayTry = [this](PromptPartId part) {
     return isTrialEntry(Peers.view(), part);
   };
-  Shared.Guard.OnNews = [this] { Peers.announce(); };
+  Shared.Guard.OnNews = [this] { Peers.announceNews(); };
   Shared.Guard.CheckServer = [this](const ServerRecord &it) {
     EndChecks.start(it);
   };
--- a/src/direct/exchange.cpp
+++ b/src/direct/exchange.cpp
@@ -349,13 +349,13 @@
 }
 
 AttemptHistory Exchange::history(Clock::time_point now) const {
-  AttemptHistory history;
-  history.IsRepeatable = isRepeatable();
-  history.AllowedRuns = std::max(1, Call.MatchedRoute->Attempts);
-  history.Runs = Runs;
-  history.Refusals = Refusals;
-  history.TimeLeft = Call.CallDeadline.At - now;
-  return history;
+  AttemptHistory past;
+  past.IsRepeatable = isRepeatable();
+  past.AllowedRuns = std::max(1, Call.MatchedRoute->Attempts);
+  past.Runs = Runs;
+  past.Refusals = Refusals;
+  past.TimeLeft = Call.CallDeadline.At - now;
+  return past;
 }
 
 // Ends an attempt without an answer to forward, and then sends the request
--- a/src/direct/part_guard.cpp
+++ b/src/direct/part_guard.cpp
@@ -272,16 +272,21 @@
   if (!recordCrash(guard.Evidence, parts.Ids, crash, now, isUncertain))
     return;
   PartDecision decision = decideParts(guard.Evidence, parts.Ids, now);
-  logWarning(Part::Route,
-             LogLine("crash_suspected")
-                 .add("id", attempt.RequestId)
-                 .add("server", attempt.Server.Id.Value)
-                 .add("parts", describeParts(parts))
-                 .add("part", nameOf(parts, decision.Part))
-                 .add("crashes", static_cast<std::int64_t>(decision.Crashes))
-                 .add("uncertain", isUncertain)
-                 .add("blocked", decision.State == PartState::Blocked)
-                 .text());
+  std::string line =
+      LogLine("crash_suspected")
+          .add("id", attempt.RequestId)
+          .add("server", attempt.Server.Id.Value)
+          .add("parts", describeParts(parts))
+          .add("part", nameOf(parts, decision.Part))
+          .add("crashes", static_cast<std::int64_t>(decision.Crashes))
+          .add("uncertain", isUncertain)
+          .add("blocked", decision.State == PartState::Blocked)
+          .text();
+  // Each server that ends has such lines about all that was in progress there.
+  if (decision.State == PartState::Clear)
+    logInfo(Part::Route, line);
+  else
+    logWarning(Part::Route, line);
   guard.OnNews();
 }
 
--- a/src/include/greengagespar/route/crash_evidence.h
+++ b/src/include/greengagespar/route/crash_evidence.h
@@ -61,6 +61,9 @@
   std::size_t MaxParts = 256;
   std::size_t MaxCrashesPerPart = 8;
   std::size_t MaxSoundParts = 4096;
+  /// Digests with a part of which one uncertain crash is known. There may be
+  /// many such parts, and one crash alone makes none of them a suspect.
+  std::uint64_t MaxUncertainSends = 16;
 };
 
 /// What is known of one crash under a part.
@@ -162,6 +165,7 @@
 
 /// Returns at most \p most rows for other entries: those that were sent least
 /// often since they changed, and among them the ones with the newest crashes.
+/// See also CrashLimits::MaxUncertainSends.
 std::vector<EvidenceRow> takeEvidenceRows(CrashEvidence &evidence,
                                           std::size_t most,
                                           Clock::time_point now);
--- a/src/route/crash_evidence.cpp
+++ b/src/route/crash_evidence.cpp
@@ -169,28 +169,37 @@
   newest.insert(part);
 }
 
-// Whether the evidence about `part` makes room for a crash at `crashAt`.
+bool isUncertainOnce(const PartEvidence &part) {
+  return part.Crashes.size() == 1 && part.Crashes.begin()->second.IsUncertain;
+}
+
+// Whether the evidence about `part` makes room for that about a new part with
+// `crash`. An uncertain crash, of which there may be many, costs no suspect.
 bool makesRoom(const CrashEvidence &evidence, const PartEvidence &part,
-               Clock::time_point crashAt, Clock::time_point now) {
-  return isCleared(part) ||
-         (!isBlocked(evidence, part, now) && lastCrashAt(part) < crashAt);
+               const CrashRecord &crash, Clock::time_point now) {
+  if (isCleared(part))
+    return true;
+  bool isProtected =
+      crash.IsUncertain ? isSuspicious(part) : isBlocked(evidence, part, now);
+  return !isProtected && lastCrashAt(part) < crash.At;
 }
 
-// Returns the evidence about `id`, added if there is none, for a crash at
-// `crashAt`. A part whose crashes are all cleared makes room, or the one whose
-// last crash is the oldest and that is not blocked. Null: there is neither.
+// Returns the evidence about `id`, added if there is none, for `crash`. Parts
+// whose crashes are all cleared make room first, then those that are no
+// suspects, then the oldest that are not blocked. Null: there is none.
 PartEvidence *findOrAddPart(CrashEvidence &evidence, PromptPartId id,
-                            Clock::time_point crashAt, Clock::time_point now) {
+                            const CrashRecord &crash, Clock::time_point now) {
   auto &parts = evidence.Parts;
   if (auto it = parts.find(id); it != parts.end())
     return &it->second;
   if (parts.size() >= evidence.Limits.MaxParts) {
     auto rank = [](const PartEvidence &part) {
-      return std::pair(!isCleared(part), lastCrashAt(part));
+      return std::tuple(!isCleared(part), isSuspicious(part),
+                        lastCrashAt(part));
     };
     auto first = parts.end();
     for (auto it = parts.begin(); it != parts.end(); ++it)
-      if (makesRoom(evidence, it->second, crashAt, now) &&
+      if (makesRoom(evidence, it->second, crash, now) &&
           (first == parts.end() || rank(it->second) < rank(first->second)))
         first = it;
     if (first == parts.end())
@@ -302,11 +311,11 @@
     if (isSound(evidence, id) || (isExplained && !isCulprit(id)) ||
         (isFull && !evidence.Parts.contains(id)))
       continue;
-    PartEvidence *part = findOrAddPart(evidence, id, now, now);
+    CrashRecord record{now, false, isUncertain};
+    PartEvidence *part = findOrAddPart(evidence, id, record, now);
     isFull = !part;
     if (part)
-      isNews =
-          addCrash(evidence, *part, crash, {now, false, isUncertain}) || isNews;
+      isNews = addCrash(evidence, *part, crash, record) || isNews;
   }
   return isNews;
 }
@@ -317,7 +326,8 @@
   std::vector<std::tuple<std::uint64_t, Clock::duration, PromptPartId>> order;
   order.reserve(evidence.Parts.size());
   for (const auto &[id, part] : evidence.Parts)
-    order.emplace_back(part.Sent, now - lastCrashAt(part), id);
+    if (!isUncertainOnce(part) || part.Sent < evidence.Limits.MaxUncertainSends)
+      order.emplace_back(part.Sent, now - lastCrashAt(part), id);
   std::ranges::sort(order);
   order.resize(std::min(order.size(), most));
   std::vector<EvidenceRow> rows;
@@ -338,8 +348,9 @@
   if (row.Crashes.empty())
     return false;
   auto newest = std::ranges::min_element(row.Crashes, {}, &CrashRow::Age);
-  PartEvidence *part =
-      findOrAddPart(evidence, row.Part, now - newest->Age, now);
+  bool isUncertain = row.Crashes.size() == 1 && newest->IsUncertain;
+  PartEvidence *part = findOrAddPart(
+      evidence, row.Part, {now - newest->Age, false, isUncertain}, now);
   if (!part)
     return false;
   bool isNews = false;
--- a/src/route/crash_evidence_test.cpp
+++ b/src/route/crash_evidence_test.cpp
@@ -287,6 +287,25 @@
   BOOST_TEST(decideParts(Entries[1], {part(1069)}, Now).Crashes == 2U);
 }
 
+// Guards against suspects that are forgotten, or wait for their turn, because
+// of the many requests that were in progress where a server ended.
+BOOST_AUTO_TEST_CASE(uncertainCrashesOfManyParts_costNoSuspect) {
+  end({part(1)});
+  for (std::uint64_t i = 0; i < 2 * first().Limits.MaxParts; ++i) {
+    Now += 1ms;
+    endBeforeAnswer({part(1000 + i)});
+  }
+  BOOST_TEST(first().Parts.size() == first().Limits.MaxParts);
+  BOOST_TEST(stateOf({part(1)}) == PartState::Suspect);
+  std::uint64_t digests =
+      first().Limits.MaxUncertainSends * first().Limits.MaxParts / 16;
+  for (std::uint64_t i = 0; i <= digests; ++i)
+    takeEvidenceRows(first(), 16, Now);
+  std::vector<EvidenceRow> rows = takeEvidenceRows(first(), 16, Now);
+  BOOST_REQUIRE(rows.size() == 1);
+  BOOST_TEST((rows[0].Part == part(1)));
+}
+
 // A prompt may have more unknown parts than the evidence can hold: sound
 // requests that share them make room for the one that crashes servers.
 BOOST_AUTO_TEST_CASE(crashes_underMorePartsThanAreKept_leadToTheLastOne) {
