--- a/src/direct/part_guard_test.cpp
+++ b/src/direct/part_guard_test.cpp
@@ -237,9 +237,9 @@
 // Guards against streams of one caller that are blocked because they ran at
 // servers that lost their power together.
 BOOST_AUTO_TEST_CASE(alikeStreams_atServersThatEndTogether_areTried) {
-  std::vector<ServerRecord> servers;
-  for (int i = 0; i < 6; ++i)
-    servers.push_back(breakStream(Crashing, 5).Server);
+  std::vector<ServerRecord> servers(6);
+  for (ServerRecord &it : servers)
+    it = breakStream(Crashing, 5).Server;
   for (const ServerRecord &it : servers)
     reportServerEnd(Guard, it, Now);
   BOOST_TEST(stateOf(Crashing) == PartState::Suspect);
@@ -247,9 +247,9 @@
 
 // A break keeps those parts only that may have crashed the server.
 BOOST_AUTO_TEST_CASE(break_ofStreamWithManyParts_keepsFewOfThem) {
-  std::vector<std::string> names;
-  for (int i = 0; i < 5000; ++i)
-    names.push_back("part-" + std::to_string(i));
+  std::vector<std::string> names(5000);
+  for (std::size_t i = 0; i < names.size(); ++i)
+    names[i] = "part-" + std::to_string(i);
   PromptParts parts =
       requestPartsOf({"helper"}, names, {"POST", "/draft/2", {"t"}, ""});
   BOOST_TEST(parts.Ids.size() == names.size() + 1);
