Test the server that registers out of service on its own

Cause: the test, not the entry. Two servers are in use at the end, and callers send one request at a time. Of servers without calls the entry takes the one whose answers were faster so far, or would be by the mean of all. A trial that printed each choice shows it in the failed runs: "meanwhile" got one request of each entry before the check began, took 0.10 and 0.11 ms with the new connection, and the other server at 0.065 ms got the 12 of the check.

Now the other server is drained first, and "meanwhile" has to get and answer each of the 12 requests, where one was enough before: the check fails for sure while "meanwhile" is held to be out of service. The checks that servers out of service get nothing are unchanged.

--- a/testsuite/direct/out_of_service_test.cpp
+++ b/testsuite/direct/out_of_service_test.cpp
@@ -4,6 +4,7 @@
 #include "entries_site.h"
 
 #include <boost/test/unit_test.hpp>
+#include <utility>
 
 using namespace greengagespar;
 using namespace greengagespar::site;
@@ -13,6 +14,8 @@
 
 // The time in which an order has to be in force, as the settings name it.
 constexpr std::chrono::milliseconds InForceTime = 2000ms;
+// Requests that are sent via each entry to see which servers are used.
+constexpr int RequestsOfEntry = 6;
 
 FakeAnswer done(const HttpRequestMessage &request) {
   return {signedAnswer(request, 200, "done")};
@@ -49,11 +52,10 @@
   // Sends some requests via each entry. Returns how many were answered by a
   // server.
   int sendToAll() {
-    constexpr int requestsOfEntry = 6;
     int n = 0;
     for (const EntryProcess &it : Entries) {
       Settings.Listen = it.Settings.Listen;
-      for (int i = 0; i < requestsOfEntry; ++i)
+      for (int i = 0; i < RequestsOfEntry; ++i)
         n += sendAndWait("GET", "/status/1").Head.Status == 200 ? 1 : 0;
     }
     return n;
@@ -65,6 +67,14 @@
     sendToAll();
     return server.Requests.size() > before;
   }
+
+  // Whether \p server gets and answers all requests that sendToAll() sends.
+  bool isOnlyOneUsed(const FakeServer &server) {
+    std::size_t before = server.Requests.size();
+    int all = RequestsOfEntry * static_cast<int>(Entries.size());
+    return sendToAll() == all &&
+           std::cmp_equal(server.Requests.size() - before, all);
+  }
 };
 
 } // namespace
@@ -86,7 +96,10 @@
   takeOut("south");
   steps(InForceTime);
   BOOST_TEST(!isUsed(south));
-  BOOST_TEST(isUsed(meanwhile));
+  // An idle entry prefers the server that was faster so far.
+  Objects.put("servers", north.id(), north.entry("ledger", "draining"));
+  steps(300ms);
+  BOOST_TEST(isOnlyOneUsed(meanwhile));
 }
 
 // The entries' own data centre is out: they go on, with servers elsewhere.
