--- a/src/include/greengagespar/direct/server_table.h
+++ b/src/include/greengagespar/direct/server_table.h
@@ -100,9 +100,9 @@
 /// not used, and don't replace any.
 ServerChanges recordServices(ServerTable &table, std::set<ServiceId> services);
 
-/// Records that another server than each for which \p isElsewhere holds has
-/// answered at its address. These replace no other server until they start
-/// again.
+/// Marks the servers for which \p isElsewhere holds: another one has answered
+/// at the address of each. A marked server replaces no other one until it
+/// starts again.
 ServerChanges
 recordElsewhere(ServerTable &table,
                 const std::function<bool(const ServerRecord &)> &isElsewhere);
